--- /dev/null
+++ b/balsamtally/errors.py
@@ -0,0 +1,419 @@
+"""Exceptions and their numbered result codes."""
+
+import enum
+
+import msgspec
+
+
+class Outcome(enum.Enum):
+    """Whether the request was run by a backend server."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class BalsamtallyError(Exception):
+    """Base of all errors that carry a numbered result code.
+
+    :cvar code: number that identifies the error in the table of docs/ERRORS.md
+    :cvar status: HTTP status of the answer
+    :cvar outcome: whether the request was run
+    :cvar retry_after_s: seconds after which a retry is sensible, ``None`` where none is
+    """
+
+    code = 9000
+    status = 500
+    outcome = Outcome.UNKNOWN
+    retry_after_s: float | None = None
+    default = "internal error"
+
+    def __init__(self, message: str = "", retry_after_s: float | None = None):
+        super().__init__(message or self.default)
+        if retry_after_s is not None:
+            self.retry_after_s = retry_after_s
+
+    def report(self) -> "ErrorReport":
+        """Return the error in the form in which callers and peers see it."""
+        return ErrorReport(
+            message=str(self),
+            code=self.code,
+            type=type(self).__name__,
+            outcome=self.outcome.value,
+            retry_after_s=self.retry_after_s,
+        )
+
+
+class ErrorReport(msgspec.Struct, frozen=True):
+    """An error as it goes over the wire.
+
+    :ivar message: text for a person
+    :ivar code: numbered result code
+    :ivar type: name of the exception class
+    :ivar outcome: ``not_run``, ``ran`` or ``unknown``
+    :ivar retry_after_s: seconds after which a retry is sensible
+    """
+
+    message: str
+    code: int
+    type: str
+    outcome: str
+    retry_after_s: float | None = None
+
+    def restore(self) -> BalsamtallyError:
+        """Return the exception that this report was made of."""
+        found = ERRORS.get(self.code, BalsamtallyError)
+        return found(self.message, self.retry_after_s)
+
+
+class RequestError(BalsamtallyError):
+    """The caller's request can't be accepted; nothing was run."""
+
+    code = 1000
+    status = 400
+    outcome = Outcome.NOT_RUN
+    default = "bad request"
+
+
+class MalformedBody(RequestError):
+    """The body isn't JSON of the expected shape."""
+
+    code = 1001
+    default = "the body is not valid JSON of the expected shape"
+
+
+class BodyTooLarge(RequestError):
+    """The body is over the limit."""
+
+    code = 1002
+    status = 413
+    default = "the body is too large"
+
+
+class UnknownKey(RequestError):
+    """The API key is missing or belongs to no customer."""
+
+    code = 1003
+    status = 401
+    default = "the API key is missing or unknown"
+
+
+class UnknownModel(RequestError):
+    """No pool serves the model."""
+
+    code = 1004
+    status = 404
+    default = "unknown model"
+
+
+class UnknownClass(RequestError):
+    """The request class doesn't exist or isn't open to the customer."""
+
+    code = 1005
+    status = 403
+    default = "unknown request class, or not open to this customer"
+
+
+class UnknownService(RequestError):
+    """The plain service or its operation doesn't exist."""
+
+    code = 1006
+    status = 404
+    default = "unknown service or operation"
+
+
+class MalformedHeader(RequestError):
+    """A header isn't valid."""
+
+    code = 1007
+    default = "a header is not valid"
+
+
+class UnknownPath(RequestError):
+    """The path or method doesn't exist."""
+
+    code = 1008
+    status = 404
+    default = "no such path or method"
+
+
+class ReceiptError(RequestError):
+    """The receipt can't be used."""
+
+    code = 1100
+    default = "the receipt can't be used"
+
+
+class ReceiptRequired(ReceiptError):
+    """A non-idempotent call came without a receipt."""
+
+    code = 1101
+    status = 428
+    default = "a non-idempotent call needs a receipt: POST /v1/receipts first"
+
+
+class ReceiptInvalid(ReceiptError):
+    """The receipt is forged or damaged."""
+
+    code = 1102
+    default = "the receipt is not valid"
+
+
+class ReceiptExpired(ReceiptError):
+    """The receipt expired before the call was run."""
+
+    code = 1103
+    status = 410
+    default = "the receipt has expired and its call was not run"
+
+
+class ReceiptForeign(ReceiptError):
+    """The receipt belongs to another customer."""
+
+    code = 1104
+    status = 403
+    default = "the receipt belongs to another customer"
+
+
+class ReceiptReused(ReceiptError):
+    """The receipt was used for another call before; this call was not run."""
+
+    code = 1105
+    status = 409
+    default = "the receipt was used for another call"
+
+
+class ReceiptVoid(ReceiptError):
+    """The receipt is void: its call was answered as not run and never will be."""
+
+    code = 1106
+    status = 410
+    default = "the receipt is void: its call was not run and never will be"
+
+
+class CapacityError(BalsamtallyError):
+    """The request was refused for want of capacity; nothing was run."""
+
+    code = 2000
+    status = 503
+    outcome = Outcome.NOT_RUN
+    retry_after_s = 1.0
+    default = "no capacity"
+
+
+class CustomerLimited(CapacityError):
+    """The customer is over its limit."""
+
+    code = 2001
+    status = 429
+    default = "the customer is over its limit"
+
+
+class ClassLimited(CapacityError):
+    """The request class is over its limit."""
+
+    code = 2002
+    status = 429
+    default = "the request class is over its limit"
+
+
+class QueueFull(CapacityError):
+    """The request was shed from a full queue."""
+
+    code = 2003
+    default = "the queue is full"
+
+
+class TargetHopeless(CapacityError):
+    """The request was shed since it can't meet its target."""
+
+    code = 2004
+    default = "the latency target can't be met"
+
+
+class NoBackend(CapacityError):
+    """No backend server in reach serves the request."""
+
+    code = 2005
+    default = "no backend server in reach"
+
+
+class Leaving(CapacityError):
+    """The entry VM is leaving."""
+
+    code = 2006
+    default = "this entry VM is leaving"
+
+
+class NotReady(CapacityError):
+    """The entry VM has not learnt any state yet."""
+
+    code = 2007
+    default = "this entry VM is not ready"
+
+
+class ReceiptsFull(CapacityError):
+    """The memory for receipts is full."""
+
+    code = 2008
+    default = "no room for another receipt"
+
+
+class RetriesExhausted(CapacityError):
+    """The retry budget is used up and the request was not run."""
+
+    code = 2009
+    default = "no retry left"
+
+
+class TooManyRequests(CapacityError):
+    """The entry VM holds too many requests."""
+
+    code = 2010
+    default = "this entry VM holds too many requests"
+
+
+class QueueTimeout(CapacityError):
+    """The request waited for its longest allowed time."""
+
+    code = 2011
+    default = "the request waited too long in the queue"
+
+
+class ResultError(BalsamtallyError):
+    """A request was sent to a backend server and has no whole answer."""
+
+    code = 3000
+    status = 502
+    default = "no whole answer"
+
+
+class OutcomeUnknown(ResultError):
+    """The call may or may not have run; it will not be sent again."""
+
+    code = 3001
+    status = 504
+    default = "the outcome is unknown; the call is never sent a second time"
+
+
+class AnswerCut(ResultError):
+    """The answer ended before its end."""
+
+    code = 3002
+    outcome = Outcome.RAN
+    default = "the answer was cut short"
+
+
+class AnswerGone(ResultError):
+    """The call ran and its answer is no longer held."""
+
+    code = 3003
+    status = 410
+    outcome = Outcome.RAN
+    default = "the call ran; its answer is no longer held"
+
+
+class BackendFailed(ResultError):
+    """The backend server answered with an error."""
+
+    code = 3004
+    outcome = Outcome.RAN
+    default = "the backend server failed"
+
+
+class WrongAnswer(ResultError):
+    """The backend server answered for another request."""
+
+    code = 3005
+    default = "the backend server answered for another request"
+
+
+class GraceEnded(ResultError):
+    """The entry VM stopped before the answer's end."""
+
+    code = 3006
+    status = 503
+    default = "the entry VM stopped before the answer's end"
+
+
+class OperatorError(BalsamtallyError):
+    """Something that an operator wrote isn't valid."""
+
+    code = 4000
+    status = 400
+    outcome = Outcome.NOT_RUN
+    default = "not valid"
+
+
+class SettingsInvalid(OperatorError):
+    """The settings aren't valid."""
+
+    code = 4001
+    default = "the settings are not valid"
+
+
+class TicketMalformed(OperatorError):
+    """The change ticket isn't JSON of the expected shape."""
+
+    code = 4002
+    default = "the change ticket is not JSON of the expected shape"
+
+
+class TicketInvalid(OperatorError):
+    """The change ticket breaks a rule."""
+
+    code = 4003
+    default = "the change ticket breaks a rule"
+
+
+class LinkError(BalsamtallyError):
+    """A peer or the platform isn't in reach."""
+
+    code = 5000
+    status = 503
+    default = "a peer or the platform is not in reach"
+
+
+class PeerUnreachable(LinkError):
+    """The message was not sent: the peer is not in reach."""
+
+    code = 5001
+    outcome = Outcome.NOT_RUN
+    default = "the peer is not in reach"
+
+
+class PeerTimeout(LinkError):
+    """The peer did not reply; it may have read the message."""
+
+    code = 5002
+    default = "the peer did not reply"
+
+
+class PlatformUnavailable(LinkError):
+    """The platform's service didn't answer."""
+
+    code = 5003
+    default = "the platform did not answer"
+
+
+class PeerRefused(LinkError):
+    """The peer failed the check of the shared key."""
+
+    code = 5004
+    outcome = Outcome.NOT_RUN
+    default = "the peer is not authenticated"
+
+
+def list_errors(base: type[BalsamtallyError] = BalsamtallyError) -> list[type[BalsamtallyError]]:
+    """Return an exception class and all below it, by code.
+
+    :param base: root of the tree
+    :return: the classes, sorted by code
+    """
+    found = [base]
+    for below in base.__subclasses__():
+        found.extend(list_errors(below))
+    return sorted(found, key=lambda error: error.code)
+
+
+ERRORS = {error.code: error for error in list_errors()}
