--- a/balsamtally/messages.py
+++ b/balsamtally/messages.py
@@ -3,7 +3,6 @@
 import msgspec
 
 from balsamtally.errors import ErrorReport
-from balsamtally.machines import EntryVm
 
 
 class Message(msgspec.Struct, frozen=True, tag=True):
@@ -164,35 +163,131 @@
     content_type: str = "application/json"
 
 
+class MemberState(msgspec.Struct, frozen=True, array_like=True):
+    """What an entry VM knows of another.
+
+    Of two states of one name, the one with the higher generation, incarnation and status holds.
+    Only the VM itself raises its generation.
+
+    :ivar name: name of the VM
+    :ivar address: IP number and port of its peer listener
+    :ivar domain: failure domain it stands in
+    :ivar region: region of the failure domain
+    :ivar incarnation: identity of its process, empty where it is not known
+    :ivar generation: 0 if only the platform's list tells of it
+    :ivar status: 0 alive, 1 suspected, 2 dead, 3 left
+    :ivar leaving: whether it announced that it is leaving
+    """
+
+    name: str
+    address: str
+    domain: str
+    region: str
+    incarnation: str = ""
+    generation: int = 0
+    status: int = 0
+    leaving: bool = False
+
+
 class Heartbeat(Message, frozen=True):
-    """A sign of life with what changed lately.
+    """A sign of life with what changed lately, and the reply to it.
 
     :ivar sender: the sending entry VM
-    :ivar members: other entry VMs, as the sender knows them
-    :ivar digest: digest of the tickets that the sender has accepted
+    :ivar members: what changed lately among the entry VMs
+    :ivar digest: digest of the tickets in force at the sender
+    :ivar views: digest of the live members of each failure domain
+    :ivar listed_leaving: VMs that the platform lists as leaving, if the sender watches the list
     """
 
-    sender: EntryVm
-    members: tuple[EntryVm, ...] = ()
+    sender: MemberState
+    members: tuple[MemberState, ...] = ()
     digest: str = ""
+    views: dict[str, int] = {}
+    listed_leaving: tuple[str, ...] | None = None
+
+
+class Probe(Message, frozen=True):
+    """A request to send a heartbeat to a VM that the sender can't reach.
+
+    :ivar target: what the sender knows of that VM
+    """
+
+    target: MemberState
+
+
+class ProbeResult(Message, frozen=True):
+    """The reply to a probe.
+
+    :ivar target: state of the VM as it answered, ``None`` if it did not
+    """
+
+    target: MemberState | None
+
+
+class MemberExchange(Message, frozen=True):
+    """All that the sender knows of some failure domains' members; the reply is the same.
+
+    :ivar members: states of the members
+    :ivar domains: names of the failure domains
+    """
+
+    members: tuple[MemberState, ...]
+    domains: tuple[str, ...]
+
+
+class TicketNotice(msgspec.Struct, frozen=True, array_like=True):
+    """A ticket that failed its checks.
+
+    :ivar digest: digest of its text
+    :ivar source: key under which the platform holds it
+    :ivar reason: all the faults
+    """
+
+    digest: str
+    source: str
+    reason: str
 
 
 class TicketOffer(Message, frozen=True):
     """Tickets that the receiver may lack.
 
     :ivar tickets: JSON texts of the tickets
+    :ivar refused: tickets that failed their checks
     """
 
     tickets: tuple[bytes, ...]
+    refused: tuple[TicketNotice, ...] = ()
 
 
-class TicketRequest(Message, frozen=True):
-    """A request for the tickets that the sender lacks.
+class TicketDigests(Message, frozen=True):
+    """A request for the index of the tickets that differ.
 
-    :ivar held: number and digest of each ticket that the sender holds
+    :ivar buckets: a digest for each group of ticket numbers at the sender
+    """
+
+    buckets: tuple[int, ...]
+
+
+class TicketIndex(Message, frozen=True):
+    """Numbers and digests of the tickets in the groups that differ.
+
+    :ivar held: tickets that set an object at the sender
+    :ivar conflicts: tickets that share their number with another
+    :ivar refused: tickets that failed their checks
     """
 
     held: tuple[tuple[int, str], ...]
+    conflicts: tuple[tuple[int, str], ...] = ()
+    refused: tuple[TicketNotice, ...] = ()
+
+
+class TicketRequest(Message, frozen=True):
+    """A request for tickets; the reply offers as many as fit into one message.
+
+    :ivar wanted: number and digest of each ticket that the sender lacks
+    """
+
+    wanted: tuple[tuple[int, str], ...]
 
 
 AnyMessage = (
@@ -208,6 +303,11 @@
     | CallService
     | ServiceAnswer
     | Heartbeat
+    | Probe
+    | ProbeResult
+    | MemberExchange
     | TicketOffer
+    | TicketDigests
+    | TicketIndex
     | TicketRequest
 )
