Merge tickets, find members by heartbeats, exchange what differs

Weighed: (1) a full mesh of heartbeats, ruled out by the control budget; (2) exchanging single objects in place of whole tickets: less to hold, but a receiver could not check the ticket it came in; (3) number alone as the order: two operators under one number never converge. Change: merge order (number, digest) per object; superseded bodies dropped; conflicts are part of the digest, so the alarm reaches all; SWIM-like heartbeats with generations that only the VM itself raises; gateways between failure domains; digests on heartbeats, 64 buckets to find what differs, pulls in messages of at most 1.2 MB; two watchers of the platform per domain, the others start from a peer. Conclusion: whole in-process; the daemon's processes are still to come.

--- a/balsamtally/facts.py
+++ b/balsamtally/facts.py
@@ -1,6 +1,6 @@
 """The state in force: for each object, that of the highest accepted ticket that touches it."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -284,12 +284,10 @@
         self._indexes[tag] = index
         return index
 
-    def _list_entries(self, tag: str) -> list[Entry]:
-        return [
-            entry
-            for key, entry in self.entries.items()
-            if key[0] == tag and not isinstance(entry.item, Removed)
-        ]
+    def _list_entries(self, tag: str) -> Iterator[Entry]:
+        for key, entry in self.entries.items():
+            if key[0] == tag and not isinstance(entry.item, Removed):
+                yield entry
 
 
 def _get_name(item: WorldObject) -> str:
--- /dev/null
+++ b/balsamtally/heartbeats.py
@@ -0,0 +1,272 @@
+"""Heartbeats: how the entry VMs find out which of them live and whose facts differ."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any, Protocol
+
+import msgspec
+
+from balsamtally.errors import BalsamtallyError
+from balsamtally.logs import log
+from balsamtally.members import ALIVE, DEAD, SUSPECT, Members
+from balsamtally.messages import (
+    Heartbeat,
+    MemberExchange,
+    MemberState,
+    Message,
+    Probe,
+    ProbeResult,
+)
+
+BEAT_S = 1.0
+REPLY_TIMEOUT_S = 0.8
+PROBE_TIMEOUT_S = 2.0
+PROBE_HELPERS = 3
+GATEWAYS_PER_DOMAIN = 2
+MAX_GATEWAYS_TRIED = 8
+AVOID_S = 20.0
+NEWS_PER_HEARTBEAT = 8
+REVIVAL_BEATS = 5
+EXCHANGE_TIMEOUT_S = 3.0
+EXCHANGE_GAP_S = 5.0
+
+
+class PeerLinks(Protocol):
+    """What this module needs of the links."""
+
+    def call(self, vm: str, message: Message, timeout_s: float) -> Message: ...
+
+    def cast(self, vm: str, message: Message) -> None: ...
+
+    def handle(self, kind: type, handler: Callable[[str, Any], Message | None]) -> None: ...
+
+
+class Heartbeats:
+    """The heartbeats of this entry VM.
+
+    Each beat calls one member of the own failure domain, in shuffled turns. A gateway also calls
+    one gateway of another failure domain. What differs is then exchanged.
+
+    :param members: the known entry VMs
+    :param links: links to the peers
+    :param get_digest: gives the digest of the tickets in force here
+    :param on_digest: called with a peer's name and its digest of the tickets in force
+    :param is_watching: whether this VM watches the platform's list
+    :param clock: monotonic clock in seconds
+    :param random: source of random numbers
+    :param spawn: runs a function in a task of its own
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        links: PeerLinks,
+        get_digest: Callable[[], str],
+        on_digest: Callable[[str, str], None],
+        is_watching: Callable[[], bool],
+        clock: Callable[[], float],
+        random: Random,
+        spawn: Callable[..., Any],
+    ):
+        self.members = members
+        self.links = links
+        self._get_digest = get_digest
+        self._on_digest = on_digest
+        self._is_watching = is_watching
+        self._clock = clock
+        self._random = random
+        self._spawn = spawn
+        self._turns: list[str] = []
+        self._beats = 0
+        self._exchange_after = 0.0
+        self._avoid_until: dict[str, float] = {}
+        links.handle(Heartbeat, self._answer_heartbeat)
+        links.handle(Probe, self._answer_probe)
+        links.handle(MemberExchange, self._answer_exchange)
+
+    def beat(self) -> None:
+        """Do one round."""
+        self.members.tick()
+        self._beats += 1
+        target = self._pick_peer()
+        if target:
+            self._spawn(self.call_peer, target)
+        gateway = self._pick_gateway()
+        if gateway:
+            self._spawn(self.call_peer, gateway)
+        if self._beats % REVIVAL_BEATS == 0:
+            self._revive_one()
+
+    def _pick_peer(self) -> str | None:
+        live = {state.name for state in self.members.list_peers((ALIVE, SUSPECT))}
+        while live:
+            if not self._turns:
+                self._turns = sorted(live)
+                self._random.shuffle(self._turns)
+            name = self._turns.pop()
+            if name in live:
+                return name
+        return None
+
+    def _pick_gateway(self) -> str | None:
+        domains = self.members.list_domains()
+        if not domains or not self.is_gateway():
+            return None
+        return self.pick_remote(self._random.choice(domains))
+
+    def is_gateway(self) -> bool:
+        """Return whether this VM speaks for its failure domain with the others."""
+        own = self.members.own
+        return own.name in self.members.list_gateways(own.domain, GATEWAYS_PER_DOMAIN)
+
+    def pick_remote(self, domain: str) -> str:
+        """Return a gateway of another failure domain, without those that lately failed to answer.
+
+        :param domain: name of the failure domain
+        """
+        ranked = self.members.list_gateways(domain, MAX_GATEWAYS_TRIED)
+        now = self._clock()
+        good = [name for name in ranked if self._avoid_until.get(name, 0.0) <= now]
+        return self._random.choice((good or ranked)[:GATEWAYS_PER_DOMAIN])
+
+    def _revive_one(self) -> None:
+        """Call a member that counts as dead: a split may have healed."""
+        dead = self.members.list_peers((DEAD,), everywhere=self.is_gateway())
+        if dead:
+            self._spawn(self.call_peer, self._random.choice(dead).name)
+
+    def call_peer(self, name: str) -> bool:
+        """Exchange heartbeats with a peer, and suspect it if it doesn't answer.
+
+        :param name: name of the peer
+        :return: whether it answered
+        """
+        wakes = self.members.wakes
+        try:
+            reply = self.links.call(name, self._make_heartbeat(self._tell(name)), REPLY_TIMEOUT_S)
+        except BalsamtallyError:
+            self.members.is_away()
+            if self.members.wakes == wakes:
+                self._miss(name)
+            return False
+        if not isinstance(reply, Heartbeat):
+            return False
+        self.members.is_away()
+        if self.members.wakes == wakes:
+            self.members.confirm()
+        self._take_in(name, reply)
+        return True
+
+    def _tell(self, name: str) -> tuple[MemberState, ...]:
+        """Return what counts against a peer, so that it can refute it."""
+        state = self.members.get_state(name)
+        return () if state is None or state.status == ALIVE else (state,)
+
+    def cast_heartbeat(self, name: str) -> None:
+        """Send a heartbeat that asks for no reply, to show a new digest at once.
+
+        :param name: name of the peer
+        """
+        self.links.cast(name, self._make_heartbeat(()))
+
+    def cast_farewell(self) -> None:
+        """Tell some peers that this VM stops now."""
+        heartbeat = self._make_heartbeat(())
+        farewell = self.members.make_farewell()
+        for state in self.members.list_peers((ALIVE,)):
+            self.links.cast(state.name, msgspec.structs.replace(heartbeat, sender=farewell))
+
+    def _make_heartbeat(self, extra: tuple[MemberState, ...]) -> Heartbeat:
+        watching = self._is_watching()
+        return Heartbeat(
+            sender=self.members.own_state,
+            members=extra + self.members.take_news(NEWS_PER_HEARTBEAT),
+            digest=self._get_digest(),
+            views=self.members.list_views(),
+            listed_leaving=self.members.list_listed_leaving() if watching else None,
+        )
+
+    def _take_in(self, name: str, heartbeat: Heartbeat) -> None:
+        if heartbeat.sender.name != name:
+            log.warning("foreign_heartbeat", peer=name, sender=heartbeat.sender.name)
+            return
+        self.members.learn(heartbeat.sender)
+        for state in heartbeat.members:
+            self.members.learn(state)
+        if heartbeat.listed_leaving is not None:
+            self.members.learn_leaving(name, heartbeat.listed_leaving)
+        self._on_digest(name, heartbeat.digest)
+        self._compare_views(name, heartbeat.views)
+
+    def _answer_heartbeat(self, name: str, heartbeat: Heartbeat) -> Heartbeat:
+        self._take_in(name, heartbeat)
+        return self._make_heartbeat(self._tell(name))
+
+    # A peer that doesn't answer.
+
+    def _miss(self, name: str) -> None:
+        state = self.members.get_state(name)
+        if state is None or state.status != ALIVE:
+            return
+        if state.domain != self.members.own.domain:
+            self._avoid_until[name] = self._clock() + AVOID_S
+            return
+        self.members.suspect(name)
+        suspected = self.members.get_state(name)
+        helpers = [peer.name for peer in self.members.list_peers((ALIVE,))]
+        for helper in self._random.sample(sorted(helpers), min(PROBE_HELPERS, len(helpers))):
+            self._spawn(self._ask_helper, helper, suspected)
+
+    def _ask_helper(self, helper: str, suspected: MemberState) -> None:
+        try:
+            reply = self.links.call(helper, Probe(suspected), PROBE_TIMEOUT_S)
+        except BalsamtallyError:
+            return
+        if isinstance(reply, ProbeResult) and reply.target is not None:
+            self.members.learn(reply.target)
+
+    def _answer_probe(self, sender: str, probe: Probe) -> ProbeResult:
+        self.members.learn(probe.target)
+        name = probe.target.name
+        try:
+            heartbeat = self._make_heartbeat((probe.target,))
+            reply = self.links.call(name, heartbeat, REPLY_TIMEOUT_S)
+        except BalsamtallyError:
+            return ProbeResult(None)
+        if not isinstance(reply, Heartbeat):
+            return ProbeResult(None)
+        self._take_in(name, reply)
+        return ProbeResult(self.members.get_state(name))
+
+    # Views that differ.
+
+    def _compare_views(self, name: str, views: dict[str, int]) -> None:
+        own = self.members.list_views()
+        domains = tuple(
+            sorted(domain for domain in {*own, *views} if own.get(domain) != views.get(domain))
+        )
+        if domains and self._clock() >= self._exchange_after:
+            self._exchange_after = self._clock() + EXCHANGE_GAP_S * (0.5 + self._random.random())
+            self._spawn(self.exchange_members, name, domains)
+
+    def exchange_members(self, name: str, domains: tuple[str, ...]) -> None:
+        """Exchange all known members of some failure domains with a peer.
+
+        :param name: name of the peer
+        :param domains: names of the failure domains
+        """
+        states = tuple(self.members.list_states(domains))
+        try:
+            reply = self.links.call(name, MemberExchange(states, domains), EXCHANGE_TIMEOUT_S)
+        except BalsamtallyError:
+            return
+        if isinstance(reply, MemberExchange):
+            self._learn_all(reply.members)
+
+    def _answer_exchange(self, name: str, exchange: MemberExchange) -> MemberExchange:
+        self._learn_all(exchange.members)
+        return MemberExchange(tuple(self.members.list_states(exchange.domains)), exchange.domains)
+
+    def _learn_all(self, states: tuple[MemberState, ...]) -> None:
+        for state in states:
+            self.members.learn(state)
--- /dev/null
+++ b/tests/balsamtally/test_facts.py
@@ -0,0 +1,103 @@
+"""Differential tests of the state in force against a naive replay."""
+
+from collections import defaultdict
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from balsamtally.contracts import Customer, Pool
+from balsamtally.facts import Facts
+from balsamtally.messages import TicketNotice
+from balsamtally.tickets import Removed, Ticket, digest_ticket, encode_ticket
+from tests.balsamtally.fake_network import replay_naively
+
+HASHES = st.sampled_from(["a" * 64, "b" * 64])
+OBJECTS = st.one_of(
+    st.builds(Pool, name=st.sampled_from("pqr"), aliases=st.tuples(st.sampled_from("xyp"))),
+    st.builds(
+        Customer,
+        name=st.sampled_from("cd"),
+        key_hashes=st.tuples(HASHES),
+        classes=st.just(("live",)),
+    ),
+    st.builds(Removed, name=st.sampled_from("pqr"), of=st.just("pool")),
+)
+TICKETS = st.builds(
+    Ticket,
+    format=st.just(1),
+    number=st.integers(1, 5),
+    author=st.sampled_from(["ana", "ravi"]),
+    objects=st.lists(OBJECTS, min_size=1, max_size=3, unique_by=lambda item: item.name).map(tuple),
+)
+
+
+def merge(tickets):
+    facts = Facts()
+    for ticket in tickets:
+        facts.accept(ticket)
+    return facts
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(st.lists(TICKETS, max_size=8), st.data())
+def test_merge_in_any_order_equals_naive_replay(tickets, data):
+    shuffled = data.draw(st.permutations(tickets + tickets[:3]))
+    facts = merge(shuffled)
+    naive = replay_naively([("", encode_ticket(ticket)) for ticket in tickets])
+    found = {key: (e.number, e.digest, e.item) for key, e in facts.entries.items()}
+    assert found == naive
+    assert facts.digest() == merge(tickets).digest()
+
+    setting = {(number, digest) for number, digest, _ in naive.values()}
+    assert set(facts.list_orders(range(64))[0]) == setting
+    assert all(facts.get_body(order) for order in setting)
+
+    digests = defaultdict(set)
+    for ticket in tickets:
+        digests[ticket.number].add(digest_ticket(ticket))
+    assert facts.conflicts == {n: found for n, found in digests.items() if len(found) > 1}
+
+
+@settings(derandomize=True, deadline=None, max_examples=100)
+@given(st.lists(TICKETS, min_size=1, max_size=8))
+def test_lookups_follow_the_state_in_force(tickets):
+    facts = Facts()
+    for ticket in tickets:
+        facts.accept(ticket)
+        ranked = sorted(facts.entries.values(), key=lambda e: (e.number, e.digest, e.item.name))
+        for key in ("a" * 64, "b" * 64):
+            owners = [e.item for e in ranked if key in getattr(e.item, "key_hashes", ())]
+            assert facts.find_customer(key) == (owners[-1] if owners else None)
+        pools = [e.item for e in ranked if isinstance(e.item, Pool)]
+        assert facts.list(Pool) == sorted(pools, key=lambda pool: pool.name)
+        for name in "pqrxy":
+            named = [pool for pool in pools if pool.name == name]
+            aliased = [pool for pool in pools if name in pool.aliases]
+            assert facts.find_pool(name) == next(reversed(named or aliased), None)
+
+
+def test_watchers_hear_what_changed_though_one_fails():
+    facts = Facts()
+    heard = []
+    facts.watch(lambda changed: 1 / 0)
+    facts.watch(heard.append)
+    facts.accept(Ticket(1, 2, "ana", (Pool("p"), Pool("q"))))
+    facts.accept(Ticket(1, 1, "ana", (Pool("p"), Pool("r"))))
+    facts.accept(Ticket(1, 1, "ana", (Pool("p"), Pool("r"))))
+    assert heard == [{("pool", "p"), ("pool", "q")}, {("pool", "r")}]
+
+
+def test_memory_is_bounded(monkeypatch):
+    monkeypatch.setattr("balsamtally.facts.MAX_REMEMBERED", 20)
+    monkeypatch.setattr("balsamtally.facts.MAX_CONFLICTS", 5)
+    monkeypatch.setattr("balsamtally.facts.MAX_REFUSED", 5)
+    facts = Facts()
+    for number in range(1, 100):
+        for author in ("ana", "ravi"):
+            facts.accept(Ticket(1, number, author, (Pool("p"),)))
+        facts.refuse(TicketNotice(str(number), "key", "why"))
+    assert len(facts._held) == 1
+    assert len(facts._remembered) == 20
+    assert sorted(facts.conflicts) == [95, 96, 97, 98, 99]
+    assert len(facts._conflicting) <= 5
+    assert list(facts.refused) == ["95", "96", "97", "98", "99"]
