--- /dev/null
+++ b/balsamtally/entry.py
@@ -0,0 +1,476 @@
+"""The callers' listener: chat requests, models, receipts and plain service calls."""
+
+import secrets
+import select
+import socket
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+import bottle
+import msgspec
+from gevent.pool import Pool as GreenletPool
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from balsamtally.chats import ChatRequest, Chats, Progress, read_text
+from balsamtally.contracts import Customer, Pool, RequestClass
+from balsamtally.errors import (
+    AnswerCut,
+    BalsamtallyError,
+    BodyTooLarge,
+    Leaving,
+    MalformedBody,
+    MalformedHeader,
+    NotReady,
+    TooManyRequests,
+    UnknownClass,
+    UnknownKey,
+    UnknownModel,
+    UnknownPath,
+)
+from balsamtally.logs import log
+from balsamtally.messages import ServiceAnswer
+from balsamtally.settings import Settings, split_address
+from balsamtally.slots import CallerVanished
+from balsamtally.streams import Chunk
+
+CALLER_TIMEOUT_S = 30.0
+MAX_CONNECTIONS = 10_000
+MAX_HEADER_CHARACTERS = 512
+CLASS_HEADER = "X-Request-Class"
+RECEIPT_HEADER = "Idempotency-Key"
+
+
+class ChatMessage(msgspec.Struct, frozen=True):
+    """One message of a chat.
+
+    :ivar role: who says it
+    :ivar content: its text or its parts
+    """
+
+    role: str
+    content: str | list | None = None
+
+
+class ChatBody(msgspec.Struct, frozen=True):
+    """The fields of a chat request that the router reads; the others pass through.
+
+    :ivar model: name of the model
+    :ivar messages: the chat so far
+    :ivar stream: whether the answer is to be streamed
+    :ivar n: number of answers, only 1 is served
+    :ivar max_tokens: most tokens of the answer
+    :ivar max_completion_tokens: the same under its newer name
+    """
+
+    model: str
+    messages: list[ChatMessage]
+    stream: bool | None = None
+    n: int | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+
+
+@dataclass(frozen=True)
+class Doors:
+    """What the callers' listener needs of the daemon.
+
+    :ivar is_ready: tells whether some state was learnt
+    :ivar is_leaving: tells whether the VM is leaving
+    :ivar find_customer: finds the customer of an API key
+    :ivar find_class: finds a request class by name
+    :ivar find_pool: finds a pool by its model's name or alias
+    :ivar list_pools: lists the pools
+    :ivar check_limits: raises if the customer or the class is over its limit
+    :ivar issue_receipt: issues a receipt to a customer
+    :ivar call_service: calls a plain service: customer, service, operation, body, receipt
+    :ivar note_end: called at the end of a chat request with its error, if any
+    """
+
+    is_ready: Callable[[], bool]
+    is_leaving: Callable[[], bool]
+    find_customer: Callable[[str], Customer | None]
+    find_class: Callable[[str], RequestClass | None]
+    find_pool: Callable[[str], Pool | None]
+    list_pools: Callable[[], list[Pool]]
+    check_limits: Callable[[Customer, RequestClass], None]
+    issue_receipt: Callable[[Customer], str]
+    call_service: Callable[[Customer, str, str, bytes, str | None], ServiceAnswer]
+    note_end: Callable[[ChatRequest, Progress, BaseException | None], None]
+
+
+class Entry:
+    """The callers' listener, closed by context.
+
+    :param settings: settings of the VM
+    :param chats: answers chat requests
+    :param doors: what else it needs of the daemon
+    """
+
+    def __init__(self, settings: Settings, chats: Chats, doors: Doors):
+        self.settings = settings
+        self.chats = chats
+        self.doors = doors
+        self.in_flight = 0
+        self.app = self._make_app()
+        self._server = WSGIServer(
+            split_address(settings.caller_address),
+            self.app,
+            handler_class=CallerHandler,
+            spawn=GreenletPool(MAX_CONNECTIONS),
+            log=None,
+            error_log=None,
+        )
+
+    def __enter__(self) -> "Entry":
+        self._server.start()
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        self._server.stop(timeout=1)
+
+    def stop_listening(self) -> None:
+        """Accept no more connections; the open ones go on."""
+        self._server.stop_accepting()
+
+    def _make_app(self) -> bottle.Bottle:
+        app = bottle.Bottle()
+        app.route("/v1/chat/completions", "POST", self._guard(self._serve_chat))
+        app.route("/v1/models", "GET", self._guard(self._serve_models))
+        app.route("/v1/receipts", "POST", self._guard(self._serve_receipt))
+        path = "/v1/services/<service>/<operation>"
+        app.route(path, "POST", self._guard(self._serve_service))
+        app.default_error_handler = lambda error: render_error(
+            UnknownPath() if error.status_code in (404, 405) else BalsamtallyError(), ""
+        )
+        return app
+
+    def _guard(self, serve: Callable) -> Callable:
+        """Wrap a route: checks common to all, and errors as JSON."""
+
+        def serve_guarded(**path):
+            request_id = f"req-{secrets.token_hex(8)}"
+            bottle.response.set_header("X-Request-Id", request_id)
+            if self.in_flight >= self.settings.max_requests:
+                return render_error(TooManyRequests(), request_id)
+            self.in_flight += 1
+            streaming = False
+            try:
+                answer = serve(request_id, self._find_customer(), **path)
+                if isinstance(answer, Iterator):
+                    streaming = True
+                    return self._count_stream(answer)
+                return answer
+            except CallerVanished:
+                return b""
+            except BalsamtallyError as error:
+                return render_error(error, request_id)
+            except OSError as error:
+                return render_error(MalformedBody(f"the body ended early: {error}"), request_id)
+            except Exception:
+                log.exception("request_failed", request=request_id)
+                return render_error(BalsamtallyError(), request_id)
+            finally:
+                if not streaming:
+                    self.in_flight -= 1
+
+        return serve_guarded
+
+    def _count_stream(self, answer: Iterator[bytes]) -> "CountedStream":
+        def end() -> None:
+            self.in_flight -= 1
+
+        return CountedStream(answer, end)
+
+    def _find_customer(self) -> Customer:
+        if not self.doors.is_ready():
+            raise NotReady
+        scheme, _, key = bottle.request.get_header("Authorization", "").partition(" ")
+        if scheme.lower() != "bearer" or not key:
+            raise UnknownKey
+        customer = self.doors.find_customer(key.strip())
+        if customer is None:
+            raise UnknownKey
+        return customer
+
+    def _read_body(self) -> bytes:
+        limit = self.settings.max_body_bytes
+        if (bottle.request.content_length or 0) > limit:
+            raise BodyTooLarge(f"the body is over {limit} bytes")
+        body = bottle.request.environ["wsgi.input"].read(limit + 1)
+        if len(body) > limit:
+            raise BodyTooLarge(f"the body is over {limit} bytes")
+        return body
+
+    def _serve_models(self, request_id: str, customer: Customer) -> dict:
+        models = [
+            {"id": pool.name, "object": "model", "created": 0, "owned_by": "balsamtally"}
+            for pool in self.doors.list_pools()
+        ]
+        return {"object": "list", "data": models}
+
+    def _serve_receipt(self, request_id: str, customer: Customer) -> dict:
+        if self.doors.is_leaving():
+            raise Leaving
+        return {"receipt": self.doors.issue_receipt(customer)}
+
+    def _serve_service(
+        self, request_id: str, customer: Customer, service: str, operation: str
+    ) -> bytes:
+        receipt = read_header(RECEIPT_HEADER)
+        body = self._read_body()
+        answer = self.doors.call_service(customer, service, operation, body, receipt)
+        bottle.response.status = answer.status
+        bottle.response.content_type = answer.content_type
+        return answer.body
+
+    def _serve_chat(self, request_id: str, customer: Customer) -> dict | Iterator[bytes]:
+        if self.doors.is_leaving():
+            raise Leaving
+        arrived = time.monotonic()
+        raw, body = decode_chat(self._read_body())
+        request_class = self._find_class(customer)
+        pool = self.doors.find_pool(body.model)
+        if pool is None:
+            raise UnknownModel(f"unknown model {body.model!r}")
+        self.doors.check_limits(customer, request_class)
+        chat = ChatRequest(request_id, customer, request_class, pool, raw, arrived)
+        progress = Progress()
+        chunks = self._note_end(chat, progress)
+        if body.stream:
+            first = next(chunks)
+            bottle.response.content_type = "text/event-stream"
+            bottle.response.set_header("Cache-Control", "no-cache")
+            return stream_events(chat, first, chunks)
+        return collect_answer(chat, chunks)
+
+    def _find_class(self, customer: Customer) -> RequestClass:
+        name = read_header(CLASS_HEADER) or customer.classes[0]
+        request_class = self.doors.find_class(name) if name in customer.classes else None
+        if request_class is None:
+            raise UnknownClass(f"request class {name!r} is unknown or not open to this customer")
+        return request_class
+
+    def _note_end(self, chat: ChatRequest, progress: Progress) -> Iterator[Chunk]:
+        """Yield the answer's chunks and report the end, also if the caller leaves early."""
+        has_vanished = make_vanished_check(bottle.request.environ.get("balsamtally.socket"))
+        error: BaseException | None = None
+        try:
+            yield from self.chats.answer(chat, progress, has_vanished)
+        except BaseException as failure:
+            error = failure
+            raise
+        finally:
+            self.doors.note_end(chat, progress, error)
+
+
+class CountedStream:
+    """A streamed body that reports its end once.
+
+    :param answer: the pieces
+    :param end: called when the body is closed
+    """
+
+    def __init__(self, answer: Iterator[bytes], end: Callable[[], None]):
+        self._answer = answer
+        self._end = end
+        self._closed = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self._answer
+
+    def close(self) -> None:
+        """Close the answer, also where it was not read to its end."""
+        if self._closed:
+            return
+        self._closed = True
+        try:
+            self._answer.close()
+        finally:
+            self._end()
+
+
+class CallerHandler(WSGIHandler):
+    """Handler of one caller's connection, with time limits on reading and writing."""
+
+    def handle(self) -> None:
+        """Serve the connection's requests."""
+        self.socket.settimeout(CALLER_TIMEOUT_S)
+        super().handle()
+
+    def get_environ(self) -> dict:
+        """Return the request's environment with the caller's socket."""
+        environ = super().get_environ()
+        environ["balsamtally.socket"] = self.socket
+        return environ
+
+    def read_requestline(self) -> str:
+        """Return the request line, or nothing if the caller is silent for too long."""
+        try:
+            return super().read_requestline()
+        except TimeoutError:
+            return ""
+
+
+def make_vanished_check(caller: socket.socket | None) -> Callable[[], bool]:
+    """Return a function that tells whether a caller has closed its connection.
+
+    :param caller: the caller's socket, ``None`` where there is none
+    :return: the function
+    """
+
+    def has_vanished() -> bool:
+        if caller is None:
+            return False
+        try:
+            readable, _, _ = select.select([caller], [], [], 0)
+            return bool(readable) and caller.recv(1, socket.MSG_PEEK) == b""
+        except (OSError, ValueError):
+            return True
+
+    return has_vanished
+
+
+def read_header(name: str) -> str | None:
+    """Return a header of the current request.
+
+    :param name: its name
+    :return: its value, ``None`` if it is missing
+    :raises MalformedHeader: if it is too long or holds other than printable ASCII
+    """
+    value = bottle.request.get_header(name)
+    if value is None:
+        return None
+    if len(value) > MAX_HEADER_CHARACTERS or not value.isascii() or not value.isprintable():
+        raise MalformedHeader(f"header {name} is not valid")
+    return value
+
+
+def decode_chat(body: bytes) -> tuple[dict, ChatBody]:
+    """Decode and check the body of a chat request.
+
+    :param body: JSON text
+    :return: all its fields, and those that the router reads
+    :raises MalformedBody: if it is not JSON of the right shape; the text names the place
+    """
+    try:
+        raw = msgspec.json.decode(body)
+        chat = msgspec.convert(raw, ChatBody)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise MalformedBody(str(error)) from error
+    if not chat.messages:
+        raise MalformedBody("messages must not be empty - at `$.messages`")
+    if chat.n not in (None, 1):
+        raise MalformedBody("only one answer is served - at `$.n`")
+    for limit in (chat.max_tokens, chat.max_completion_tokens):
+        if limit is not None and limit < 1:
+            raise MalformedBody("must be 1 or more - at `$.max_tokens`")
+    return raw, chat
+
+
+def render_error(error: BalsamtallyError, request_id: str) -> bytes:
+    """Set the response's status and headers and return the error as JSON.
+
+    :param error: the error
+    :param request_id: id of the request
+    :return: JSON text of the shape that OpenAI clients read
+    """
+    bottle.response.status = error.status
+    bottle.response.content_type = "application/json"
+    bottle.response.set_header("X-Outcome", error.outcome.value)
+    if error.retry_after_s is not None:
+        bottle.response.set_header("Retry-After", str(max(1, round(error.retry_after_s))))
+    return msgspec.json.encode({"error": describe_error(error, request_id)})
+
+
+def describe_error(error: BalsamtallyError, request_id: str) -> dict:
+    """Return the error's fields as callers see them.
+
+    :param error: the error
+    :param request_id: id of the request
+    :return: fields of the ``error`` object
+    """
+    return {
+        "message": str(error),
+        "type": type(error).__name__,
+        "code": error.code,
+        "param": None,
+        "outcome": error.outcome.value,
+        "request_id": request_id,
+    }
+
+
+def encode_event(chat: ChatRequest, chunk: Chunk, created: int) -> bytes:
+    """Return a chunk as the caller's event.
+
+    :param chat: the request
+    :param chunk: the runner's chunk
+    :param created: time stamp of the answer, in seconds since 1970
+    :return: the event
+    """
+    choices = [
+        {
+            "index": 0,
+            "delta": {"content": choice.delta.content} if choice.delta.content else {},
+            "finish_reason": choice.finish_reason,
+        }
+        for choice in chunk.choices
+    ]
+    event = {
+        "id": chat.request,
+        "object": "chat.completion.chunk",
+        "created": created,
+        "model": chat.pool.name,
+        "choices": choices,
+    }
+    if chunk.usage is not None:
+        event["usage"] = chunk.usage
+    return b"data: " + msgspec.json.encode(event) + b"\n\n"
+
+
+def stream_events(chat: ChatRequest, first: Chunk, rest: Iterator[Chunk]) -> Iterator[bytes]:
+    """Yield the events of a streamed answer; a cut answer ends in an error, never in the marker.
+
+    :param chat: the request
+    :param first: its first chunk
+    :param rest: the chunks after it
+    :return: the events
+    """
+    created = int(time.time())
+    try:
+        yield encode_event(chat, first, created)
+        for chunk in rest:
+            yield encode_event(chat, chunk, created)
+        yield b"data: [DONE]\n\n"
+    except CallerVanished:
+        return
+    except BalsamtallyError as error:
+        cut = AnswerCut(str(error)) if not isinstance(error, AnswerCut) else error
+        text = msgspec.json.encode({"error": describe_error(cut, chat.request)})
+        yield b"data: " + text + b"\n\n"
+    finally:
+        rest.close()
+
+
+def collect_answer(chat: ChatRequest, chunks: Iterator[Chunk]) -> dict:
+    """Return the whole answer.
+
+    :param chat: the request
+    :param chunks: the answer's chunks
+    :return: body of the answer
+    """
+    text, finish_reason, usage = [], None, None
+    for chunk in chunks:
+        text.append(read_text(chunk))
+        usage = chunk.usage or usage
+        for choice in chunk.choices:
+            finish_reason = choice.finish_reason or finish_reason
+    message = {"role": "assistant", "content": "".join(text)}
+    return {
+        "id": chat.request,
+        "object": "chat.completion",
+        "created": int(time.time()),
+        "model": chat.pool.name,
+        "choices": [{"index": 0, "message": message, "finish_reason": finish_reason}],
+        "usage": usage,
+    }
--- a/balsamtally/errors.py
+++ b/balsamtally/errors.py
@@ -336,6 +336,13 @@
     default = "the entry VM stopped before the answer's end"
 
 
+class NoAnswer(ResultError):
+    """No model runner answered; one of them may have run the request."""
+
+    code = 3007
+    default = "no model runner answered"
+
+
 class OperatorError(BalsamtallyError):
     """Something that an operator wrote isn't valid."""
 
--- /dev/null
+++ b/balsamtally/slots.py
@@ -0,0 +1,172 @@
+"""Slots on model runners, as an entry VM obtains them from the pool's coordinator."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import gevent
+import msgspec
+from gevent.event import AsyncResult
+
+from balsamtally.errors import BalsamtallyError, LinkError, NoBackend
+from balsamtally.links import Links
+from balsamtally.logs import log
+from balsamtally.messages import Ask, Grant, Refuse, Release, Renew, Revoke, Withdraw
+
+ASK_TIMEOUT_S = 0.25
+RENEW_EVERY_S = 1.0
+REASK_EVERY_S = 2.0
+VANISHED_CHECK_S = 0.5
+
+
+class CallerVanished(Exception):
+    """The caller closed its connection."""
+
+
+@dataclass
+class HeldGrant:
+    """A grant in use.
+
+    :ivar grant: the grant
+    :ivar pool: name of the model
+    :ivar coordinator: name of the VM that made it
+    :ivar revoke: called when the grant is taken back
+    :ivar revoked: whether it was taken back
+    """
+
+    grant: Grant
+    pool: str
+    coordinator: str
+    revoke: Callable[[], None] = field(default=lambda: None)
+    revoked: bool = False
+
+
+class Slots:
+    """Asks for slots, holds the grants and gives them back; closed by context.
+
+    :param links: links to the other entry VMs
+    :param list_coordinators: gives the names of a pool's coordinators, first choice first
+    """
+
+    def __init__(self, links: Links, list_coordinators: Callable[[str], list[str]]):
+        self.links = links
+        self.list_coordinators = list_coordinators
+        self.held: dict[str, HeldGrant] = {}
+        self._waiting: dict[tuple[str, int], AsyncResult] = {}
+        self._renewing = None
+        links.handle(Grant, self._take_grant)
+        links.handle(Refuse, self._take_refuse)
+        links.handle(Revoke, self._take_revoke)
+
+    def __enter__(self) -> "Slots":
+        self._renewing = gevent.spawn(self._renew_grants)
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        self._renewing.kill()
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for a slot."""
+        return len(self._waiting)
+
+    def acquire(self, ask: Ask, has_vanished: Callable[[], bool]) -> HeldGrant:
+        """Wait for a slot.
+
+        :param ask: what is needed
+        :param has_vanished: tells whether the caller has left
+        :return: the grant, to be given back by :meth:`release`
+        :raises CapacityError: if the request was shed
+        :raises CallerVanished: if the caller left
+        """
+        key = (ask.request, ask.attempt)
+        result = self._waiting[key] = AsyncResult()
+        asked_at = 0.0
+        coordinator = ""
+        begun = time.monotonic()
+        try:
+            while True:
+                now = time.monotonic()
+                if now - asked_at >= REASK_EVERY_S or not self._is_first(ask.pool, coordinator):
+                    waited_s = ask.waited_s + now - begun
+                    coordinator = self._ask(msgspec.structs.replace(ask, waited_s=waited_s))
+                    asked_at = now
+                result.wait(VANISHED_CHECK_S)
+                if result.ready():
+                    return self._accept(result.get(), ask.pool)
+                if has_vanished():
+                    self.links.cast(coordinator, Withdraw(ask.request, ask.pool))
+                    raise CallerVanished
+        finally:
+            self._waiting.pop(key, None)
+
+    def release(self, held: HeldGrant, tokens: int, first_token_s: float, failed: bool) -> None:
+        """Give a slot back.
+
+        :param held: the grant
+        :param tokens: tokens generated
+        :param first_token_s: seconds from dispatch to the first token, negative if none came
+        :param failed: whether the runner failed
+        """
+        self.held.pop(held.grant.grant, None)
+        message = Release(held.grant.grant, held.pool, tokens, first_token_s, failed)
+        self.links.cast(held.coordinator, message)
+
+    def _is_first(self, pool: str, coordinator: str) -> bool:
+        return self.list_coordinators(pool)[:1] == [coordinator]
+
+    def _ask(self, ask: Ask) -> str:
+        error: BalsamtallyError = NoBackend("no coordinator is known")
+        for name in self.list_coordinators(ask.pool):
+            try:
+                self.links.call(name, ask, ASK_TIMEOUT_S)
+                return name
+            except LinkError as failed:
+                error = failed
+                log.warning(
+                    "coordinator_unreachable",
+                    request=ask.request,
+                    coordinator=name,
+                    why=str(failed),
+                )
+        raise NoBackend(str(error))
+
+    def _accept(self, answer: tuple[str, Grant | Refuse], pool: str) -> HeldGrant:
+        sender, message = answer
+        if isinstance(message, Refuse):
+            raise message.error.restore()
+        held = HeldGrant(message, pool, sender)
+        self.held[message.grant] = held
+        return held
+
+    def _take_grant(self, sender: str, grant: Grant) -> None:
+        result = self._waiting.get((grant.request, grant.attempt))
+        if result is not None and not result.ready():
+            result.set((sender, grant))
+            return
+        if result is None and grant.grant not in self.held:
+            self.links.cast(sender, Release(grant.grant, ""))
+
+    def _take_refuse(self, sender: str, refuse: Refuse) -> None:
+        result = self._waiting.get((refuse.request, refuse.attempt))
+        if result is not None and not result.ready():
+            result.set((sender, refuse))
+
+    def _take_revoke(self, sender: str, revoke: Revoke) -> None:
+        held = self.held.get(revoke.grant)
+        if held is not None and not held.revoked:
+            held.revoked = True
+            held.revoke()
+
+    def _renew_grants(self) -> None:
+        while True:
+            gevent.sleep(RENEW_EVERY_S)
+            for (coordinator, pool), grants in self._group_grants().items():
+                self.links.cast(coordinator, Renew(pool, tuple(grants)))
+
+    def _group_grants(self) -> dict[tuple[str, str], list[str]]:
+        groups: dict[tuple[str, str], list[str]] = {}
+        for held in self.held.values():
+            for name in {held.coordinator, *self.list_coordinators(held.pool)[:1]}:
+                groups.setdefault((name, held.pool), []).append(held.grant.grant)
+        return groups
--- /dev/null
+++ b/balsamtally/streams.py
@@ -0,0 +1,211 @@
+"""Streamed answers from model runners."""
+
+import http.client
+from collections.abc import Iterator
+
+import msgspec
+import sseclient
+import urllib3
+
+from balsamtally.errors import BackendFailed, WrongAnswer
+from balsamtally.settings import split_address
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 10.0
+MAX_IDLE_CONNECTIONS = 64
+MAX_ANSWER_BYTES = 16_000_000
+END_OF_STREAM = "[DONE]"
+LEAVING_STATUS = 503
+
+_FAILURES = (
+    urllib3.exceptions.HTTPError,
+    http.client.HTTPException,
+    OSError,
+    ValueError,
+    msgspec.DecodeError,
+)
+
+
+class RunnerRefused(Exception):
+    """The runner surely did not run the request."""
+
+
+class RunnerFailed(Exception):
+    """The runner failed after the request may have reached it."""
+
+
+class Delta(msgspec.Struct, frozen=True):
+    """The new part of an answer.
+
+    :ivar content: its text
+    """
+
+    content: str | None = None
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """One choice of a chunk.
+
+    :ivar delta: the new part
+    :ivar finish_reason: why the answer ends here, ``None`` before its end
+    """
+
+    delta: Delta = Delta()
+    finish_reason: str | None = None
+
+
+class Chunk(msgspec.Struct, frozen=True):
+    """One event of a streamed answer.
+
+    :ivar id: id of the attempt that it belongs to
+    :ivar choices: at most one choice
+    :ivar usage: tokens counted by the runner
+    """
+
+    id: str
+    choices: tuple[Choice, ...] = ()
+    usage: dict[str, object] | None = None
+
+
+_decoder = msgspec.json.Decoder(Chunk)
+
+
+class Runners:
+    """Connections to the model runners, closed by context."""
+
+    def __init__(self):
+        self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
+
+    def __enter__(self) -> "Runners":
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        for pool in self._pools.values():
+            pool.close()
+
+    def find_pool(self, address: str) -> urllib3.HTTPConnectionPool:
+        """Return the connections to one runner.
+
+        :param address: its IP number and port
+        :return: a connection pool without retries of its own
+        """
+        pool = self._pools.get(address)
+        if pool is None:
+            host, port = split_address(address)
+            pool = urllib3.HTTPConnectionPool(
+                host,
+                port,
+                maxsize=MAX_IDLE_CONNECTIONS,
+                retries=False,
+                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S),
+            )
+            self._pools[address] = pool
+        return pool
+
+
+class RunnerStream:
+    """One attempt's streamed answer; its connection is reused only after a whole answer.
+
+    :param pool: connections to the runner
+    :param attempt_id: id of the request and attempt, which each event must carry
+    :param body: body of the request
+    :raises RunnerRefused: if the runner surely did not run it
+    :raises RunnerFailed: if the runner failed
+    :raises BackendFailed: if the runner answered that the request itself is at fault
+    """
+
+    def __init__(self, pool: urllib3.HTTPConnectionPool, attempt_id: str, body: dict):
+        self.attempt_id = attempt_id
+        self.whole = False
+        self.cancelled = False
+        self._response = self._send(pool, body)
+
+    def __enter__(self) -> "RunnerStream":
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        if self.whole:
+            self._response.release_conn()
+        else:
+            self._response.close()
+
+    def cancel(self) -> None:
+        """End the stream early, from another greenlet."""
+        self.cancelled = True
+        try:
+            self._response.shutdown()
+        except (OSError, RuntimeError, ValueError):
+            self._response.close()
+
+    def read_chunks(self) -> Iterator[Chunk]:
+        """Yield the chunks of the answer, and return only after its marked end.
+
+        :return: the chunks
+        :raises RunnerFailed: if the stream ended or failed before that
+        :raises WrongAnswer: if a chunk belongs to another request
+        """
+        finished = False
+        try:
+            for event in sseclient.SSEClient(self._read_bytes()).events():
+                if event.data == END_OF_STREAM:
+                    break
+                chunk = _decoder.decode(event.data)
+                if chunk.id != self.attempt_id:
+                    raise WrongAnswer(f"{chunk.id!r} came for {self.attempt_id!r}")
+                finished = finished or any(choice.finish_reason for choice in chunk.choices)
+                yield chunk
+            else:
+                raise RunnerFailed("the stream ended before its end")
+        except _FAILURES as error:
+            raise RunnerFailed(f"{type(error).__name__}: {error}") from error
+        if not finished:
+            raise RunnerFailed("the stream has no finish reason")
+        self.whole = self._has_ended()
+
+    def _has_ended(self) -> bool:
+        """Return whether nothing follows the end marker, so that the connection is clean."""
+        try:
+            return not any(self._bytes)
+        except _FAILURES:
+            return False
+
+    def _read_bytes(self) -> Iterator[bytes]:
+        self._bytes = self._response.stream(65536, decode_content=False)
+        received = 0
+        for piece in self._bytes:
+            received += len(piece)
+            if received > MAX_ANSWER_BYTES:
+                raise RunnerFailed(f"the answer is over {MAX_ANSWER_BYTES} bytes")
+            yield piece
+
+    def _send(self, pool: urllib3.HTTPConnectionPool, body: dict) -> urllib3.HTTPResponse:
+        headers = {"Content-Type": "application/json", "X-Request-Id": self.attempt_id}
+        try:
+            response = pool.urlopen(
+                "POST",
+                "/v1/chat/completions",
+                body=msgspec.json.encode(body),
+                headers=headers,
+                preload_content=False,
+                redirect=False,
+            )
+        except urllib3.exceptions.NewConnectionError as error:
+            raise RunnerRefused(str(error)) from error
+        except urllib3.exceptions.ConnectTimeoutError as error:
+            raise RunnerRefused(str(error)) from error
+        except _FAILURES as error:
+            raise RunnerFailed(f"{type(error).__name__}: {error}") from error
+        if response.status == 200:
+            return response
+        self._refuse(response)
+        raise AssertionError("unreachable")
+
+    @staticmethod
+    def _refuse(response: urllib3.HTTPResponse) -> None:
+        text = response.read(2000).decode(errors="replace")
+        response.close()
+        if response.status == LEAVING_STATUS:
+            raise RunnerRefused(f"status {response.status}: {text}")
+        if response.status < 500:
+            raise BackendFailed(f"the runner answered {response.status}: {text}")
+        raise RunnerFailed(f"status {response.status}: {text}")
