--- /dev/null
+++ b/standins/mutate.py
@@ -0,0 +1,99 @@
+"""Take out each guard of the request outcomes in a scratch copy and see its test fail.
+
+Run ``python -m standins.mutate [WORD]`` from the root; WORD picks the mutations of one module.
+"""
+
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+COPIED = ("balsamtally", "standins", "tests", "pyproject.toml")
+TESTS_FAILED = 1
+TEST_TIMEOUT_S = 120.0
+
+
+@dataclass(frozen=True)
+class Mutation:
+    """One guard, and what stands in its place while its test runs.
+
+    :ivar module: module of the package
+    :ivar text: text of the guard, which stands in the module once
+    :ivar replacement: text without the guard
+    :ivar test: file and, where needed, name of the test that must fail
+    """
+
+    module: str
+    text: str
+    replacement: str
+    test: str
+
+
+RECEIPTS = "tests/balsamtally/test_receipts.py"
+
+MUTATIONS = (
+    Mutation("receipts", "receipt.customer != customer", "False", RECEIPTS),
+    Mutation("receipts", "entry.digest != digest", "False", RECEIPTS),
+    Mutation("receipts", "entry.done.wait()", "pass", RECEIPTS),
+    Mutation("receipts", "if entry.state is State.FINISHED:", "if False:", RECEIPTS),
+    Mutation("receipts", "if entry.state is State.VOID:", "if False:", RECEIPTS),
+    Mutation("receipts", "if not self.is_issuer(receipt):", "if False:", RECEIPTS),
+    Mutation("receipts", "self._monotonic() - entry.issued_at", "self._clock() - 1e9", RECEIPTS),
+    Mutation("receipts", "not hmac.compare_digest", "False and hmac.compare_digest", RECEIPTS),
+    Mutation("receipts", ">= self._max_receipts:", ">= 1e9:", RECEIPTS),
+    Mutation(
+        "receipts", "error: BalsamtallyError = OutcomeUnknown()", "error = Leaving()", RECEIPTS
+    ),
+    Mutation("receipts", "while self._kept_bytes > ", "while False and ", RECEIPTS),
+)
+
+
+def try_mutation(mutation: Mutation, root: Path) -> str:
+    """Run the test of one guard without the guard.
+
+    :param mutation: the guard
+    :param root: root of the repository
+    :return: ``failed`` as it should be, ``PASSED``, or what went wrong
+    """
+    with tempfile.TemporaryDirectory(prefix="mutate-") as scratch:
+        for name in COPIED:
+            copy = shutil.copytree if (root / name).is_dir() else shutil.copy
+            copy(root / name, Path(scratch, name))
+        path = Path(scratch, "balsamtally", f"{mutation.module}.py")
+        source = path.read_text()
+        if source.count(mutation.text) != 1:
+            return f"the guard stands {source.count(mutation.text)} times"
+        path.write_text(source.replace(mutation.text, mutation.replacement))
+        command = [sys.executable, "-m", "pytest", "-x", mutation.test]
+        try:
+            done = subprocess.run(
+                command, cwd=scratch, capture_output=True, timeout=TEST_TIMEOUT_S, check=False
+            )
+        except subprocess.TimeoutExpired:
+            return "failed (did not end)"
+    if done.returncode == TESTS_FAILED:
+        return "failed"
+    return "PASSED" if done.returncode == 0 else f"pytest ended with {done.returncode}"
+
+
+def main() -> int:
+    """Try all mutations and print a line for each.
+
+    :return: 0 if every guard's test failed without it
+    """
+    root = Path(__file__).resolve().parent.parent
+    missed = 0
+    for mutation in MUTATIONS:
+        if sys.argv[1:] and mutation.module not in sys.argv[1:]:
+            continue
+        result = try_mutation(mutation, root)
+        missed += not result.startswith("failed")
+        print(f"{result}: {mutation.module}: {mutation.text}", flush=True)
+    print(f"{missed} guards without a failing test")
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
