--- /dev/null
+++ b/balsamtally/admin.py
@@ -0,0 +1,129 @@
+"""The operators' listener: metrics, health, and what the daemon holds and decided."""
+
+from collections.abc import Callable
+
+import bottle
+import msgspec
+
+from balsamtally.decisions import Decisions
+from balsamtally.facts import Facts
+
+JSON_TYPE = "application/json"
+
+
+class ObjectInForce(msgspec.Struct, frozen=True):
+    """An object in force.
+
+    :ivar kind: kind of the object
+    :ivar name: name of the object
+    :ivar number: number of the ticket that set it
+    :ivar digest: digest of that ticket
+    :ivar item: the object as the ticket states it
+    """
+
+    kind: str
+    name: str
+    number: int
+    digest: str
+    item: object
+
+
+class StateReport(msgspec.Struct, frozen=True):
+    """The state that a daemon holds.
+
+    :ivar vm: name of the VM
+    :ivar objects: objects in force, removals included
+    :ivar refused: reason by key of each refused ticket
+    :ivar conflicts: numbers under which different tickets were met
+    """
+
+    vm: str
+    objects: tuple[ObjectInForce, ...]
+    refused: dict[str, str] = {}
+    conflicts: tuple[object, ...] = ()
+
+
+def describe_state(vm: str, facts: Facts) -> StateReport:
+    """Return what a daemon holds in force.
+
+    :param vm: name of the VM
+    :param facts: its facts
+    :return: the report
+    """
+    objects = tuple(
+        ObjectInForce(kind, name, entry.number, entry.digest, entry.item)
+        for (kind, name), entry in sorted(facts.entries.items())
+    )
+    refused = {str(key): str(reason) for key, reason in getattr(facts, "refused", {}).items()}
+    return StateReport(vm, objects, refused, tuple(getattr(facts, "conflicts", ())))
+
+
+def make_admin_app(
+    *,
+    render_metrics: Callable[[], tuple[bytes, str]],
+    read_unready: Callable[[], str],
+    read_state: Callable[[], object],
+    read_vms: Callable[[], object],
+    read_runners: Callable[[], object],
+    read_queues: Callable[[], object],
+    decisions: Decisions,
+) -> bottle.Bottle:
+    """Return the WSGI application of the operators' listener.
+
+    :param render_metrics: returns the metrics' body and content type
+    :param read_unready: returns why the daemon isn't ready, empty once it is
+    :param read_state: returns a :class:`StateReport`
+    :param read_vms: returns the entry VMs as this one sees them
+    :param read_runners: returns the backend servers as this VM sees them
+    :param read_queues: returns the queues that this VM coordinates
+    :param decisions: the last decisions
+    :return: the application
+    """
+    app = bottle.Bottle()
+    app.default_error_handler = _answer_error
+
+    @app.get("/metrics")
+    def get_metrics():
+        body, content_type = render_metrics()
+        bottle.response.content_type = content_type
+        return body
+
+    @app.get("/healthz")
+    def get_health():
+        return _answer({"healthy": True})
+
+    @app.get("/readyz")
+    def get_readiness():
+        reason = read_unready()
+        return _answer({"ready": not reason, "reason": reason}, 503 if reason else 200)
+
+    @app.get("/explain/<request>")
+    def explain(request):
+        lines = decisions.find(request)
+        return _answer({"request": request, "decisions": lines}, 200 if lines else 404)
+
+    _add_readers(
+        app,
+        {
+            "/state": read_state,
+            "/vms": read_vms,
+            "/runners": read_runners,
+            "/queues": read_queues,
+        },
+    )
+    return app
+
+
+def _add_readers(app: bottle.Bottle, readers: dict[str, Callable[[], object]]) -> None:
+    for path, read in readers.items():
+        app.get(path, callback=lambda read=read: _answer(read()))
+
+
+def _answer(value: object, status: int = 200) -> bytes:
+    bottle.response.status = status
+    bottle.response.content_type = JSON_TYPE
+    return msgspec.json.encode(value, enc_hook=str)
+
+
+def _answer_error(error: bottle.HTTPError) -> bytes:
+    return _answer({"error": str(error.body)}, error.status_code)
--- a/balsamtally/logs.py
+++ b/balsamtally/logs.py
@@ -1,27 +1,35 @@
 """JSON-line logs."""
 
 import sys
+from collections.abc import Callable, Mapping
 
 import structlog
 
 
-def set_up_logs(vm: str) -> None:
+def set_up_logs(vm: str, keep: Callable[[Mapping], None] | None = None) -> None:
     """Send all log lines to standard error as JSON.
 
     :param vm: name of the VM, which each line carries
+    :param keep: receives the fields of each line before it is written, such as ``Decisions.add``
     """
+
+    def complete_line(_logger, _method, line):
+        line["vm"] = vm
+        if keep is not None:
+            keep(line)
+        return line
+
     structlog.configure(
         processors=[
-            structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
-            structlog.processors.JSONRenderer(),
+            complete_line,
+            structlog.processors.JSONRenderer(default=str),
         ],
         logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
         cache_logger_on_first_use=True,
     )
-    structlog.contextvars.bind_contextvars(vm=vm)
 
 
 log = structlog.get_logger()
