--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,114 @@
+"""The stand-in of a plain service: it counts how often each call was run."""
+
+# ruff: noqa: E402
+from gevent import monkey
+
+monkey.patch_all()
+
+import os
+from collections import Counter
+
+import bottle
+import defopt
+import gevent
+import msgspec
+from bottle import request
+
+from standins.answers import service_answer
+from standins.serving import answer, read_body, serve
+
+DRAIN_POLL_S = 0.05
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """How the service misbehaves.
+
+    :ivar late_s: further delay of each answer after the run, in seconds
+    :ivar die: whether the process ends after a run and before its answer
+    :ivar refuse: whether calls are refused with status 503 before they run
+    """
+
+    late_s: float = 0.0
+    die: bool = False
+    refuse: bool = False
+
+
+class Service:
+    """The state of a plain service.
+
+    :ivar delay_s: time that a run takes, in seconds
+    :ivar fault: how it misbehaves
+    :ivar leaving: whether new calls are refused
+    :ivar running: calls being run
+    :ivar executions: runs by id of the call
+    """
+
+    def __init__(self, delay_s: float):
+        self.delay_s = delay_s
+        self.fault = Fault()
+        self.leaving = False
+        self.running = 0
+        self.executions = Counter()
+
+    def run(self, operation: str) -> bottle.HTTPResponse:
+        """Run the current request's call and return its answer."""
+        if self.leaving or self.fault.refuse:
+            code = "leaving" if self.leaving else "refused"
+            return answer({"error": {"code": code}}, 503)
+        call = request.get_header("Idempotency-Key") or request.get_header("X-Request-Id", "")
+        self.running += 1
+        try:
+            gevent.sleep(self.delay_s)
+            self.executions[call] += 1
+            if self.fault.die:
+                os._exit(1)
+            gevent.sleep(self.fault.late_s)
+        finally:
+            self.running -= 1
+        body = service_answer(operation, request.body.read())
+        headers = {"Content-Type": "application/json", "X-Request-Id": call}
+        return bottle.HTTPResponse(body, 200, headers)
+
+    def drain(self) -> None:
+        """Refuse new calls and wait until those that run have ended."""
+        self.leaving = True
+        while self.running:
+            gevent.sleep(DRAIN_POLL_S)
+
+
+def build_app(service: Service) -> bottle.Bottle:
+    """Return the application of a plain service."""
+    app = bottle.Bottle()
+
+    @app.post("/control/fault")
+    def post_fault():
+        service.fault = read_body(Fault)
+        return answer(service.fault)
+
+    @app.get("/control/counts")
+    def get_counts():
+        return answer({"executions": service.executions, "running": service.running})
+
+    @app.get("/load")
+    def get_load():
+        return answer({"running": service.running, "leaving": service.leaving})
+
+    @app.post("/<operation>")
+    def post_operation(operation: str):
+        return service.run(operation)
+
+    return app
+
+
+def main(*, address: str = "127.0.0.1:9100", delay: float = 0.01) -> None:
+    """Serve the stand-in of a plain service.
+
+    :param address: IP number and port
+    :param delay: time that a run takes, in seconds
+    """
+    service = Service(delay)
+    serve(build_app(service), address, service.drain)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,116 @@
+"""What the stand-ins' servers share: the listener, its ready line, stopping and JSON bodies."""
+
+import os
+import signal
+import sys
+from collections.abc import Callable
+from typing import TypeVar
+
+import gevent
+import msgspec
+from bottle import HTTPResponse, request
+from gevent import pywsgi, socket
+from gevent.event import Event
+
+T = TypeVar("T")
+BACKLOG = 1024
+SOCKET_KEY = "standins.socket"
+
+
+class CutConnection(ConnectionError):
+    """Raised by an application to close the connection in the middle of an answer."""
+
+
+class Handler(pywsgi.WSGIHandler):
+    """A request handler that lets the application see and cut its connection."""
+
+    def get_environ(self) -> dict:
+        """Return the request's environment with the connection in it."""
+        return {**super().get_environ(), SOCKET_KEY: self.socket}
+
+    def handle_error(self, kind: type, error: BaseException, trace) -> None:
+        """Close the connection without an answer where the application cut it."""
+        if not isinstance(error, CutConnection):
+            super().handle_error(kind, error, trace)
+            return
+        self.close_connection = True
+        self.socket.shutdown(socket.SHUT_RDWR)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP number and the port of an address.
+
+    :param address: such as ``127.0.0.1:8080``
+    :return: IP number and port
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def serve(app: Callable, address: str, on_stop: Callable[[], None]) -> None:
+    """Serve an application until the process ends, and print a line when it listens.
+
+    :param app: WSGI application
+    :param address: IP number and port; port 0 takes any free one
+    :param on_stop: called on SIGTERM, the process exits when it returns
+    """
+    server = pywsgi.WSGIServer(
+        split_address(address), app, log=None, backlog=BACKLOG, handler_class=Handler
+    )
+    server.start()
+
+    def stop() -> None:
+        on_stop()
+        sys.stdout.flush()
+        os._exit(0)
+
+    gevent.signal_handler(signal.SIGTERM, stop)
+    print(f"ready {server.server_host}:{server.server_port}", flush=True)
+    Event().wait()
+
+
+def read_body(kind: type[T]) -> T:
+    """Return the JSON body of the current request.
+
+    :param kind: expected type
+    :return: the decoded body
+    :raises HTTPResponse: with status 400 if it isn't of that type
+    """
+    try:
+        return msgspec.json.decode(request.body.read(), type=kind)
+    except msgspec.DecodeError as error:
+        raise answer({"error": {"code": "malformed", "message": str(error)}}, 400) from error
+
+
+def answer(body: object, status: int = 200, **headers: str) -> HTTPResponse:
+    """Return a JSON answer.
+
+    :param body: what is encoded
+    :param status: HTTP status
+    :param headers: further headers, with ``_`` for ``-``
+    :return: the answer
+    """
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    return HTTPResponse(
+        msgspec.json.encode(body), status, {"Content-Type": "application/json", **named}
+    )
+
+
+def caller_socket() -> socket.socket:
+    """Return the connection of the current request."""
+    return request.environ[SOCKET_KEY]
+
+
+def watch_close(connection: socket.socket, on_close: Callable[[], None]) -> None:
+    """Wait until the caller closes its connection or sends more; meant for a greenlet.
+
+    :param connection: connection of a request whose body has been read
+    :param on_close: called if it was closed
+    """
+    try:
+        socket.wait_read(connection.fileno())
+        if connection.recv(1, socket.MSG_PEEK):
+            return
+    except (OSError, ValueError):
+        pass
+    on_close()
