Add the operators' command-line tool

Cause: operators had no way to write, check or compare tickets, nor to ask a daemon why a request went where it went. Ruled out: merging ticket files through Facts (it logs each ticket to the tool's output); listing only the decoder's first fault (it stops there). It writes only files that don't exist. /state shows refused tickets and conflicts as facts.py now holds them.

--- a/balsamtally/admin.py
+++ b/balsamtally/admin.py
@@ -28,19 +28,32 @@
     item: object
 
 
+class RefusedTicket(msgspec.Struct, frozen=True):
+    """A ticket that failed its checks.
+
+    :ivar source: key under which the platform holds it
+    :ivar digest: digest of its text
+    :ivar reason: all the faults
+    """
+
+    source: str
+    digest: str
+    reason: str
+
+
 class StateReport(msgspec.Struct, frozen=True):
     """The state that a daemon holds.
 
     :ivar vm: name of the VM
     :ivar objects: objects in force, removals included
-    :ivar refused: reason by key of each refused ticket
-    :ivar conflicts: numbers under which different tickets were met
+    :ivar refused: tickets that failed their checks
+    :ivar conflicts: digests of the different tickets met under one number
     """
 
     vm: str
     objects: tuple[ObjectInForce, ...]
-    refused: dict[str, str] = {}
-    conflicts: tuple[object, ...] = ()
+    refused: tuple[RefusedTicket, ...] = ()
+    conflicts: dict[int, tuple[str, ...]] = {}
 
 
 def describe_state(vm: str, facts: Facts) -> StateReport:
@@ -54,8 +67,12 @@
         ObjectInForce(kind, name, entry.number, entry.digest, entry.item)
         for (kind, name), entry in sorted(facts.entries.items())
     )
-    refused = {str(key): str(reason) for key, reason in getattr(facts, "refused", {}).items()}
-    return StateReport(vm, objects, refused, tuple(getattr(facts, "conflicts", ())))
+    refused = tuple(
+        RefusedTicket(notice.source, notice.digest, notice.reason)
+        for notice in facts.refused.values()
+    )
+    conflicts = {number: tuple(sorted(found)) for number, found in facts.conflicts.items()}
+    return StateReport(vm, objects, refused, conflicts)
 
 
 def make_admin_app(
--- a/balsamtally/errors.py
+++ b/balsamtally/errors.py
@@ -373,6 +373,14 @@
     default = "the change ticket breaks a rule"
 
 
+class UnknownObject(OperatorError):
+    """No such object or request is held where the operator looked."""
+
+    code = 4004
+    status = 404
+    default = "no such object"
+
+
 class LinkError(BalsamtallyError):
     """A peer or the platform isn't in reach."""
 
@@ -411,6 +419,13 @@
     default = "the peer is not authenticated"
 
 
+class DaemonUnreachable(LinkError):
+    """A daemon's operators' listener is not in reach."""
+
+    code = 5005
+    default = "the daemon is not in reach"
+
+
 def list_errors(base: type[BalsamtallyError] = BalsamtallyError) -> list[type[BalsamtallyError]]:
     """Return an exception class and all below it, by code.
 
