Serve the first chat request from end to end

Cause: the parts existed and no process joined them. Ruled out: importing the daemon's modules before the standard library is patched (main() patches first, then reads node.py); a list method that shadows the builtin in Facts broke the import, mended by Sequence. Conclusion: the path stands for one VM; services, several domains and faults follow.

--- /dev/null
+++ b/balsamtally/daemon.py
@@ -0,0 +1,20 @@
+"""The daemon of an entry VM."""
+
+import os
+import sys
+
+from gevent import monkey
+
+
+def main() -> None:
+    """Run the daemon until it is told to stop."""
+    monkey.patch_all()
+    # The other modules may be read only after the standard library is patched.
+    from balsamtally.node import run_node
+    from balsamtally.settings import read_settings
+
+    sys.exit(run_node(read_settings(sys.argv[1:], os.environ)))
+
+
+if __name__ == "__main__":
+    main()
--- a/balsamtally/facts.py
+++ b/balsamtally/facts.py
@@ -1,6 +1,6 @@
 """The state in force: for each object, that of the highest accepted ticket that touches it."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -284,7 +284,7 @@
         self._indexes[tag] = index
         return index
 
-    def _list_entries(self, tag: str) -> list[Entry]:
+    def _list_entries(self, tag: str) -> Sequence[Entry]:
         return [
             entry
             for key, entry in self.entries.items()
--- /dev/null
+++ b/balsamtally/node.py
@@ -0,0 +1,271 @@
+"""An entry VM's node: the parts of the daemon joined."""
+
+import contextlib
+import hashlib
+import secrets
+import signal
+import sys
+import time
+
+import gevent
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+
+from balsamtally.admin import describe_state, make_admin_app
+from balsamtally.chats import ChatRequest, Chats, Progress
+from balsamtally.configuration import Configuration
+from balsamtally.contracts import Customer, Pool, RequestClass
+from balsamtally.coordinator import Coordinator, list_pool_runners
+from balsamtally.decisions import Decisions
+from balsamtally.entry import Doors, Entry
+from balsamtally.errors import BalsamtallyError, OperatorError, Outcome, PlatformUnavailable
+from balsamtally.facts import Facts
+from balsamtally.links import Links
+from balsamtally.logs import log, set_up_logs
+from balsamtally.loops import Loop
+from balsamtally.machines import BackendServer, EntryVm
+from balsamtally.members import Members
+from balsamtally.messages import ServiceAnswer
+from balsamtally.metrics import Gauges, Metrics
+from balsamtally.observers import Observers
+from balsamtally.receipts import ReceiptBook
+from balsamtally.rendezvous import rank_members
+from balsamtally.settings import Settings, split_address
+from balsamtally.slots import Slots
+from balsamtally.streams import Runners
+from balsamtally.tickets import decode_ticket
+
+WATCH_WAIT_S = 30.0
+WATCH_RETRY_S = 1.0
+DRAIN_POLL_S = 0.1
+EXIT_GRACE_ENDED = 3
+
+
+def make_incarnation() -> str:
+    """Return an identity for this process: time plus random."""
+    return f"{time.time_ns():x}-{secrets.token_hex(4)}"
+
+
+class Node:
+    """The parts of one entry VM's daemon, closed by context.
+
+    :param settings: its settings
+    """
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        self.incarnation = make_incarnation()
+        self.own = EntryVm(
+            settings.vm,
+            settings.peer_address,
+            settings.domain,
+            settings.region,
+            self.incarnation,
+        )
+        self.leaving = False
+        self.ready = False
+        self.platform_read_at = 0.0
+        self._stack = contextlib.ExitStack()
+
+    def __enter__(self) -> "Node":
+        enter = self._stack.enter_context
+        self.facts = Facts()
+        self.members = Members(self.own)
+        self.decisions = Decisions()
+        self.metrics = Metrics(self._read_gauges)
+        self.links = enter(Links(self.settings, self._find_address, enter(Loop())))
+        self.configuration = enter(Configuration(self.settings))
+        self.runners = enter(Runners())
+        self.observers = enter(Observers(self.runners, self._list_runners))
+        self.coordinator = enter(Coordinator(self.links, self.facts, self.observers.list_views))
+        self.slots = enter(Slots(self.links, self._list_coordinators))
+        self.book = ReceiptBook(
+            self.settings.vm, self.incarnation, bytes.fromhex(self.settings.link_key)
+        )
+        self.chats = Chats(
+            self.facts,
+            self.slots,
+            self.runners,
+            lambda request_class, pool: True,
+            self._note_decision,
+        )
+        self.entry = enter(Entry(self.settings, self.chats, self._make_doors()))
+        self._serve_operators(enter)
+        for task in (self._watch_tickets, self._watch_vms):
+            self._stack.callback(gevent.spawn(task).kill)
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        self._stack.close()
+
+    def leave(self) -> bool:
+        """Take no new work and wait for what is in flight.
+
+        :return: whether all ended within the grace period
+        """
+        self.leaving = True
+        log.info("leaving", in_flight=self.entry.in_flight)
+        deadline = time.monotonic() + self.settings.grace_s
+        while self.entry.in_flight and time.monotonic() < deadline:
+            gevent.sleep(DRAIN_POLL_S)
+        return self.entry.in_flight == 0
+
+    def _make_doors(self) -> Doors:
+        return Doors(
+            is_ready=lambda: self.ready,
+            is_leaving=lambda: self.leaving,
+            find_customer=self._find_customer,
+            find_class=lambda name: self.facts.find(RequestClass, name),
+            find_pool=self.facts.find_pool,
+            list_pools=lambda: self.facts.list(Pool),
+            check_limits=lambda customer, request_class: None,
+            issue_receipt=lambda customer: self.book.issue(customer.name),
+            call_service=self._call_service,
+            note_end=self._note_chat_end,
+        )
+
+    def _serve_operators(self, enter) -> None:
+        app = make_admin_app(
+            render_metrics=self.metrics.render,
+            read_unready=lambda: "" if self.ready else "no state was learnt yet",
+            read_state=lambda: describe_state(self.settings.vm, self.facts),
+            read_vms=self.members.list_all,
+            read_runners=lambda: self.facts.list(BackendServer),
+            read_queues=self.coordinator.count_queued,
+            decisions=self.decisions,
+        )
+        server = WSGIServer(split_address(self.settings.operator_address), app, log=None)
+        server.start()
+        self._stack.callback(server.stop, 1)
+
+    def _find_address(self, vm: str) -> str | None:
+        found = self.members.find(vm)
+        return found.address if found is not None else None
+
+    def _list_runners(self, pool: str) -> list[BackendServer]:
+        return list_pool_runners(self.facts, pool, self.settings.domain)
+
+    def _list_coordinators(self, pool: str) -> list[str]:
+        """Return the coordinators of a pool, the first choice first."""
+        domain = self._find_serving_domain(pool)
+        names = [vm.name for vm in self.members.list_all() if vm.domain == domain]
+        return rank_members(f"queue/{pool}", names)
+
+    def _find_serving_domain(self, pool: str) -> str:
+        if self._list_runners(pool):
+            return self.settings.domain
+        domains = {vm.domain for vm in self.members.list_all()}
+        for domain in sorted(domains):
+            if list_pool_runners(self.facts, pool, domain):
+                return domain
+        return self.settings.domain
+
+    def _find_customer(self, key: str) -> Customer | None:
+        return self.facts.find_customer(hashlib.sha256(key.encode()).hexdigest())
+
+    def _call_service(
+        self, customer: Customer, service: str, operation: str, body: bytes, receipt: str | None
+    ) -> ServiceAnswer:
+        raise NotImplementedError
+
+    def _note_decision(self, **fields) -> None:
+        log.info("decision", **fields)
+        self.decisions.add(fields)
+        if fields["decision"] == "retry":
+            self.metrics.count_retry(fields["request_class"])
+
+    def _note_chat_end(
+        self, chat: ChatRequest, progress: Progress, error: BaseException | None
+    ) -> None:
+        name = chat.request_class.name
+        code = error.code if isinstance(error, BalsamtallyError) else 0
+        on_time = 0 <= progress.first_token_s * 1000 <= chat.request_class.first_token_ms
+        self.metrics.count_request(name, code)
+        if progress.tokens:
+            self.metrics.count_tokens(name, progress.tokens)
+            self.metrics.observe_first_token(name, progress.first_token_s)
+        for gap_s in progress.gaps_s:
+            self.metrics.observe_between_tokens(name, gap_s)
+        if isinstance(error, BalsamtallyError) and error.outcome is Outcome.UNKNOWN:
+            self.metrics.count_unknown(name)
+        fields = {
+            "decision": "end",
+            "request": chat.request,
+            "request_class": name,
+            "customer": chat.customer.name,
+            "tokens": progress.tokens,
+            "attempts": progress.attempts,
+            "preemptions": progress.preemptions,
+            "first_token_ms": round(progress.first_token_s * 1000, 1),
+            "met_target": on_time and error is None,
+            "code": code,
+            "reason": "" if error is None else f"{type(error).__name__}: {error}",
+        }
+        log.info("answered", **fields)
+        self.decisions.add(fields)
+
+    def _read_gauges(self) -> Gauges:
+        queued: dict[str, int] = {}
+        for counts in self.coordinator.count_queued().values():
+            for name, count in counts.items():
+                queued[name] = queued.get(name, 0) + count
+        return Gauges(
+            queued=queued,
+            members=len(self.members.list_domain()),
+            tickets=len({entry.number for entry in self.facts.entries.values()}),
+            platform_age_s=time.monotonic() - self.platform_read_at,
+        )
+
+    def _watch_tickets(self) -> None:
+        index = 0
+        while True:
+            try:
+                rows, index = self.configuration.read_tickets(index, WATCH_WAIT_S)
+            except PlatformUnavailable as error:
+                log.warning("platform_unavailable", reason=str(error))
+                gevent.sleep(WATCH_RETRY_S)
+                continue
+            self.platform_read_at = time.monotonic()
+            for key, body in rows:
+                try:
+                    self.facts.accept(decode_ticket(body))
+                except OperatorError as error:
+                    log.warning("ticket_refused", key=key, reason=str(error))
+            self.ready = self.ready or bool(self.facts.entries)
+
+    def _watch_vms(self) -> None:
+        index = 0
+        while True:
+            try:
+                vms, index = self.configuration.read_vms(index, WATCH_WAIT_S)
+                self.members.learn_listed(vms)
+            except PlatformUnavailable:
+                gevent.sleep(WATCH_RETRY_S)
+
+
+def run_node(settings: Settings) -> int:
+    """Run a node until SIGTERM or SIGINT; a second one ends it at once.
+
+    :param settings: its settings
+    :return: exit status, 0 after a drain that cut off nothing
+    """
+    set_up_logs(settings.vm)
+    told = Event()
+    hurry = Event()
+
+    def stop() -> None:
+        if told.is_set():
+            hurry.set()
+        told.set()
+
+    gevent.signal_handler(signal.SIGTERM, stop)
+    gevent.signal_handler(signal.SIGINT, stop)
+    with Node(settings) as node:
+        log.info("started", incarnation=node.incarnation, callers=settings.caller_address)
+        told.wait()
+        drain = gevent.spawn(node.leave)
+        gevent.wait([drain, hurry], count=1)
+        drained = drain.ready() and drain.get()
+        log.info("stopped", drained=drained)
+    sys.stderr.flush()
+    return 0 if drained else EXIT_GRACE_ENDED
