Admit requests to an entry VM's memory by tier

Ruled out: shares of one limit by tier (a tier above still fills them for the live one); evicting a waiting lower request (needs a second way out of the queue). Change: admission.py counts a request only against its own and higher tiers, in requests and in bytes of bodies, before the body is read; a runner that refuses as leaving is noted; the first chunk of a stream carries the role. Conclusion: at most four times the limits are held with four tiers; stated in the class.

--- a/balsamtally/chats.py
+++ b/balsamtally/chats.py
@@ -14,12 +14,18 @@
     RetriesExhausted,
     WrongAnswer,
 )
-from balsamtally.facts import Facts
 from balsamtally.logs import log
 from balsamtally.machines import BackendServer
 from balsamtally.messages import Ask
 from balsamtally.slots import HeldGrant, Slots
-from balsamtally.streams import Chunk, RunnerFailed, RunnerRefused, Runners, RunnerStream
+from balsamtally.streams import (
+    Chunk,
+    RunnerFailed,
+    RunnerLeaving,
+    RunnerRefused,
+    Runners,
+    RunnerStream,
+)
 
 MAX_ATTEMPTS = 8
 CHARACTERS_PER_TOKEN = 4
@@ -78,9 +84,10 @@
 class Chats:
     """Answers chat requests: obtains slots, streams, resumes and retries.
 
-    :param facts: the state in force
     :param slots: source of slots
     :param runners: connections to the runners
+    :param find_open: returns a runner by name, ``None`` if it may receive no new work
+    :param note_refusal: called with the name of a runner that refused work as leaving
     :param take_retry: takes one retry of a class and pool from its budget, or tells that
         none is left
     :param note_decision: called with the fields of each decision
@@ -88,15 +95,17 @@
 
     def __init__(
         self,
-        facts: Facts,
         slots: Slots,
         runners: Runners,
+        find_open: Callable[[str], BackendServer | None],
+        note_refusal: Callable[[str], None],
         take_retry: Callable[[str, str], bool],
         note_decision: Callable[..., None],
     ):
-        self.facts = facts
         self.slots = slots
         self.runners = runners
+        self.find_open = find_open
+        self.note_refusal = note_refusal
         self.take_retry = take_retry
         self.note_decision = note_decision
 
@@ -185,13 +194,16 @@
     def _open_stream(self, chat: ChatRequest, progress: Progress, held: HeldGrant) -> RunnerStream:
         if held.revoked:
             raise Preempted
-        server = self.facts.find(BackendServer, held.grant.runner)
-        if server is None or server.leaving:
+        server = self.find_open(held.grant.runner)
+        if server is None:
             raise RunnerRefused(f"{held.grant.runner} is leaving")
         pool = self.runners.find_pool(server.address)
         attempt_id = f"{chat.request}.{progress.attempts}"
         try:
             stream = RunnerStream(pool, attempt_id, make_runner_body(chat, progress))
+        except RunnerLeaving:
+            self.note_refusal(server.name)
+            raise
         except RunnerRefused:
             raise
         except Exception:
--- a/balsamtally/entry.py
+++ b/balsamtally/entry.py
@@ -1,5 +1,6 @@
 """The callers' listener: chat requests, models, receipts and plain service calls."""
 
+import contextlib
 import secrets
 import select
 import socket
@@ -12,6 +13,7 @@
 from gevent.pool import Pool as GreenletPool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from balsamtally.admission import SERVICE_TIER, Admission
 from balsamtally.chats import ChatRequest, Chats, Progress, read_text
 from balsamtally.contracts import Customer, Pool, RequestClass
 from balsamtally.errors import (
@@ -22,7 +24,6 @@
     MalformedBody,
     MalformedHeader,
     NotReady,
-    TooManyRequests,
     UnknownClass,
     UnknownKey,
     UnknownModel,
@@ -111,7 +112,7 @@
         self.settings = settings
         self.chats = chats
         self.doors = doors
-        self.in_flight = 0
+        self.admission = Admission(settings.max_requests, settings.max_bodies_bytes)
         self.app = self._make_app()
         self._server = WSGIServer(
             split_address(settings.caller_address),
@@ -151,16 +152,8 @@
         def serve_guarded(**path):
             request_id = f"req-{secrets.token_hex(8)}"
             bottle.response.set_header("X-Request-Id", request_id)
-            if self.in_flight >= self.settings.max_requests:
-                return render_error(TooManyRequests(), request_id)
-            self.in_flight += 1
-            streaming = False
             try:
-                answer = serve(request_id, self._find_customer(), **path)
-                if isinstance(answer, Iterator):
-                    streaming = True
-                    return self._count_stream(answer)
-                return answer
+                return self._admit(request_id, serve, path)
             except CallerVanished:
                 return b""
             except BalsamtallyError as error:
@@ -170,17 +163,20 @@
             except Exception:
                 log.exception("request_failed", request=request_id)
                 return render_error(BalsamtallyError(), request_id)
-            finally:
-                if not streaming:
-                    self.in_flight -= 1
 
         return serve_guarded
 
-    def _count_stream(self, answer: Iterator[bytes]) -> "CountedStream":
-        def end() -> None:
-            self.in_flight -= 1
-
-        return CountedStream(answer, end)
+    def _admit(self, request_id: str, serve: Callable, path: dict) -> object:
+        """Call a route with its request counted in flight until the answer's end."""
+        customer = self._find_customer()
+        request_class = self._find_class(customer) if serve == self._serve_chat else None
+        tier = request_class.tier if request_class is not None else SERVICE_TIER
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(self.admission.hold(tier, self._measure_body()))
+            answer = serve(request_id, customer, **(path or {}))
+            if isinstance(answer, Iterator):
+                return HeldStream(answer, stack.pop_all())
+            return answer
 
     def _find_customer(self) -> Customer:
         if not self.doors.is_ready():
@@ -193,10 +189,19 @@
             raise UnknownKey
         return customer
 
-    def _read_body(self) -> bytes:
+    def _measure_body(self) -> int:
+        """Return the most bytes that the body may take."""
         limit = self.settings.max_body_bytes
-        if (bottle.request.content_length or 0) > limit:
+        environ = bottle.request.environ
+        if environ.get("HTTP_TRANSFER_ENCODING"):
+            return limit
+        size = bottle.request.content_length
+        if size > limit:
             raise BodyTooLarge(f"the body is over {limit} bytes")
+        return max(0, size)
+
+    def _read_body(self) -> bytes:
+        limit = self.settings.max_body_bytes
         body = bottle.request.environ["wsgi.input"].read(limit + 1)
         if len(body) > limit:
             raise BodyTooLarge(f"the body is over {limit} bytes")
@@ -264,30 +269,24 @@
             self.doors.note_end(chat, progress, error)
 
 
-class CountedStream:
-    """A streamed body that reports its end once.
+class HeldStream:
+    """A streamed body that gives its place in flight back when it is closed.
 
     :param answer: the pieces
-    :param end: called when the body is closed
+    :param held: what is closed after them
     """
 
-    def __init__(self, answer: Iterator[bytes], end: Callable[[], None]):
+    def __init__(self, answer: Iterator[bytes], held: contextlib.ExitStack):
         self._answer = answer
-        self._end = end
-        self._closed = False
+        self._held = held
 
     def __iter__(self) -> Iterator[bytes]:
         return self._answer
 
     def close(self) -> None:
         """Close the answer, also where it was not read to its end."""
-        if self._closed:
-            return
-        self._closed = True
-        try:
+        with self._held:
             self._answer.close()
-        finally:
-            self._end()
 
 
 class CallerHandler(WSGIHandler):
@@ -400,12 +399,13 @@
     }
 
 
-def encode_event(chat: ChatRequest, chunk: Chunk, created: int) -> bytes:
+def encode_event(chat: ChatRequest, chunk: Chunk, created: int, role: str = "") -> bytes:
     """Return a chunk as the caller's event.
 
     :param chat: the request
     :param chunk: the runner's chunk
     :param created: time stamp of the answer, in seconds since 1970
+    :param role: who speaks, given with the first chunk only
     :return: the event
     """
     choices = [
@@ -423,6 +423,8 @@
         "model": chat.pool.name,
         "choices": choices,
     }
+    if role and choices:
+        choices[0]["delta"]["role"] = role
     if chunk.usage is not None:
         event["usage"] = chunk.usage
     return b"data: " + msgspec.json.encode(event) + b"\n\n"
@@ -438,7 +440,7 @@
     """
     created = int(time.time())
     try:
-        yield encode_event(chat, first, created)
+        yield encode_event(chat, first, created, role="assistant")
         for chunk in rest:
             yield encode_event(chat, chunk, created)
         yield b"data: [DONE]\n\n"
--- a/balsamtally/node.py
+++ b/balsamtally/node.py
@@ -83,9 +83,10 @@
             self.settings.vm, self.incarnation, bytes.fromhex(self.settings.link_key)
         )
         self.chats = Chats(
-            self.facts,
             self.slots,
             self.runners,
+            self._find_open_runner,
+            self.observers.note_refusal,
             lambda request_class, pool: True,
             self._note_decision,
         )
@@ -104,11 +105,11 @@
         :return: whether all ended within the grace period
         """
         self.leaving = True
-        log.info("leaving", in_flight=self.entry.in_flight)
+        log.info("leaving", in_flight=self.entry.admission.in_flight)
         deadline = time.monotonic() + self.settings.grace_s
-        while self.entry.in_flight and time.monotonic() < deadline:
+        while self.entry.admission.in_flight and time.monotonic() < deadline:
             gevent.sleep(DRAIN_POLL_S)
-        return self.entry.in_flight == 0
+        return self.entry.admission.in_flight == 0
 
     def _make_doors(self) -> Doors:
         return Doors(
@@ -145,6 +146,12 @@
     def _list_runners(self, pool: str) -> list[BackendServer]:
         return list_pool_runners(self.facts, pool, self.settings.domain)
 
+    def _find_open_runner(self, name: str) -> BackendServer | None:
+        server = self.facts.find(BackendServer, name)
+        if server is None or server.leaving or self.observers.is_leaving(name):
+            return None
+        return server
+
     def _list_coordinators(self, pool: str) -> list[str]:
         """Return the coordinators of a pool, the first choice first."""
         domain = self._find_serving_domain(pool)
@@ -181,7 +188,9 @@
         code = error.code if isinstance(error, BalsamtallyError) else 0
         on_time = 0 <= progress.first_token_s * 1000 <= chat.request_class.first_token_ms
         self.metrics.count_request(name, code)
-        if progress.tokens:
+        if error is not None:
+            self.metrics.count_tokens(name, 0, progress.tokens)
+        elif progress.tokens:
             self.metrics.count_tokens(name, progress.tokens)
             self.metrics.observe_first_token(name, progress.first_token_s)
         for gap_s in progress.gaps_s:
--- a/balsamtally/settings.py
+++ b/balsamtally/settings.py
@@ -23,6 +23,7 @@
     "grace_s": (0.0, 3600.0),
     "max_requests": (1, 100_000),
     "max_body_bytes": (1_000, 64_000_000),
+    "max_bodies_bytes": (1_000_000, 1_000_000_000),
 }
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _TRUE = {"1", "true", "yes", "on"}
@@ -57,8 +58,11 @@
     grace_s: float = _setting(
         "seconds", "longest time that a leaving VM waits for its requests", 30.0
     )
-    max_requests: int = _setting("requests", "most requests held at a time", 2000)
+    max_requests: int = _setting(
+        "requests", "most requests held at a time, of a tier and those above it", 2000
+    )
     max_body_bytes: int = _setting("bytes", "largest body of a request", 1_000_000)
+    max_bodies_bytes: int = _setting("bytes", "most bytes of bodies held at a time", 64_000_000)
 
 
 class SettingRow(msgspec.Struct, frozen=True):
--- a/balsamtally/streams.py
+++ b/balsamtally/streams.py
@@ -30,6 +30,10 @@
     """The runner surely did not run the request."""
 
 
+class RunnerLeaving(RunnerRefused):
+    """The runner takes no new work."""
+
+
 class RunnerFailed(Exception):
     """The runner failed after the request may have reached it."""
 
@@ -205,7 +209,7 @@
         text = response.read(2000).decode(errors="replace")
         response.close()
         if response.status == LEAVING_STATUS:
-            raise RunnerRefused(f"status {response.status}: {text}")
+            raise RunnerLeaving(f"status {response.status}: {text}")
         if response.status < 500:
             raise BackendFailed(f"the runner answered {response.status}: {text}")
         raise RunnerFailed(f"status {response.status}: {text}")
--- /dev/null
+++ b/tests/balsamtally/test_admission.py
@@ -0,0 +1,41 @@
+"""Tests of the admission by tier."""
+
+import contextlib
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from balsamtally.admission import Admission
+from balsamtally.errors import TooManyRequests
+
+
+def test_full_lower_tier_keeps_no_live_request_out():
+    admission = Admission(max_requests=3, max_bytes=100)
+    with contextlib.ExitStack() as held:
+        for _ in range(3):
+            held.enter_context(admission.hold(3, 30))
+        with pytest.raises(TooManyRequests):
+            held.enter_context(admission.hold(3, 0))
+        for _ in range(3):
+            held.enter_context(admission.hold(0, 30))
+        with pytest.raises(TooManyRequests):
+            held.enter_context(admission.hold(0, 0))
+    assert admission.in_flight == 0
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 60)), max_size=40))
+def test_request_is_refused_only_for_its_own_or_higher_tiers(arrivals):
+    admission = Admission(max_requests=5, max_bytes=100)
+    held = []
+    with contextlib.ExitStack() as stack:
+        for tier, size in arrivals:
+            above = [kept for kept in held if kept[0] <= tier]
+            fits = len(above) < 5 and sum(kept[1] for kept in above) + size <= 100
+            try:
+                stack.enter_context(admission.hold(tier, size))
+                held.append((tier, size))
+                assert fits
+            except TooManyRequests:
+                assert not fits
