Wire the decisions, the queues' page and the settings' faults into the daemon

Cause: the daemon added some decisions to the ring by hand, without a time and without the coordinator's lines; /queues was not a table; a fault of the settings ended in a traceback. Ruled out: setting up the logs again inside the node (structlog caches the first configuration).

--- a/balsamtally/admin.py
+++ b/balsamtally/admin.py
@@ -56,6 +56,19 @@
     conflicts: dict[int, tuple[str, ...]] = {}
 
 
+class QueuedRequests(msgspec.Struct, frozen=True):
+    """The queued requests of one class.
+
+    :ivar pool: name of the model
+    :ivar request_class: name of the class
+    :ivar queued: requests that wait
+    """
+
+    pool: str
+    request_class: str
+    queued: int
+
+
 def describe_state(vm: str, facts: Facts) -> StateReport:
     """Return what a daemon holds in force.
 
--- a/balsamtally/daemon.py
+++ b/balsamtally/daemon.py
@@ -10,10 +10,16 @@
     """Run the daemon until it is told to stop."""
     monkey.patch_all()
     # The other modules may be read only after the standard library is patched.
+    from balsamtally.errors import SettingsInvalid
     from balsamtally.node import run_node
-    from balsamtally.settings import read_settings
+    from balsamtally.settings import EXIT_SETTINGS_INVALID, read_settings
 
-    sys.exit(run_node(read_settings(sys.argv[1:], os.environ)))
+    try:
+        settings = read_settings(sys.argv[1:], os.environ)
+    except SettingsInvalid as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS_INVALID)
+    sys.exit(run_node(settings))
 
 
 if __name__ == "__main__":
--- a/balsamtally/node.py
+++ b/balsamtally/node.py
@@ -11,7 +11,7 @@
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
-from balsamtally.admin import describe_state, make_admin_app
+from balsamtally.admin import QueuedRequests, describe_state, make_admin_app
 from balsamtally.chats import ChatRequest, Chats, Progress
 from balsamtally.configuration import Configuration
 from balsamtally.contracts import Customer, Pool, RequestClass
@@ -50,10 +50,12 @@
     """The parts of one entry VM's daemon, closed by context.
 
     :param settings: its settings
+    :param decisions: the last decisions, which the logs fill
     """
 
-    def __init__(self, settings: Settings):
+    def __init__(self, settings: Settings, decisions: Decisions):
         self.settings = settings
+        self.decisions = decisions
         self.incarnation = make_incarnation()
         self.own = EntryVm(
             settings.vm,
@@ -71,7 +73,6 @@
         enter = self._stack.enter_context
         self.facts = Facts()
         self.members = Members(self.own)
-        self.decisions = Decisions()
         self.metrics = Metrics(self._read_gauges)
         self.links = enter(Links(self.settings, self._find_address, enter(Loop())))
         self.configuration = enter(Configuration(self.settings))
@@ -132,7 +133,7 @@
             read_state=lambda: describe_state(self.settings.vm, self.facts),
             read_vms=self.members.list_all,
             read_runners=lambda: self.facts.list(BackendServer),
-            read_queues=self.coordinator.count_queued,
+            read_queues=self._list_queues,
             decisions=self.decisions,
         )
         server = WSGIServer(split_address(self.settings.operator_address), app, log=None)
@@ -177,7 +178,6 @@
 
     def _note_decision(self, **fields) -> None:
         log.info("decision", **fields)
-        self.decisions.add(fields)
         if fields["decision"] == "retry":
             self.metrics.count_retry(fields["request_class"])
 
@@ -211,7 +211,13 @@
             "reason": "" if error is None else f"{type(error).__name__}: {error}",
         }
         log.info("answered", **fields)
-        self.decisions.add(fields)
+
+    def _list_queues(self) -> list[QueuedRequests]:
+        return [
+            QueuedRequests(pool, name, count)
+            for pool, counts in self.coordinator.count_queued().items()
+            for name, count in counts.items()
+        ]
 
     def _read_gauges(self) -> Gauges:
         queued: dict[str, int] = {}
@@ -258,7 +264,8 @@
     :param settings: its settings
     :return: exit status, 0 after a drain that cut off nothing
     """
-    set_up_logs(settings.vm)
+    decisions = Decisions()
+    set_up_logs(settings.vm, decisions.add)
     told = Event()
     hurry = Event()
 
@@ -269,7 +276,7 @@
 
     gevent.signal_handler(signal.SIGTERM, stop)
     gevent.signal_handler(signal.SIGINT, stop)
-    with Node(settings) as node:
+    with Node(settings, decisions) as node:
         log.info("started", incarnation=node.incarnation, callers=settings.caller_address)
         told.wait()
         drain = gevent.spawn(node.leave)
