--- /dev/null
+++ b/standins/bench_links.py
@@ -0,0 +1,162 @@
+"""Slopes of the peer links: processor time and bytes for each cast, call and idle peer."""
+
+import contextlib
+import json
+import resource
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import gevent
+
+from balsamtally.links import Links
+from balsamtally.loops import Loop
+from balsamtally.messages import Ask, Grant, Release, Renew
+from balsamtally.settings import Settings
+from standins.fleet import find_addresses
+
+CASTS = 20_000
+CALLS = 2_000
+BATCH = 100
+IDLE_S = 10.0
+MAX_PEERS = 48
+
+
+def measure_cpu(work: Callable[[], None]) -> tuple[float, float]:
+    """Return the processor time and the time that a piece of work takes, in seconds.
+
+    :param work: what to do
+    """
+    before = resource.getrusage(resource.RUSAGE_SELF)
+    begun = time.monotonic()
+    work()
+    took_s = time.monotonic() - begun
+    after = resource.getrusage(resource.RUSAGE_SELF)
+    return after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime, took_s
+
+
+def open_links(stack: contextlib.ExitStack, loop: Loop, count: int) -> list[Links]:
+    """Open links of several VMs in this process.
+
+    :param stack: closes them
+    :param loop: the process's loop
+    :param count: number of VMs
+    :return: the links
+    """
+    addresses = dict(zip([f"vm-{i}" for i in range(count)], find_addresses(count), strict=True))
+    return [
+        stack.enter_context(
+            Links(
+                Settings(vm, "d", "r", peer_address=address, link_key="ab" * 16),
+                addresses.get,
+                loop,
+            )
+        )
+        for vm, address in addresses.items()
+    ]
+
+
+def measure_casts(one: Links, two: Links) -> dict:
+    """Return the cost of a cast, both ends together, where casts wait together.
+
+    :param one: the sender
+    :param two: the receiver
+    """
+    seen = []
+    two.handle(Release, lambda sender, message: seen.append(1))
+
+    def work() -> None:
+        for number in range(CASTS):
+            one.cast(two.settings.vm, Release(f"g-{number}", "pool", 100, 0.5))
+            if number % BATCH == BATCH - 1:
+                gevent.sleep(0.001)
+        while len(seen) < CASTS:
+            gevent.sleep(0.01)
+
+    before = one.sent_bytes
+    cpu_s, took_s = measure_cpu(work)
+    return {
+        "name": "cast",
+        "cpu_us_both_ends": cpu_s / CASTS * 1e6,
+        "bytes": (one.sent_bytes - before) / CASTS,
+        "took_s": took_s,
+    }
+
+
+def measure_grants(one: Links, two: Links) -> dict:
+    """Return the cost of an ask that is called and a grant that is cast back, both ends.
+
+    :param one: links of the entry VM
+    :param two: links of the coordinator
+    """
+    got = []
+    one.handle(Grant, lambda sender, message: got.append(1))
+
+    def grant(sender: str, ask: Ask) -> None:
+        two.cast(sender, Grant("g", ask.request, 1, "runner", 4, "least_loaded", 6.0))
+
+    two.handle(Ask, grant)
+
+    def work() -> None:
+        for number in range(CALLS):
+            ask = Ask(f"req-{number}", 1, "pool", "customer", "live")
+            one.call(two.settings.vm, ask, 5.0)
+        while len(got) < CALLS:
+            gevent.sleep(0.01)
+
+    before = one.sent_bytes + two.sent_bytes
+    cpu_s, took_s = measure_cpu(work)
+    return {
+        "name": "ask_and_grant",
+        "cpu_us_both_ends": cpu_s / CALLS * 1e6,
+        "bytes_both_ways": (one.sent_bytes + two.sent_bytes - before) / CALLS,
+        "round_trip_ms": took_s / CALLS * 1e3,
+    }
+
+
+def measure_idle(links: list[Links]) -> dict:
+    """Return the cost of held streams on which one small cast a second goes.
+
+    :param links: the first one casts to each of the others
+    """
+    for other in links[1:]:
+        other.handle(Renew, lambda sender, message: None)
+        links[0].call(other.settings.vm, Renew("pool", ()), 5.0)
+    memory_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+
+    def work() -> None:
+        end = time.monotonic() + IDLE_S
+        while time.monotonic() < end:
+            for other in links[1:]:
+                links[0].cast(other.settings.vm, Renew("pool", ()))
+            gevent.sleep(1.0)
+
+    cpu_s, took_s = measure_cpu(work)
+    peers = len(links) - 1
+    return {
+        "name": "held_stream",
+        "peers": peers,
+        "cpu_us_a_second_both_ends": cpu_s / took_s / peers * 1e6,
+        "resident_kb_in_all": memory_kb,
+    }
+
+
+def main() -> None:
+    """Run all measurements and print a JSON line for each; also kept in ``bench-results``."""
+    rows = []
+    with Loop() as loop, contextlib.ExitStack() as stack:
+        links = open_links(stack, loop, MAX_PEERS + 1)
+        rows.append(measure_casts(links[0], links[1]))
+        rows.append(measure_grants(links[0], links[1]))
+        rows += [measure_idle(links[: count + 1]) for count in (12, 24, MAX_PEERS)]
+    Path("bench-results").mkdir(exist_ok=True)
+    with Path("bench-results/links.jsonl").open("a") as file:
+        for row in rows:
+            text = json.dumps({"date": time.strftime("%Y-%m-%d"), **row})
+            file.write(text + "\n")
+            sys.stdout.write(text + "\n")
+
+
+if __name__ == "__main__":
+    main()
