Require the shared key also where TLS is on

Cause: the receipts' signature uses the same key as the links; with TLS and no key it was empty, so that any caller could have forged a receipt. Ruled out: a second key for receipts (two secrets to roll instead of one). Change: link_key is required in every case. Conclusion: no daemon starts with an empty key.

--- a/balsamtally/settings.py
+++ b/balsamtally/settings.py
@@ -49,7 +49,7 @@
         "IP:port", "the platform's configuration service", "127.0.0.1:8500"
     )
     link_key: str = _setting(
-        "hexadecimal", "shared key of the peer links; required where TLS is off", ""
+        "hexadecimal", "shared key of the fleet, for peer links and receipts; required", ""
     )
     tls_cert: str = _setting("path", "certificate for the peer links; empty: TLS is off", "")
     tls_key: str = _setting("path", "private key of the certificate", "")
@@ -276,8 +276,6 @@
     key = values.get("link_key", "")
     faults += _check_link_key(key)
     if len(missing) == len(TLS_FILES):
-        if not key:
-            faults.append("link_key: required where TLS is off; make one by `balsamtally key link`")
         if values.get("plain_links") is False:
             faults.append("plain_links: TLS is off; links without it must be asked for")
     elif values.get("plain_links"):
@@ -286,11 +284,13 @@
 
 
 def _check_link_key(key: str) -> list[str]:
+    if not key:
+        return ["link_key: required, also with TLS; make one by `balsamtally key link`"]
     try:
         size_bytes = len(bytes.fromhex(key))
     except ValueError:
         return ["link_key: not hexadecimal"]
-    if key and size_bytes < MIN_LINK_KEY_BYTES:
+    if size_bytes < MIN_LINK_KEY_BYTES:
         return [f"link_key: {size_bytes} bytes, fewer than {MIN_LINK_KEY_BYTES}"]
     return []
 
--- a/tests/balsamtally/test_settings.py
+++ b/tests/balsamtally/test_settings.py
@@ -29,6 +29,7 @@
     "max_body_bytes": "1e6",
     "colour": "blue",
 }
+NO_KEY = {"link_key": "", "plain_links": "no"}
 values_by_source = st.lists(st.none() | st.integers(1, 9000), min_size=2, max_size=2)
 
 
@@ -60,7 +61,8 @@
 @pytest.mark.parametrize(
     ("changed", "fault"),
     [
-        ({"link_key": ""}, "link_key: required where TLS is off"),
+        ({"link_key": ""}, "link_key: required"),
+        (dict.fromkeys(("tls_cert", "tls_key", "tls_ca"), __file__) | NO_KEY, "link_key: required"),
         ({"plain_links": "no"}, "plain_links: TLS is off"),
         ({"tls_cert": __file__, "plain_links": "no"}, "must be given together"),
         (dict.fromkeys(("tls_cert", "tls_key", "tls_ca"), __file__), "plain_links: must not"),
