Drain a leaving VM: notice, grace, then a numbered error

Cause: the first drain refused new requests at once, before a balancer can notice, did not wait for receipts, and the end of the grace period dropped connections without a word. Ruled out: closing the listener first (the balancer's next connections would fail). Measured: lint and 84 tests passed; the drain itself is not yet tested with processes. Conclusion: partial until a process-level test has run.

--- a/balsamtally/entry.py
+++ b/balsamtally/entry.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 import bottle
+import gevent
 import msgspec
 from gevent.pool import Pool as GreenletPool
 from gevent.pywsgi import WSGIHandler, WSGIServer
@@ -20,6 +21,7 @@
     AnswerCut,
     BalsamtallyError,
     BodyTooLarge,
+    GraceEnded,
     Leaving,
     MalformedBody,
     MalformedHeader,
@@ -113,6 +115,7 @@
         self.chats = chats
         self.doors = doors
         self.admission = Admission(settings.max_requests, settings.max_bodies_bytes)
+        self._tasks: set[gevent.Greenlet] = set()
         self.app = self._make_app()
         self._server = WSGIServer(
             split_address(settings.caller_address),
@@ -134,6 +137,11 @@
         """Accept no more connections; the open ones go on."""
         self._server.stop_accepting()
 
+    def abort_requests(self) -> None:
+        """End the requests in flight with an error that says so."""
+        for task in list(self._tasks):
+            task.kill(GraceEnded(), block=False)
+
     def _make_app(self) -> bottle.Bottle:
         app = bottle.Bottle()
         app.route("/v1/chat/completions", "POST", self._guard(self._serve_chat))
@@ -173,11 +181,21 @@
         tier = request_class.tier if request_class is not None else SERVICE_TIER
         with contextlib.ExitStack() as stack:
             stack.enter_context(self.admission.hold(tier, self._measure_body()))
+            stack.enter_context(self._track_task())
             answer = serve(request_id, customer, **(path or {}))
             if isinstance(answer, Iterator):
                 return HeldStream(answer, stack.pop_all())
             return answer
 
+    @contextlib.contextmanager
+    def _track_task(self) -> Iterator[None]:
+        task = gevent.getcurrent()
+        self._tasks.add(task)
+        try:
+            yield
+        finally:
+            self._tasks.discard(task)
+
     def _find_customer(self) -> Customer:
         if not self.doors.is_ready():
             raise NotReady
--- a/balsamtally/node.py
+++ b/balsamtally/node.py
@@ -38,6 +38,7 @@
 WATCH_WAIT_S = 30.0
 WATCH_RETRY_S = 1.0
 DRAIN_POLL_S = 0.1
+ABORT_TIMEOUT_S = 2.0
 EXIT_GRACE_ENDED = 3
 
 
@@ -63,6 +64,7 @@
             self.incarnation,
         )
         self.leaving = False
+        self.refusing = False
         self.ready = False
         self.platform_read_at = 0.0
         self._stack = contextlib.ExitStack()
@@ -102,19 +104,37 @@
     def leave(self) -> bool:
         """Take no new work and wait for what is in flight.
 
+        For a while chat requests are still taken, so that the platform's balancer can notice.
+
         :return: whether all ended within the grace period
         """
         self.leaving = True
+        self.book.leave()
         log.info("leaving", in_flight=self.entry.admission.in_flight)
-        deadline = time.monotonic() + self.settings.grace_s
+        begun = time.monotonic()
+        while not self._has_drained():
+            waited_s = time.monotonic() - begun
+            if waited_s >= self.settings.grace_s:
+                return False
+            self.refusing = waited_s >= self.settings.leave_notice_s
+            gevent.sleep(DRAIN_POLL_S)
+        return True
+
+    def abort(self) -> None:
+        """End the requests in flight with an error, and let it reach their callers."""
+        self.entry.abort_requests()
+        deadline = time.monotonic() + ABORT_TIMEOUT_S
         while self.entry.admission.in_flight and time.monotonic() < deadline:
             gevent.sleep(DRAIN_POLL_S)
-        return self.entry.admission.in_flight == 0
+
+    def _has_drained(self) -> bool:
+        idle = not self.entry.admission.in_flight and not self.book.count_usable()
+        return self.refusing and idle
 
     def _make_doors(self) -> Doors:
         return Doors(
             is_ready=lambda: self.ready,
-            is_leaving=lambda: self.leaving,
+            is_leaving=lambda: self.refusing,
             find_customer=self._find_customer,
             find_class=lambda name: self.facts.find(RequestClass, name),
             find_pool=self.facts.find_pool,
@@ -128,7 +148,7 @@
     def _serve_operators(self, enter) -> None:
         app = make_admin_app(
             render_metrics=self.metrics.render,
-            read_unready=lambda: "" if self.ready else "no state was learnt yet",
+            read_unready=self._read_unready,
             read_state=lambda: describe_state(self.settings.vm, self.facts),
             read_vms=self.members.list_all,
             read_runners=lambda: self.facts.list(BackendServer),
@@ -139,6 +159,11 @@
         server.start()
         self._stack.callback(server.stop, 1)
 
+    def _read_unready(self) -> str:
+        if self.leaving:
+            return "this entry VM is leaving"
+        return "" if self.ready else "no state was learnt yet"
+
     def _find_address(self, vm: str) -> str | None:
         found = self.members.find(vm)
         return found.address if found is not None else None
@@ -275,6 +300,8 @@
         drain = gevent.spawn(node.leave)
         gevent.wait([drain, hurry], count=1)
         drained = drain.ready() and drain.get()
+        if not drained:
+            node.abort()
         log.info("stopped", drained=drained)
     sys.stderr.flush()
     return 0 if drained else EXIT_GRACE_ENDED
--- a/balsamtally/settings.py
+++ b/balsamtally/settings.py
@@ -21,6 +21,7 @@
 TLS_FILES = ("tls_cert", "tls_key", "tls_ca")
 RANGES = {
     "grace_s": (0.0, 3600.0),
+    "leave_notice_s": (0.0, 600.0),
     "max_requests": (1, 100_000),
     "max_body_bytes": (1_000, 64_000_000),
     "max_bodies_bytes": (1_000_000, 1_000_000_000),
@@ -58,6 +59,9 @@
     grace_s: float = _setting(
         "seconds", "longest time that a leaving VM waits for its requests", 30.0
     )
+    leave_notice_s: float = _setting(
+        "seconds", "time for which a leaving VM still takes requests, while it is not ready", 2.0
+    )
     max_requests: int = _setting(
         "requests", "most requests held at a time, of a tier and those above it", 2000
     )
