--- /dev/null
+++ b/standins/load.py
@@ -0,0 +1,197 @@
+"""The load tool: requests at given rates that don't wait for each other's answers.
+
+It checks every answer against the stand-ins' own rule. It sends no request again, but for
+non-idempotent calls, which a caller may send as often as it likes under their receipt.
+"""
+
+# ruff: noqa: E402
+from gevent import monkey
+
+monkey.patch_all()
+
+import itertools
+import json
+import random
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import defopt
+import gevent
+import urllib3
+from gevent.pool import Pool as Greenlets
+
+from balsamtally.contracts import Customer, PlainService, Pool, RequestClass
+from balsamtally.facts import Facts
+from balsamtally.tickets import decode_ticket
+from standins.callers import Call, Chat, Entries, send_call, send_chat
+from standins.results import Outcome, Report, count_reports
+
+LONGEST_TAIL_S = 90.0
+QUESTION_WORDS = 12
+SHARED_PROMPT = "The park rules of this coast, in short: " + "keep to the marked track. " * 20
+
+
+@dataclass(frozen=True)
+class Arrivals:
+    """A stream of requests with random arrivals.
+
+    :ivar name: request class, or ``service/operation`` for calls to a plain service
+    :ivar rate: mean requests a second
+    :ivar max_tokens: most tokens of an answer, ``None`` for no bound
+    :ivar whole_share: part of the chats that is asked for as a whole, not streamed
+    :ivar repeat_share: part of the non-idempotent calls that is sent to two entry VMs at once
+    :ivar start_s: when the stream begins, in seconds
+    :ivar stop_s: when it ends, ``None`` for the end of the run
+    """
+
+    name: str
+    rate: float
+    max_tokens: int | None = None
+    whole_share: float = 0.2
+    repeat_share: float = 0.25
+    start_s: float = 0.0
+    stop_s: float | None = None
+
+
+def load_facts(folder: Path) -> Facts:
+    """Return the state that the tickets of a folder put in force."""
+    facts = Facts()
+    for path in sorted(folder.glob("*.json")):
+        facts.accept(decode_ticket(path.read_bytes()))
+    return facts
+
+
+class Load:
+    """A run of the load tool.
+
+    :param addresses: callers' addresses of the entry VMs
+    :param facts: the state in force, which gives the classes and the customers
+    :param seed: seed of all random choices
+    :ivar reports: what became of each request so far
+    """
+
+    def __init__(self, addresses: Sequence[str], facts: Facts, seed: int):
+        self.entries = Entries(addresses)
+        self.facts = facts
+        self.seed = seed
+        self.model = facts.list(Pool)[0].name
+        self.reports: list[Report] = []
+        self.sent = 0
+        self.greenlets = Greenlets()
+
+    def run(self, streams: Sequence[Arrivals], duration_s: float) -> list[Report]:
+        """Send all requests and wait for their answers.
+
+        :param streams: what to send
+        :param duration_s: for how long, in seconds
+        :return: what became of each request
+        """
+        begun = time.monotonic()
+        feeders = [gevent.spawn(self.feed, stream, begun, duration_s) for stream in streams]
+        gevent.joinall(feeders, raise_error=True)
+        self.greenlets.join(LONGEST_TAIL_S)
+        self.greenlets.kill()
+        return self.reports
+
+    def feed(self, stream: Arrivals, begun: float, duration_s: float) -> None:
+        """Send the requests of a stream at their times."""
+        prefix = f"{self.seed}-{stream.name}-{stream.start_s:g}"
+        draws = random.Random(prefix)
+        stop_s = duration_s if stream.stop_s is None else min(stream.stop_s, duration_s)
+        due_s = stream.start_s
+        for number in itertools.count():
+            due_s += draws.expovariate(stream.rate)
+            if due_s >= stop_s:
+                return
+            gevent.sleep(max(0.0, begun + due_s - time.monotonic()))
+            self.sent += 1
+            customer = self.choose_customer(stream, draws)
+            self.greenlets.spawn(self.send, stream, f"{prefix}-{number}", customer, draws.random())
+
+    def choose_customer(self, stream: Arrivals, draws: random.Random) -> str:
+        """Return a customer by its weight among those to whom the class is open."""
+        found = [
+            customer
+            for customer in self.facts.list(Customer)
+            if "/" in stream.name or stream.name in customer.classes
+        ]
+        weights = [customer.weight for customer in found]
+        return draws.choices(found, weights)[0].name
+
+    def send(self, stream: Arrivals, label: str, customer: str, draw: float) -> None:
+        """Send one request and report on it, whatever happens.
+
+        :param stream: the stream that it belongs to
+        :param label: text that no other request carries
+        :param customer: name of the customer
+        :param draw: random number, which decides between streamed and whole, once and twice
+        """
+        try:
+            if "/" in stream.name:
+                call = self.make_call(stream, label, customer)
+                twice = not call.idempotent and draw < stream.repeat_share
+                self.reports.extend(send_call(self.entries, call, 2 if twice else 1))
+                return
+            chat = self.make_chat(stream, label, customer, draw >= stream.whole_share)
+            self.reports.append(send_chat(self.entries, chat))
+        except gevent.GreenletExit:
+            self.reports.append(Report(stream.name, Outcome.FAILED, text="no answer at the end"))
+        except (urllib3.exceptions.HTTPError, OSError, ValueError, LookupError) as error:
+            text = f"{type(error).__name__}: {error}"
+            self.reports.append(Report(stream.name, Outcome.FAILED, text=text))
+
+    def make_chat(self, stream: Arrivals, label: str, customer: str, streamed: bool) -> Chat:
+        """Return a chat request of a stream."""
+        question = " ".join(f"{label}/{number}" for number in range(QUESTION_WORDS))
+        messages = (
+            {"role": "system", "content": SHARED_PROMPT},
+            {"role": "user", "content": question},
+        )
+        target = self.facts.find(RequestClass, stream.name)
+        return Chat(target, customer, self.model, messages, stream.max_tokens, streamed)
+
+    def make_call(self, stream: Arrivals, label: str, customer: str) -> Call:
+        """Return a service call of a stream."""
+        service, _, operation = stream.name.partition("/")
+        operations = self.facts.find(PlainService, service).operations
+        idempotent = next(each.idempotent for each in operations if each.name == operation)
+        return Call(service, operation, idempotent, customer, label)
+
+
+def parse_arrivals(text: str) -> Arrivals:
+    """Return the stream that a flag describes.
+
+    :param text: such as ``waiver-live=5`` or ``archive-batch=2:64`` with most tokens
+    """
+    name, _, amounts = text.partition("=")
+    rate, _, max_tokens = amounts.partition(":")
+    return Arrivals(name, float(rate), int(max_tokens) if max_tokens else None)
+
+
+def main(
+    *,
+    entries: list[str],
+    streams: list[str],
+    tickets: Path = Path("examples/medanos-libres"),
+    seed: int = 1,
+    duration: float = 20.0,
+) -> None:
+    """Send requests at given rates and print a JSON line for each class.
+
+    :param entries: callers' addresses of the entry VMs
+    :param streams: streams such as ``waiver-live=5`` (5 a second), ``archive-batch=2:64`` (at
+        most 64 tokens) or ``filing/record=1``
+    :param tickets: folder of the change tickets in force
+    :param seed: seed of all random choices
+    :param duration: for how long to send, in seconds
+    """
+    load = Load(entries, load_facts(tickets), seed)
+    reports = load.run([parse_arrivals(text) for text in streams], duration)
+    for name, result in count_reports(reports).items():
+        print(json.dumps(result.describe(name)), flush=True)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/standins/service.py
+++ b/standins/service.py
@@ -18,6 +18,7 @@
 from standins.serving import answer, read_body, serve
 
 DRAIN_POLL_S = 0.05
+BODY_KEY_BYTES = 200
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -41,6 +42,7 @@
     :ivar leaving: whether new calls are refused
     :ivar running: calls being run
     :ivar executions: runs by id of the call
+    :ivar bodies: runs by the beginning of the call's body
     """
 
     def __init__(self, delay_s: float):
@@ -48,7 +50,8 @@
         self.fault = Fault()
         self.leaving = False
         self.running = 0
-        self.executions = Counter()
+        self.executions: Counter[str] = Counter()
+        self.bodies: Counter[str] = Counter()
 
     def run(self, operation: str) -> bottle.HTTPResponse:
         """Run the current request's call and return its answer."""
@@ -56,16 +59,18 @@
             code = "leaving" if self.leaving else "refused"
             return answer({"error": {"code": code}}, 503)
         call = request.get_header("Idempotency-Key") or request.get_header("X-Request-Id", "")
+        content = request.body.read()
         self.running += 1
         try:
             gevent.sleep(self.delay_s)
             self.executions[call] += 1
+            self.bodies[content[:BODY_KEY_BYTES].decode(errors="replace")] += 1
             if self.fault.die:
                 os._exit(1)
             gevent.sleep(self.fault.late_s)
         finally:
             self.running -= 1
-        body = service_answer(operation, request.body.read())
+        body = service_answer(operation, content)
         headers = {"Content-Type": "application/json", "X-Request-Id": call}
         return bottle.HTTPResponse(body, 200, headers)
 
@@ -87,7 +92,13 @@
 
     @app.get("/control/counts")
     def get_counts():
-        return answer({"executions": service.executions, "running": service.running})
+        return answer(
+            {
+                "executions": service.executions,
+                "bodies": service.bodies,
+                "running": service.running,
+            }
+        )
 
     @app.get("/load")
     def get_load():
