--- a/balsamtally/dissemination.py
+++ b/balsamtally/dissemination.py
@@ -26,6 +26,7 @@
 CHECK_GAP_S = 1.0
 START_SPREAD_S = 1.0
 START_PATIENCE_S = 4.0
+FAREWELL_S = 0.1
 
 
 class Dissemination:
@@ -53,7 +54,7 @@
         self.settings = settings
         self.facts = facts
         self.members = members
-        self.platform_read_at: float | None = None
+        self.platform_read_at = 0.0
         self._configuration = configuration
         self._clock = clock
         self._random = random or Random()
@@ -81,6 +82,7 @@
     def __exit__(self, *exc_info: object) -> None:
         gevent.killall(self._tasks, timeout=1.0)
         self.heartbeats.cast_farewell()
+        gevent.sleep(FAREWELL_S)
 
     @property
     def ready(self) -> bool:
