Measure dissemination and membership with real processes

Change: standins/bench_facts.py (idle cost, tickets, pause, wake, kill, a domain restarted) and the links' byte counters among the metrics; the state machine draws ticket numbers from 1 to 4 in place of 12, so that two tickets under one number are frequent. Conclusion: slopes over several sizes are to be run next.

--- a/balsamtally/metrics.py
+++ b/balsamtally/metrics.py
@@ -21,6 +21,8 @@
     :ivar members: live entry VMs of the own failure domain
     :ivar tickets: tickets whose state is in force
     :ivar platform_age_s: time since the last good read of the platform, in seconds
+    :ivar sent_bytes: bytes sent over the peer links since the start
+    :ivar received_bytes: bytes received over the peer links since the start
     """
 
     queued: Mapping[str, int] = field(default_factory=dict)
@@ -28,6 +30,8 @@
     members: int = 0
     tickets: int = 0
     platform_age_s: float = 0.0
+    sent_bytes: int = 0
+    received_bytes: int = 0
 
 
 class Metrics:
@@ -68,6 +72,7 @@
         self._platform_age = self._gauge(
             "platform_age_seconds", "Time since the last good read of the platform"
         )
+        self._link_bytes = self._gauge("link_bytes", "Bytes over the peer links since the start")
 
     def count_request(self, request_class: str, code: int) -> None:
         """Count a finished request.
@@ -161,6 +166,8 @@
         self._members.set({}, gauges.members)
         self._tickets.set({}, gauges.tickets)
         self._platform_age.set({}, gauges.platform_age_s)
+        self._link_bytes.set({"direction": "sent"}, gauges.sent_bytes)
+        self._link_bytes.set({"direction": "received"}, gauges.received_bytes)
         body, headers = render(self._registry, [])
         return body, headers["Content-Type"]
 
--- a/balsamtally/node.py
+++ b/balsamtally/node.py
@@ -257,6 +257,8 @@
             members=len(self.members.list_domain()),
             tickets=len({entry.number for entry in self.facts.entries.values()}),
             platform_age_s=time.monotonic() - self.dissemination.platform_read_at,
+            sent_bytes=self.links.sent_bytes,
+            received_bytes=self.links.received_bytes,
         )
 
 
--- /dev/null
+++ b/standins/bench_facts.py
@@ -0,0 +1,241 @@
+"""Slopes of dissemination and membership against the number of daemons, with real processes.
+
+Run ``python -m standins.bench_facts [DAEMONS_PER_DOMAIN ...]``: JSON lines go to
+``bench-results/facts.jsonl`` and to standard output.
+"""
+
+import json
+import statistics
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from datetime import datetime
+from pathlib import Path
+
+import psutil
+
+from balsamtally.contracts import Pool
+from balsamtally.tickets import Ticket
+from standins.fleet import Daemon, Fleet
+
+RESULTS = Path("bench-results/facts.jsonl")
+DEFAULT_SIZES = (2, 4, 8, 11)
+DOMAINS = 3
+SETTLE_S = 8.0
+IDLE_S = 60.0
+TICKETS = 10
+TICKET_GAP_S = 1.0
+FIRST_NUMBER = 100_000
+PAUSE_S = 10.0
+WAIT_S = 30.0
+READY_TIMEOUT_S = 60.0
+
+
+def read_lines(vm: Daemon, event: str) -> Iterator[dict]:
+    """Yield the log lines of one event.
+
+    :param vm: the daemon
+    :param event: name of the event
+    """
+    for line in vm.read_log().splitlines():
+        if f'"{event}"' in line and line.startswith("{"):
+            fields = json.loads(line)
+            if fields.get("event") == event:
+                yield fields
+
+
+def read_time(fields: dict) -> float:
+    """Return the time of a log line, in seconds since the epoch."""
+    return datetime.fromisoformat(fields["timestamp"]).timestamp()
+
+
+def read_link_bytes(vm: Daemon) -> float:
+    """Return the bytes that a daemon sent and received over its links."""
+    lines = (vm.read("/metrics") or b"").decode().splitlines()
+    return sum(float(line.split()[-1]) for line in lines if line.startswith("balsamtally_link_b"))
+
+
+def read_cpu_s(vm: Daemon) -> float:
+    """Return the processor time that a daemon has used, in seconds."""
+    times = psutil.Process(vm.pid).cpu_times()
+    return times.user + times.system
+
+
+def count_reads(fleet: Fleet) -> int:
+    """Return how often the platform was read."""
+    counts = fleet.platform.counts()
+    return counts.get("kv", 0) + counts.get("health", 0)
+
+
+def measure_idle(fleet: Fleet) -> dict:
+    """Return the cost of an idle daemon a second, and the platform's reads.
+
+    :param fleet: the fleet
+    """
+    vms = list(fleet.vms.values())
+    bytes_before = sum(map(read_link_bytes, vms))
+    cpu_before = sum(map(read_cpu_s, vms))
+    reads = count_reads(fleet)
+    begun = time.monotonic()
+    time.sleep(IDLE_S)
+    took_s = time.monotonic() - begun
+    cpu_s = sum(map(read_cpu_s, vms)) - cpu_before
+    link_bytes = sum(map(read_link_bytes, vms)) - bytes_before
+    memory = [psutil.Process(vm.pid).memory_info().rss for vm in vms]
+    return {
+        "cpu_percent": round(100 * cpu_s / took_s / len(vms), 3),
+        "link_bytes_per_s": round(link_bytes / took_s / len(vms), 1),
+        "platform_reads_per_s": round((count_reads(fleet) - reads) / took_s, 3),
+        "memory_mb": round(statistics.mean(memory) / 1e6, 1),
+    }
+
+
+def wait_for(check: Callable[[], bool], limit_s: float = WAIT_S) -> bool:
+    """Return whether a check holds within a time.
+
+    :param check: what to check
+    :param limit_s: longest wait in seconds
+    """
+    deadline = time.monotonic() + limit_s
+    while not check():
+        if time.monotonic() > deadline:
+            return False
+        time.sleep(0.2)
+    return True
+
+
+def measure_tickets(fleet: Fleet) -> dict:
+    """Return how long tickets take to be accepted by all daemons.
+
+    :param fleet: the fleet
+    """
+    published = {}
+    for number in range(FIRST_NUMBER, FIRST_NUMBER + TICKETS):
+        published[number] = time.time()
+        fleet.publish(Ticket(1, number, "bench", (Pool(f"bench-{number}"),)))
+        time.sleep(TICKET_GAP_S)
+    time.sleep(SETTLE_S)
+    times = []
+    for vm in fleet.vms.values():
+        for fields in read_lines(vm, "ticket_accepted"):
+            if fields["number"] in published:
+                times.append(read_time(fields) - published[fields["number"]])
+    return {
+        "accepted": len(times),
+        "expected": TICKETS * len(fleet.vms),
+        "accept_p50_ms": round(1000 * statistics.median(times), 1),
+        "accept_max_ms": round(1000 * max(times), 1),
+    }
+
+
+def find_changes(vms: list[Daemon], member: str, status: str, since: float) -> list[float]:
+    """Return when each daemon first saw a member in a status, in seconds since a time.
+
+    :param vms: the daemons that look
+    :param member: name of the member
+    :param status: such as ``dead``
+    :param since: time since the epoch in seconds
+    """
+    found = []
+    for vm in vms:
+        times = [
+            read_time(fields) - since
+            for fields in read_lines(vm, "member_changed")
+            if fields["member"] == member and fields["status"] == status
+        ]
+        found += (
+            [min(time_s for time_s in times if time_s > 0)] if max(times, default=0) > 0 else []
+        )
+    return found
+
+
+def measure_change(vms: list[Daemon], member: str, status: str, since: float) -> dict:
+    """Return how long it takes until all daemons see a member in a status."""
+    wait_for(lambda: len(find_changes(vms, member, status, since)) == len(vms))
+    times = find_changes(vms, member, status, since)
+    return {
+        "seen_by": len(times),
+        "expected": len(vms),
+        "p50_s": round(statistics.median(times), 2) if times else None,
+        "max_s": round(max(times), 2) if times else None,
+    }
+
+
+def measure_faults(fleet: Fleet) -> Iterator[dict]:
+    """Yield how long a kill, a pause and a wake-up take to be seen.
+
+    :param fleet: the fleet
+    """
+    first = fleet.domains[0].name
+    own = [vm for vm in fleet.vms.values() if vm.domain == first]
+    others = [vm for vm in fleet.vms.values() if vm.domain != first]
+    paused, killed = own[0], own[-1]
+    begun = time.time()
+    paused.pause()
+    time.sleep(PAUSE_S)
+    yield {"fault": "pause", **measure_change(own[1:], paused.name, "dead", begun)}
+    begun = time.time()
+    paused.resume()
+    yield {"fault": "wake", **measure_change(own[1:], paused.name, "alive", begun)}
+    time.sleep(SETTLE_S)
+    begun = time.time()
+    killed.kill()
+    yield {"fault": "kill", **measure_change(own[:-1], killed.name, "dead", begun)}
+    yield {"fault": "kill, other domains", **measure_change(others, killed.name, "dead", begun)}
+
+
+def measure_restart(fleet: Fleet) -> dict:
+    """Return what it takes to restart all daemons of a failure domain at once.
+
+    :param fleet: the fleet
+    """
+    vms = [vm for vm in fleet.vms.values() if vm.domain == fleet.domains[0].name]
+    for vm in vms:
+        vm.kill()
+    reads = count_reads(fleet)
+    begun = time.monotonic()
+    for vm in vms:
+        vm.start()
+    deadline = time.monotonic() + READY_TIMEOUT_S
+    for vm in vms:
+        vm.wait_ready(deadline)
+    took_s = time.monotonic() - begun
+    return {
+        "restarted": len(vms),
+        "ready_s": round(took_s, 2),
+        "platform_reads": count_reads(fleet) - reads,
+    }
+
+
+def measure_fleet(per_domain: int) -> Iterator[dict]:
+    """Yield the measurements of one fleet.
+
+    :param per_domain: daemons in each failure domain
+    """
+    with tempfile.TemporaryDirectory(prefix="bench-facts-") as folder:
+        with Fleet(
+            Path(folder), domains=DOMAINS, vms_per_domain=per_domain, runners_per_domain=0
+        ) as fleet:
+            time.sleep(SETTLE_S)
+            yield {"measure": "idle", **measure_idle(fleet)}
+            yield {"measure": "tickets", **measure_tickets(fleet)}
+            for result in measure_faults(fleet):
+                yield {"measure": "fault", **result}
+            yield {"measure": "restart", **measure_restart(fleet)}
+
+
+def main() -> None:
+    """Measure fleets of several sizes."""
+    RESULTS.parent.mkdir(exist_ok=True)
+    sizes = [int(text) for text in sys.argv[1:]] or DEFAULT_SIZES
+    with RESULTS.open("a") as out:
+        for per_domain in sizes:
+            for result in measure_fleet(per_domain):
+                line = json.dumps({"daemons": per_domain * DOMAINS, **result})
+                print(line, flush=True)
+                print(line, file=out, flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/balsamtally/test_exchange.py
+++ b/tests/balsamtally/test_exchange.py
@@ -21,7 +21,7 @@
 TICKETS = st.builds(
     Ticket,
     format=st.just(1),
-    number=st.integers(1, 12),
+    number=st.integers(1, 4),
     author=st.just("ana"),
     objects=st.lists(OBJECTS, min_size=1, max_size=2, unique_by=lambda item: item.name).map(tuple),
 )
