Test membership: replaced, paused, flapping and leaving VMs

Ruled out: confirming a woken VM by any message (those that waited in the socket were sent before the pause): only a reply to a call made since counts.

--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -33,6 +33,7 @@
 
 EXCHANGE = "tests/balsamtally/test_exchange.py"
 FACTS = "tests/balsamtally/test_facts.py"
+MEMBERS = "tests/balsamtally/test_members.py"
 RECEIPTS = "tests/balsamtally/test_receipts.py"
 
 MUTATIONS = (
@@ -59,6 +60,26 @@
     Mutation("heartbeats", "if domains and self._clock()", "if False and self._clock()", EXCHANGE),
     Mutation("heartbeats", "if not domains or not self.is_gateway():", "if True:", EXCHANGE),
     Mutation("exchange", "return self.pull(name)", "pass", EXCHANGE),
+    Mutation("members", "return not self.is_away() and", "return", MEMBERS),
+    Mutation("members", "if now - self._ticked_at > AWAY_S:", "if False:", MEMBERS),
+    Mutation("members", "record.penalize(now)", "pass", MEMBERS),
+    Mutation("members", "now - at > LISTED_LEAVING_S", "False", MEMBERS),
+    Mutation("members", "state.leaving or listed", "state.leaving", MEMBERS),
+    Mutation("members", "and not record.damped", "", MEMBERS),
+    Mutation("heartbeats", "            self.members.confirm()", "            pass", MEMBERS),
+    Mutation(
+        "heartbeats",
+        "if self.members.wakes == wakes:\n            self.members.c",
+        "if 1:\n            self.members.c",
+        MEMBERS,
+    ),
+    Mutation(
+        "heartbeats",
+        "if self.members.wakes == wakes:\n                ",
+        "if 1:\n                ",
+        MEMBERS,
+    ),
+    Mutation("heartbeats", "min(PROBE_HELPERS, len(helpers))", "0", MEMBERS),
 )
 
 
--- a/tests/balsamtally/fake_network.py
+++ b/tests/balsamtally/fake_network.py
@@ -80,6 +80,7 @@
         self.now = 1000.0
         self.loss = 0.0
         self.group = {}
+        self.cut_pairs = set()
         self.in_flight = []
         self.started = 0
         self.nodes = {}
@@ -98,6 +99,8 @@
         return [EntryVm(name, "127.0.0.1:1", dom, dom) for name, dom in self.layout.items()]
 
     def is_cut(self, source, target):
+        if frozenset((source, target)) in self.cut_pairs:
+            return True
         return self.group.get(source, 0) != self.group.get(target, 0)
 
     def call(self, source, target, message):
