Limit customers and classes over all VMs, by tokens from one coordinator a domain

Cause: a customer's limit must hold over all entry VMs to a stated error, follow the demand, and become fixed shares in a split, never unlimited. Weighed: (1) fixed shares alone: a customer whose callers meet one VM gets 1/340 of its limit; (2) rates lent for a time: whoever loses the lease spends twice until it ends; (3) tokens from a bucket at a coordinator per domain and shard (chosen): what is handed out never sums to more than the bucket gave. The domains' parts follow the demands that their coordinators tell each other every 4 s; a domain not heard of for 10 s, and a VM that counts as dead but is listed, keeps its fixed share. Seen on the way: a split left 111 for ever: ranks were cached past a change of members, so one VM asked a dead coordinator (now cleared with the lists); 144 where each domain reserved only its own dead VMs. A fixed share saved up 2 s of tokens for a burst (226 against 206): it is now filled before spending. A VM that is dead and unlisted counts as left. Conclusion: whole in-process, not yet wired into the daemon.

--- /dev/null
+++ b/balsamtally/limits.py
@@ -0,0 +1,363 @@
+"""Limits of customers and request classes that hold over all entry VMs.
+
+In each failure domain one entry VM coordinates each shard of the limits: it fills a token bucket
+at its domain's share of the limit, and the others ask it for the tokens that they need. The
+domains' shares follow their demand. Whoever can't reach the coordinator spends the fixed share of
+one entry VM, and a domain that hears from no other spends the fixed share of its entry VMs.
+"""
+
+import math
+import time
+from collections.abc import Callable
+
+import gevent
+import xxhash
+
+from balsamtally.contracts import Customer, RequestClass
+from balsamtally.errors import BalsamtallyError, ClassLimited, CustomerLimited
+from balsamtally.facts import Facts
+from balsamtally.heartbeats import PeerLinks
+from balsamtally.logs import log
+from balsamtally.members import Members
+from balsamtally.messages import DomainDemand, LimitAsk, LimitDemand, LimitTokens
+from balsamtally.rendezvous import rank_members
+
+SHARDS = 16
+REFILL_S = 1.0
+STOCK_S = 1.5
+MIN_STOCK = 1.0
+ASK_GAP_S = 0.2
+ASK_TIMEOUT_S = 0.3
+DEMAND_TIME_CONSTANT_S = 2.0
+DEMAND_FRESH_S = 2.5
+EXCHANGE_S = 4.0
+DOMAIN_FRESH_S = 10.0
+BUCKET_S = 1.0
+IDLE_S = 60.0
+MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 60.0
+CUSTOMER_FIELDS = ("requests_per_s", "tokens_per_s", "region_bytes_per_s")
+
+
+def find_shard(key: str) -> int:
+    """Return the shard of a limit.
+
+    :param key: such as ``customer/dunas/requests_per_s``
+    """
+    return xxhash.xxh3_64_intdigest(key.encode()) % SHARDS
+
+
+class Rate:
+    """The rate of a cost, averaged over ``DEMAND_TIME_CONSTANT_S``."""
+
+    def __init__(self, now: float):
+        self._rate = 0.0
+        self._at = now
+
+    def add(self, cost: float, now: float) -> None:
+        """Count a cost.
+
+        :param cost: the cost
+        :param now: the clock
+        """
+        self._rate = self.read(now) + cost / DEMAND_TIME_CONSTANT_S
+        self._at = now
+
+    def read(self, now: float) -> float:
+        """Return the cost a second.
+
+        :param now: the clock
+        """
+        return self._rate * math.exp((self._at - now) / DEMAND_TIME_CONSTANT_S)
+
+
+class Stock:
+    """The tokens of one limit that this VM may spend.
+
+    :ivar tokens: tokens held, negative where costs were charged afterwards
+    :ivar demand: cost that callers ask for
+    :ivar asked_at: clock of the last ask
+    :ivar alone_since: clock of the last part of the fixed share, ``None`` while coordinated
+    """
+
+    def __init__(self, now: float):
+        self.tokens = 0.0
+        self.demand = Rate(now)
+        self.asked_at = -math.inf
+        self.used_at = now
+        self.alone_since: float | None = None
+
+
+class Bucket:
+    """The tokens of one limit that this VM hands out as a coordinator.
+
+    :ivar tokens: tokens left
+    :ivar filled_at: clock of the last filling
+    :ivar demands: rate that each entry VM asked for, and when
+    """
+
+    def __init__(self, now: float):
+        self.tokens = 0.0
+        self.filled_at = now
+        self.demands: dict[str, tuple[float, float]] = {}
+
+    def sum_demand(self, now: float) -> float:
+        """Return the failure domain's demand a second, and forget entry VMs that ask no more.
+
+        :param now: the clock
+        """
+        self.demands = {
+            vm: (rate, at) for vm, (rate, at) in self.demands.items() if now - at < DEMAND_FRESH_S
+        }
+        return sum(rate for rate, _ in self.demands.values())
+
+
+class Limits:
+    """The limits in force, spent here and coordinated for the failure domain.
+
+    :param facts: the customers and classes in force
+    :param members: the known entry VMs
+    :param links: links to the peers
+    :param clock: monotonic clock in seconds
+    """
+
+    def __init__(
+        self,
+        facts: Facts,
+        members: Members,
+        links: PeerLinks,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self._facts = facts
+        self._members = members
+        self._links = links
+        self._clock = clock
+        self._stocks: dict[str, Stock] = {}
+        self._buckets: dict[str, Bucket] = {}
+        self._domains: dict[tuple[str, int], tuple[dict[str, float], float]] = {}
+        self._tasks: list[gevent.Greenlet] = []
+        links.handle(LimitAsk, self._answer_ask)
+        links.handle(DomainDemand, self._note_domain)
+
+    def __enter__(self) -> "Limits":
+        self._tasks.append(gevent.spawn(self._repeat, self.refill, REFILL_S))
+        self._tasks.append(gevent.spawn(self._repeat, self.exchange, EXCHANGE_S))
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        gevent.killall(self._tasks, timeout=1.0)
+
+    def _repeat(self, step: Callable[[], None], period_s: float) -> None:
+        while True:
+            gevent.sleep(period_s)
+            try:
+                step()
+            except Exception:
+                log.exception("step_failed", step=step.__qualname__)
+
+    # Spending.
+
+    def take(self, customer: Customer, cost: float = 1.0) -> None:
+        """Spend a customer's requests, unless one of its limits is used up.
+
+        :param customer: the customer
+        :param cost: number of requests
+        :raises CustomerLimited: if a limit of the customer is used up
+        """
+        for field in CUSTOMER_FIELDS[1:]:
+            if getattr(customer, field):
+                key = f"customer/{customer.name}/{field}"
+                self._spend(key, 0.0, CustomerLimited, f"{customer.name} is over {field}")
+        if customer.requests_per_s:
+            key = f"customer/{customer.name}/requests_per_s"
+            self._spend(key, cost, CustomerLimited, f"{customer.name} is over requests_per_s")
+
+    def take_class(self, request_class: RequestClass, cost: float = 1.0) -> None:
+        """Spend a request class's requests, unless its limit is used up.
+
+        :param request_class: the class
+        :param cost: number of requests
+        :raises ClassLimited: if the limit of the class is used up
+        """
+        if request_class.requests_per_s:
+            key = f"class/{request_class.name}/requests_per_s"
+            self._spend(key, cost, ClassLimited, f"{request_class.name} is over requests_per_s")
+
+    def charge(self, customer: Customer, field: str, cost: float) -> None:
+        """Charge a cost that was not known before, such as generated tokens.
+
+        :param customer: the customer
+        :param field: ``tokens_per_s`` or ``region_bytes_per_s``
+        :param cost: the cost
+        """
+        if getattr(customer, field):
+            stock = self._find_stock(f"customer/{customer.name}/{field}")
+            stock.demand.add(cost, self._clock())
+            stock.tokens -= cost
+
+    def _find_stock(self, key: str) -> Stock:
+        stock = self._stocks.get(key)
+        if stock is None:
+            stock = self._stocks[key] = Stock(self._clock())
+        stock.used_at = self._clock()
+        return stock
+
+    def _spend(self, key: str, cost: float, error: type[BalsamtallyError], text: str) -> None:
+        stock = self._find_stock(key)
+        now = self._clock()
+        stock.demand.add(cost, now)
+        if stock.alone_since is not None and now - stock.alone_since >= ASK_GAP_S:
+            self._add_fixed_share(key, stock)
+        if not _has_tokens(stock, cost) and now - stock.asked_at >= ASK_GAP_S:
+            self._ask(find_shard(key), [key], cost or MIN_STOCK)
+        if not _has_tokens(stock, cost):
+            raise error(text, self._estimate_wait(key, stock, cost))
+        stock.tokens -= cost
+
+    def _estimate_wait(self, key: str, stock: Stock, cost: float) -> float:
+        limit = self._find_limit(key)
+        share = limit / max(1, sum(self._members.count_known().values()))
+        rate = share if stock.alone_since is not None else limit
+        wait_s = (cost - stock.tokens) / rate if rate else MAX_RETRY_AFTER_S
+        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+
+    def _find_limit(self, key: str) -> float:
+        """Return a limit in force, 0 for none."""
+        kind, _, rest = key.partition("/")
+        name, _, field = rest.rpartition("/")
+        found = self._facts.find(Customer if kind == "customer" else RequestClass, name)
+        return getattr(found, field, 0.0) if found is not None else 0.0
+
+    # Asking for tokens.
+
+    def refill(self) -> None:
+        """Ask for the tokens that will be needed soon, and forget limits not used for long."""
+        now = self._clock()
+        shards: dict[int, list[str]] = {}
+        for key, stock in list(self._stocks.items()):
+            if now - stock.used_at > IDLE_S and stock.tokens >= 0:
+                del self._stocks[key]
+            elif stock.tokens < stock.demand.read(now) * STOCK_S / 2:
+                shards.setdefault(find_shard(key), []).append(key)
+        for shard, keys in shards.items():
+            self._ask(shard, keys, 0.0)
+        for key, bucket in list(self._buckets.items()):
+            if now - bucket.filled_at > IDLE_S:
+                del self._buckets[key]
+
+    def _ask(self, shard: int, keys: list[str], cost: float) -> None:
+        """Ask the coordinator for tokens; without an answer use the fixed share."""
+        now = self._clock()
+        demands = []
+        for key in keys:
+            stock = self._stocks[key]
+            stock.asked_at = now
+            rate = stock.demand.read(now)
+            demands.append(LimitDemand(key, rate, max(0.0, rate * STOCK_S, cost) - stock.tokens))
+        coordinator = self._members.rank_domain(f"limits/{shard}")[:1]
+        tokens: tuple[float, ...] = ()
+        if coordinator:
+            try:
+                reply = self._links.call(coordinator[0], LimitAsk(tuple(demands)), ASK_TIMEOUT_S)
+                tokens = reply.tokens if isinstance(reply, LimitTokens) else ()
+            except BalsamtallyError:
+                tokens = ()
+        for place, key in enumerate(keys):
+            granted = tokens[place] if len(tokens) == len(keys) else -1.0
+            self._add_tokens(key, granted)
+
+    def _add_tokens(self, key: str, granted: float) -> None:
+        """Add what the coordinator granted, or the fixed share's part where it is negative."""
+        stock = self._stocks.get(key)
+        if stock is None:
+            return
+        if granted >= 0:
+            stock.tokens += granted
+            stock.alone_since = None
+            return
+        if stock.alone_since is None:
+            log.info("limit_on_fixed_share", limit=key)
+            stock.alone_since = self._clock()
+        self._add_fixed_share(key, stock)
+
+    def _add_fixed_share(self, key: str, stock: Stock) -> None:
+        now = self._clock()
+        rate = self._find_limit(key) / max(1, sum(self._members.count_known().values()))
+        room = max(1.0, rate * BUCKET_S) - stock.tokens
+        stock.tokens += max(0.0, min(room, rate * (now - stock.alone_since)))
+        stock.alone_since = now
+
+    # Coordinating.
+
+    def _answer_ask(self, name: str, ask: LimitAsk) -> LimitTokens:
+        now = self._clock()
+        return LimitTokens(tuple(self._grant(name, demand, now) for demand in ask.demands))
+
+    def _grant(self, name: str, demand: LimitDemand, now: float) -> float:
+        limit = self._find_limit(demand.key)
+        if not limit:
+            return -1.0
+        bucket = self._buckets.get(demand.key)
+        if bucket is None:
+            bucket = self._buckets[demand.key] = Bucket(now)
+        bucket.demands[name] = (demand.rate, now)
+        total = bucket.sum_demand(now)
+        rate = self._find_domain_rate(demand.key, limit, total, now)
+        room = max(1.0, rate * BUCKET_S)
+        bucket.tokens = min(room, bucket.tokens + rate * (now - bucket.filled_at))
+        bucket.filled_at = now
+        part = demand.rate / total if total > rate else 1.0
+        granted = max(0.0, min(demand.want, bucket.tokens * max(part, 1.0 / room)))
+        bucket.tokens -= granted
+        return granted
+
+    def _find_domain_rate(self, key: str, limit: float, demand: float, now: float) -> float:
+        """Return the part of a limit that this failure domain may spend now, a second.
+
+        A domain that wasn't heard of lately keeps its fixed share, as does each known entry VM
+        that doesn't count as live: it may run behind a split.
+        """
+        own = self._members.own.domain
+        known = self._members.count_known()
+        total = max(1, sum(known.values()))
+        reserved = 0
+        demands = demand
+        for domain, count in known.items():
+            rates, at = self._domains.get((domain, find_shard(key)), ({}, -math.inf))
+            if domain != own and now - at >= DOMAIN_FRESH_S:
+                reserved += count
+                continue
+            reserved += max(0, count - self._members.count_live(domain))
+            if domain != own:
+                demands += rates.get(key, 0.0)
+        free = limit * max(0, total - reserved) / total
+        return free * (demand / demands if demands else 1.0)
+
+    def exchange(self) -> None:
+        """Tell the other failure domains what this one needs of the limits it coordinates."""
+        now = self._clock()
+        by_shard: dict[int, list[LimitDemand]] = {}
+        for key, bucket in self._buckets.items():
+            rate = bucket.sum_demand(now)
+            if rate:
+                by_shard.setdefault(find_shard(key), []).append(LimitDemand(key, rate))
+        own = self._members.own
+        names: dict[str, list[str]] = {}
+        for vm in self._members.list_all():
+            names.setdefault(vm.domain, []).append(vm.name)
+        names.pop(own.domain, None)
+        for shard in range(SHARDS):
+            task = f"limits/{shard}"
+            if not self._members.is_coordinator(task):
+                continue
+            message = DomainDemand(own.domain, shard, tuple(by_shard.get(shard, ())))
+            for peers in names.values():
+                self._links.cast(rank_members(task, peers)[0], message)
+
+    def _note_domain(self, name: str, message: DomainDemand) -> None:
+        rates = {demand.key: demand.rate for demand in message.demands}
+        self._domains[message.domain, message.shard] = (rates, self._clock())
+
+
+def _has_tokens(stock: Stock, cost: float) -> bool:
+    return stock.tokens >= cost if cost else stock.tokens > 0
--- a/balsamtally/members.py
+++ b/balsamtally/members.py
@@ -172,8 +172,6 @@
 
         :param task: name of the task
         """
-        if self._live is None:
-            self._ranks.clear()
         ranked = self._ranks.get(task)
         if ranked is None:
             ranked = rank_members(task, [vm.name for vm in self.list_domain()])
@@ -201,6 +199,25 @@
         }
         return sorted(found - {self._own.domain})
 
+    def count_known(self) -> dict[str, int]:
+        """Return for each failure domain how many entry VMs may be running.
+
+        Those that count as dead may run behind a split, as long as the platform lists them.
+        """
+        counts: dict[str, int] = {}
+        for state in self.list_states():
+            if state.status != LEFT:
+                counts[state.domain] = counts.get(state.domain, 0) + 1
+        return counts
+
+    def count_live(self, domain: str) -> int:
+        """Return how many entry VMs of a failure domain live, also those that are leaving.
+
+        :param domain: name of the failure domain
+        """
+        states = self.list_states((domain,))
+        return sum(state.status in (ALIVE, SUSPECT) for state in states)
+
     def list_states(self, domains: Iterable[str] | None = None) -> list[MemberState]:
         """Return all known states.
 
@@ -321,8 +338,12 @@
             if vm.name != self._own.name and vm.name not in self._records:
                 self.learn(MemberState(vm.name, vm.address, vm.domain, vm.region))
         for name, record in self._records.items():
-            if not record.state.generation and name not in listed:
+            if name in listed:
+                continue
+            if not record.state.generation:
                 self.learn(msgspec.structs.replace(record.state, status=DEAD))
+            if record.state.status == DEAD:
+                self.learn(msgspec.structs.replace(record.state, status=LEFT))
         self._touch()
         if not watching:
             return False
@@ -433,6 +454,7 @@
         self.version += 1
         self._live = None
         self._views = None
+        self._ranks.clear()
 
     # The lists.
 
--- a/balsamtally/messages.py
+++ b/balsamtally/messages.py
@@ -290,6 +290,50 @@
     wanted: tuple[tuple[int, str], ...]
 
 
+class LimitDemand(msgspec.Struct, frozen=True, array_like=True):
+    """What an entry VM needs of a limit.
+
+    :ivar key: the limit, such as ``customer/dunas/requests_per_s``
+    :ivar rate: cost that callers ask for a second
+    :ivar want: tokens wanted now
+    """
+
+    key: str
+    rate: float
+    want: float = 0.0
+
+
+class LimitAsk(Message, frozen=True):
+    """A request for tokens of limits, to their coordinator in the failure domain.
+
+    :ivar demands: what the sender needs
+    """
+
+    demands: tuple[LimitDemand, ...]
+
+
+class LimitTokens(Message, frozen=True):
+    """Tokens of limits.
+
+    :ivar tokens: tokens for each demand, in the same order, negative where the limit is unknown
+    """
+
+    tokens: tuple[float, ...]
+
+
+class DomainDemand(Message, frozen=True):
+    """What a failure domain needs of the limits of one shard.
+
+    :ivar domain: name of the failure domain
+    :ivar shard: number of the shard
+    :ivar demands: what its entry VMs need together
+    """
+
+    domain: str
+    shard: int
+    demands: tuple[LimitDemand, ...] = ()
+
+
 AnyMessage = (
     Done
     | Failed
@@ -310,4 +354,7 @@
     | TicketDigests
     | TicketIndex
     | TicketRequest
+    | LimitAsk
+    | LimitTokens
+    | DomainDemand
 )
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -33,6 +33,7 @@
 
 EXCHANGE = "tests/balsamtally/test_exchange.py"
 FACTS = "tests/balsamtally/test_facts.py"
+LIMITS = "tests/balsamtally/test_limits.py"
 MEMBERS = "tests/balsamtally/test_members.py"
 RECEIPTS = "tests/balsamtally/test_receipts.py"
 
@@ -55,7 +56,7 @@
     Mutation("facts", 'self._flip((number, f"conflict {digest}"))', "pass", EXCHANGE),
     Mutation("facts", "if held.uses == 0:", "if False:", FACTS),
     Mutation("members", "self._raise_generation(state.generation)", "pass", EXCHANGE),
-    Mutation("members", "if rank_state(state) <= rank_state(record.state):", "if 0:", EXCHANGE),
+    Mutation("members", "if rank_state(state) <= rank_state(record.state):", "if 0:", MEMBERS),
     Mutation("heartbeats", "if self._beats % REVIVAL_BEATS == 0:", "if False:", EXCHANGE),
     Mutation("heartbeats", "if domains and self._clock()", "if False and self._clock()", EXCHANGE),
     Mutation("heartbeats", "if not domains or not self.is_gateway():", "if True:", EXCHANGE),
@@ -80,6 +81,17 @@
         MEMBERS,
     ),
     Mutation("heartbeats", "min(PROBE_HELPERS, len(helpers))", "0", MEMBERS),
+    Mutation("members", "        self._ranks.clear()\n", "", MEMBERS),
+    Mutation("limits", "bucket.tokens -= granted", "pass", LIMITS),
+    Mutation("limits", "room = max(1.0, rate * BUCKET_S)\n", "room = 1e9\n", LIMITS),
+    Mutation("limits", "reserved += count\n", "pass\n", LIMITS),
+    Mutation(
+        "limits", "reserved += max(0, count - self", "reserved += min(0, count - self", LIMITS
+    ),
+    Mutation("limits", "demands += rates.get(key, 0.0)", "pass", LIMITS),
+    Mutation("limits", "stock.tokens += max(0.0, min(room, ", "stock.tokens += (max(9.0, ", LIMITS),
+    Mutation("limits", "return stock.tokens >= cost if cost", "return True if cost", LIMITS),
+    Mutation("limits", "self._ask(find_shard(key), [key], cost or MIN_STOCK)", "pass", LIMITS),
 )
 
 
--- a/tests/balsamtally/test_members.py
+++ b/tests/balsamtally/test_members.py
@@ -1,6 +1,8 @@
 """Tests of membership: replaced, paused, flapping, leaving and half-reachable entry VMs."""
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from balsamtally.members import FLAP_HALF_LIFE_S, LEFT, LISTED_LEAVING_S, Members
 from balsamtally.messages import MemberState
@@ -45,10 +47,13 @@
 
 
 def test_killed_vm_is_dropped_everywhere_and_soon(network):
+    members = [network.nodes[name].members for name in ("a1", "a2", "a4")]
+    assert all("a3" in each.rank_domain("any") for each in members)
     del network.nodes["a3"]
     step(network, 10)
     for viewer in ("a1", "a2", "a4", "b1", "b2"):
         assert "a3" not in list_names(network, viewer)
+    assert not any("a3" in each.rank_domain("any") for each in members)
 
 
 def test_vm_that_others_reach_is_kept(network):
@@ -157,3 +162,28 @@
     told = [state.name for batch in batches for state in batch]
     assert max(map(len, batches)) == 8
     assert all(3 <= told.count(f"m{number}") <= 24 for number in range(100))
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.lists(
+        st.builds(
+            MemberState,
+            name=st.just("m"),
+            address=st.just("127.0.0.1:1"),
+            domain=st.just("d"),
+            region=st.just("r"),
+            incarnation=st.sampled_from("ij"),
+            generation=st.integers(0, 3),
+            status=st.integers(0, 3),
+        ),
+        min_size=1,
+        max_size=6,
+    )
+)
+def test_states_merge_alike_in_any_order(states):
+    members = Members(FakeNetwork({"x": "d"}).nodes["x"].members.own, lambda: 0.0)
+    for state in states:
+        members.learn(state)
+    best = max(states, key=lambda state: (state.generation, state.incarnation, state.status))
+    assert members.get_state("m") == best
