--- a/standins/load.py
+++ b/standins/load.py
@@ -24,6 +24,7 @@
 
 from balsamtally.contracts import Customer, PlainService, Pool, RequestClass
 from balsamtally.facts import Facts
+from balsamtally.logs import set_up_logs
 from balsamtally.tickets import decode_ticket
 from standins.callers import Call, Chat, Entries, send_call, send_chat
 from standins.results import Outcome, Report, count_reports
@@ -187,6 +188,7 @@
     :param seed: seed of all random choices
     :param duration: for how long to send, in seconds
     """
+    set_up_logs("load")
     load = Load(entries, load_facts(tickets), seed)
     reports = load.run([parse_arrivals(text) for text in streams], duration)
     for name, result in count_reports(reports).items():
