--- a/balsamtally/node.py
+++ b/balsamtally/node.py
@@ -11,7 +11,7 @@
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
-from balsamtally.admin import describe_state, make_admin_app
+from balsamtally.admin import QueuedRequests, describe_state, make_admin_app
 from balsamtally.chats import ChatRequest, Chats, Progress
 from balsamtally.configuration import Configuration
 from balsamtally.contracts import Customer, Pool, RequestClass
@@ -38,6 +38,7 @@
 WATCH_WAIT_S = 30.0
 WATCH_RETRY_S = 1.0
 DRAIN_POLL_S = 0.1
+ABORT_TIMEOUT_S = 2.0
 EXIT_GRACE_ENDED = 3
 
 
@@ -50,10 +51,12 @@
     """The parts of one entry VM's daemon, closed by context.
 
     :param settings: its settings
+    :param decisions: the last decisions, which the logs fill
     """
 
-    def __init__(self, settings: Settings):
+    def __init__(self, settings: Settings, decisions: Decisions):
         self.settings = settings
+        self.decisions = decisions
         self.incarnation = make_incarnation()
         self.own = EntryVm(
             settings.vm,
@@ -63,6 +66,7 @@
             self.incarnation,
         )
         self.leaving = False
+        self.refusing = False
         self.ready = False
         self.platform_read_at = 0.0
         self._stack = contextlib.ExitStack()
@@ -71,7 +75,6 @@
         enter = self._stack.enter_context
         self.facts = Facts()
         self.members = Members(self.own)
-        self.decisions = Decisions()
         self.metrics = Metrics(self._read_gauges)
         self.links = enter(Links(self.settings, self._find_address, enter(Loop())))
         self.configuration = enter(Configuration(self.settings))
@@ -102,19 +105,37 @@
     def leave(self) -> bool:
         """Take no new work and wait for what is in flight.
 
+        For a while chat requests are still taken, so that the platform's balancer can notice.
+
         :return: whether all ended within the grace period
         """
         self.leaving = True
+        self.book.leave()
         log.info("leaving", in_flight=self.entry.admission.in_flight)
-        deadline = time.monotonic() + self.settings.grace_s
+        begun = time.monotonic()
+        while not self._has_drained():
+            waited_s = time.monotonic() - begun
+            if waited_s >= self.settings.grace_s:
+                return False
+            self.refusing = waited_s >= self.settings.leave_notice_s
+            gevent.sleep(DRAIN_POLL_S)
+        return True
+
+    def abort(self) -> None:
+        """End the requests in flight with an error, and let it reach their callers."""
+        self.entry.abort_requests()
+        deadline = time.monotonic() + ABORT_TIMEOUT_S
         while self.entry.admission.in_flight and time.monotonic() < deadline:
             gevent.sleep(DRAIN_POLL_S)
-        return self.entry.admission.in_flight == 0
+
+    def _has_drained(self) -> bool:
+        idle = not self.entry.admission.in_flight and not self.book.count_usable()
+        return self.refusing and idle
 
     def _make_doors(self) -> Doors:
         return Doors(
             is_ready=lambda: self.ready,
-            is_leaving=lambda: self.leaving,
+            is_leaving=lambda: self.refusing,
             find_customer=self._find_customer,
             find_class=lambda name: self.facts.find(RequestClass, name),
             find_pool=self.facts.find_pool,
@@ -128,17 +149,22 @@
     def _serve_operators(self, enter) -> None:
         app = make_admin_app(
             render_metrics=self.metrics.render,
-            read_unready=lambda: "" if self.ready else "no state was learnt yet",
+            read_unready=self._read_unready,
             read_state=lambda: describe_state(self.settings.vm, self.facts),
             read_vms=self.members.list_all,
             read_runners=lambda: self.facts.list(BackendServer),
-            read_queues=self.coordinator.count_queued,
+            read_queues=self._list_queues,
             decisions=self.decisions,
         )
         server = WSGIServer(split_address(self.settings.operator_address), app, log=None)
         server.start()
         self._stack.callback(server.stop, 1)
 
+    def _read_unready(self) -> str:
+        if self.leaving:
+            return "this entry VM is leaving"
+        return "" if self.ready else "no state was learnt yet"
+
     def _find_address(self, vm: str) -> str | None:
         found = self.members.find(vm)
         return found.address if found is not None else None
@@ -177,7 +203,6 @@
 
     def _note_decision(self, **fields) -> None:
         log.info("decision", **fields)
-        self.decisions.add(fields)
         if fields["decision"] == "retry":
             self.metrics.count_retry(fields["request_class"])
 
@@ -211,7 +236,13 @@
             "reason": "" if error is None else f"{type(error).__name__}: {error}",
         }
         log.info("answered", **fields)
-        self.decisions.add(fields)
+
+    def _list_queues(self) -> list[QueuedRequests]:
+        return [
+            QueuedRequests(pool, name, count)
+            for pool, counts in self.coordinator.count_queued().items()
+            for name, count in counts.items()
+        ]
 
     def _read_gauges(self) -> Gauges:
         queued: dict[str, int] = {}
@@ -258,7 +289,8 @@
     :param settings: its settings
     :return: exit status, 0 after a drain that cut off nothing
     """
-    set_up_logs(settings.vm)
+    decisions = Decisions()
+    set_up_logs(settings.vm, decisions.add)
     told = Event()
     hurry = Event()
 
@@ -269,12 +301,14 @@
 
     gevent.signal_handler(signal.SIGTERM, stop)
     gevent.signal_handler(signal.SIGINT, stop)
-    with Node(settings) as node:
+    with Node(settings, decisions) as node:
         log.info("started", incarnation=node.incarnation, callers=settings.caller_address)
         told.wait()
         drain = gevent.spawn(node.leave)
         gevent.wait([drain, hurry], count=1)
         drained = drain.ready() and drain.get()
+        if not drained:
+            node.abort()
         log.info("stopped", drained=drained)
     sys.stderr.flush()
     return 0 if drained else EXIT_GRACE_ENDED
--- a/balsamtally/settings.py
+++ b/balsamtally/settings.py
@@ -21,6 +21,7 @@
 TLS_FILES = ("tls_cert", "tls_key", "tls_ca")
 RANGES = {
     "grace_s": (0.0, 3600.0),
+    "leave_notice_s": (0.0, 600.0),
     "max_requests": (1, 100_000),
     "max_body_bytes": (1_000, 64_000_000),
     "max_bodies_bytes": (1_000_000, 1_000_000_000),
@@ -49,7 +50,7 @@
         "IP:port", "the platform's configuration service", "127.0.0.1:8500"
     )
     link_key: str = _setting(
-        "hexadecimal", "shared key of the peer links; required where TLS is off", ""
+        "hexadecimal", "shared key of the fleet, for peer links and receipts; required", ""
     )
     tls_cert: str = _setting("path", "certificate for the peer links; empty: TLS is off", "")
     tls_key: str = _setting("path", "private key of the certificate", "")
@@ -58,6 +59,9 @@
     grace_s: float = _setting(
         "seconds", "longest time that a leaving VM waits for its requests", 30.0
     )
+    leave_notice_s: float = _setting(
+        "seconds", "time for which a leaving VM still takes requests, while it is not ready", 2.0
+    )
     max_requests: int = _setting(
         "requests", "most requests held at a time, of a tier and those above it", 2000
     )
@@ -276,8 +280,6 @@
     key = values.get("link_key", "")
     faults += _check_link_key(key)
     if len(missing) == len(TLS_FILES):
-        if not key:
-            faults.append("link_key: required where TLS is off; make one by `balsamtally key link`")
         if values.get("plain_links") is False:
             faults.append("plain_links: TLS is off; links without it must be asked for")
     elif values.get("plain_links"):
@@ -286,11 +288,13 @@
 
 
 def _check_link_key(key: str) -> list[str]:
+    if not key:
+        return ["link_key: required, also with TLS; make one by `balsamtally key link`"]
     try:
         size_bytes = len(bytes.fromhex(key))
     except ValueError:
         return ["link_key: not hexadecimal"]
-    if key and size_bytes < MIN_LINK_KEY_BYTES:
+    if size_bytes < MIN_LINK_KEY_BYTES:
         return [f"link_key: {size_bytes} bytes, fewer than {MIN_LINK_KEY_BYTES}"]
     return []
 
