--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -245,6 +245,7 @@
         domains: int = 3,
         vms_per_domain: int = 1,
         runners_per_domain: int = 2,
+        slots: int | None = None,
         runner_flags: tuple[str, ...] = (),
         daemon_flags: dict[str, str] | None = None,
         start_daemons: bool = True,
@@ -256,6 +257,7 @@
         :param domains: number of failure domains
         :param vms_per_domain: daemons in each failure domain
         :param runners_per_domain: model runners in each failure domain, at most 2
+        :param slots: slots of each model runner, ``None`` for those of the tickets
         :param runner_flags: further flags of the model runners
         :param daemon_flags: further flags of the daemons, without the leading dashes
         :param start_daemons: whether to start daemons
@@ -271,6 +273,7 @@
         self.service = next(item for item in objects if isinstance(item, PlainService))
         self.vms_per_domain = vms_per_domain
         self.runners_per_domain = runners_per_domain
+        self.slots = slots
         self.runner_flags = runner_flags
         self.daemon_flags = daemon_flags or {}
         self.start_daemons = start_daemons
@@ -332,7 +335,8 @@
         in_domain = [each for each in self.runners.values() if each.server.domain == item.domain]
         if len(in_domain) >= self.runners_per_domain:
             return
-        arguments = ["standins.runner", "--address", ANY_PORT, "--slots", str(item.slots)]
+        slots = str(self.slots or item.slots)
+        arguments = ["standins.runner", "--address", ANY_PORT, "--slots", slots]
         arguments += ["--pools", *item.pools, *self.runner_flags]
         arguments += ["--fencing"] if item.fencing else []
         self.runners[item.name] = self.add(Backend(item.name, arguments, self.folder))
@@ -350,7 +354,10 @@
         if not isinstance(item, BackendServer):
             return item
         process = self.runners.get(item.name) or self.services.get(item.name)
-        return msgspec.structs.replace(item, address=process.address) if process else None
+        if process is None:
+            return None
+        slots = self.slots if self.slots and item.role == "model" else item.slots
+        return msgspec.structs.replace(item, address=process.address, slots=slots)
 
     def publish_vms(self, leaving: tuple[str, ...] = (), dead: tuple[str, ...] = ()) -> None:
         """Publish the list of VMs.
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -24,6 +24,11 @@
 class Handler(pywsgi.WSGIHandler):
     """A request handler that lets the application see and cut its connection."""
 
+    def handle(self) -> None:
+        """Serve the connection's requests, and send each piece of an answer at once."""
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle()
+
     def get_environ(self) -> dict:
         """Return the request's environment with the connection in it."""
         return {**super().get_environ(), SOCKET_KEY: self.socket}
