Send each piece of an answer to the caller at once

Cause: the daemon's caller listener left Nagle's algorithm on, so that every other answer's second piece waited for the caller's delayed acknowledgement.

Ruled out: the grant (waited_ms was about 1 in the daemon's own log) and the stand-in (TCP_NODELAY there alone changed nothing).

Change: TCP_NODELAY in entry.CallerHandler.handle.

--- a/balsamtally/entry.py
+++ b/balsamtally/entry.py
@@ -313,6 +313,7 @@
     def handle(self) -> None:
         """Serve the connection's requests."""
         self.socket.settimeout(CALLER_TIMEOUT_S)
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle()
 
     def get_environ(self) -> dict:
