Add the benchmark of the policy under a burst

Cause: attainment by class, goodput and waste under a burst were not measured on real processes.

Ruled out: comparing against the router with its policy switched off, since no such switch exists; the baseline is the same arrivals sent to the runners round robin. It ignores tiers, so it bounds the gain of queue and tiers together and tells nothing of either alone.

Change: standins/bench_policy.py, `make bench-policy`; the processor time in standins/bench.py comes from the scheduler's own account, as ticks of 10 ms were too coarse.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup test lint format demo up bench clean
+.PHONY: setup test lint format demo up bench bench-policy clean
 
 setup: $(VENV)/.installed
 
@@ -32,5 +32,8 @@
 bench: setup
 	$(BIN)/python -m standins.bench
 
+bench-policy: setup
+	$(BIN)/python -m standins.bench_policy
+
 clean:
 	rm -rf build bench-results demo-run .hypothesis
--- a/standins/bench.py
+++ b/standins/bench.py
@@ -41,12 +41,16 @@
 STREAM_MEASURED_S = 10.0
 IDLE_S = 10.0
 MEGABYTE = 1_000_000
+NANOSECONDS_PER_S = 1_000_000_000
 
 
 def read_cpu_s(process: Process) -> float:
-    """Return the processor time that a process has used, in seconds."""
-    times = psutil.Process(process.pid).cpu_times()
-    return times.user + times.system
+    """Return the processor time that all threads of a process have used, in seconds.
+
+    The scheduler's own account is exact, while that of the process counts in ticks of 10 ms.
+    """
+    accounts = Path(f"/proc/{process.pid}/task").glob("*/schedstat")
+    return sum(int(account.read_text().split()[0]) for account in accounts) / NANOSECONDS_PER_S
 
 
 def start_fleet(stack: ExitStack, **options: object) -> Fleet:
