Test the links by TLS

Cause: the links' TLS was not tried by any test. Ruled out: certificates kept in the repository (they expire); openssl started by the tests (the library does it in the process). Change: a test authority with the cryptography package; daemons with the right certificates talk; a foreign, expired or missing certificate, plain text, and the wrong shared key get nothing, in both directions. The certificate's name is not tied to the VM's name: any certificate of the authority may speak for any VM.

--- /dev/null
+++ b/tests/balsamtally/test_links_tls.py
@@ -0,0 +1,96 @@
+"""Tests of links by TLS, over real sockets: a stranger gets nothing."""
+
+import contextlib
+import socket
+import ssl
+
+import pytest
+
+from balsamtally.errors import LinkError, PeerRefused
+from balsamtally.links import Links
+from balsamtally.loops import Loop
+from balsamtally.messages import Done, Withdraw
+from balsamtally.settings import Settings, split_address
+from tests.balsamtally.test_links import take_address
+from tests.certificates import DAY, Authority
+
+KEY = "ab" * 16
+MESSAGE = Withdraw("r-1", "waivers-8b")
+HTTP2_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00"
+READ_TIMEOUT_S = 5
+
+
+@pytest.fixture(scope="module")
+def authorities(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("certificates")
+    return Authority(folder, "own"), Authority(folder, "foreign")
+
+
+@pytest.fixture
+def open_links():
+    addresses = {}
+    with contextlib.ExitStack() as stack:
+        loop = stack.enter_context(Loop())
+
+        def open_one(vm, certificates, key=KEY):
+            addresses[vm] = take_address()
+            settings = Settings(
+                vm, "d", "r", peer_address=addresses[vm], link_key=key, **certificates
+            )
+            links = stack.enter_context(Links(settings, addresses.get, loop))
+            links.heard = []
+            links.handle(Withdraw, lambda sender, message: links.heard.append(message))
+            return links
+
+        yield open_one
+
+
+def test_daemons_with_certificates_of_one_authority_talk(open_links, authorities):
+    own, _ = authorities
+    one, two = (open_links(vm, own.issue(vm)) for vm in ("one", "two"))
+    assert one.call("two", MESSAGE, 5) == Done()
+    assert two.call("one", MESSAGE, 5) == Done()
+    assert one.heard == two.heard == [MESSAGE]
+
+
+@pytest.mark.parametrize("stranger", ["foreign", "expired", "plain"])
+def test_stranger_gets_nothing_and_is_told_nothing(open_links, authorities, stranger):
+    own, foreign = authorities
+    certificates = {
+        "foreign": foreign.issue("two") | {"tls_ca": str(own.ca_path)},
+        "expired": own.issue("late", -DAY),
+        "plain": {},
+    }[stranger]
+    one = open_links("one", own.issue("one"))
+    two = open_links("two", certificates)
+    for caller, callee in ((two, one), (one, two)):
+        with pytest.raises(LinkError):
+            caller.call(callee.settings.vm, MESSAGE, 3)
+        assert callee.heard == []
+
+
+def test_certificate_without_the_shared_key_is_not_enough(open_links, authorities):
+    own, _ = authorities
+    one = open_links("one", own.issue("one"))
+    two = open_links("two", own.issue("two"), key="cd" * 16)
+    for caller, callee in ((two, one), (one, two)):
+        with pytest.raises(PeerRefused):
+            caller.call(callee.settings.vm, MESSAGE, 3)
+        assert callee.heard == []
+
+
+def test_caller_without_a_certificate_reads_no_frame(open_links, authorities):
+    own, _ = authorities
+    one = open_links("one", own.issue("one"))
+    context = ssl.create_default_context(cafile=str(own.ca_path))
+    context.check_hostname = False
+    context.set_alpn_protocols(["h2"])
+    address = split_address(one.settings.peer_address)
+    received = b""
+    with socket.create_connection(address, timeout=READ_TIMEOUT_S) as raw:
+        with contextlib.suppress(ssl.SSLError, ConnectionError):
+            with context.wrap_socket(raw) as stranger:
+                stranger.sendall(HTTP2_PREFACE)
+                while data := stranger.recv(4096):
+                    received += data
+    assert received == b""
