Try TLS between real daemons

Cause: TLS was tried between two Links in one process only. Seen failing with the client's certificate not sent. (With both sides' ALPN changed alike it passed: they still agree.) Conclusion: settings, daemon and links work together by TLS.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -198,7 +198,9 @@
             "link-key": fleet.link_key,
             **fleet.daemon_flags,
         }
-        arguments = ["balsamtally.daemon", "--plain-links"]
+        arguments = ["balsamtally.daemon"]
+        if "tls-cert" not in flags:
+            arguments.append("--plain-links")
         for flag, value in flags.items():
             arguments += [f"--{flag}", value]
         super().__init__(name, arguments, fleet.folder)
