--- a/tests/balsamtally/test_links_tls.py
+++ b/tests/balsamtally/test_links_tls.py
@@ -124,4 +124,4 @@
     )
     assert answer.status == 200, answer.data
     lines = msgspec.json.decode(vm.read("/explain/" + answer.headers["X-Request-Id"]))["decisions"]
-    return next(line["coordinator"] for line in lines if "coordinator" in line)
+    return next(line["coordinator"] for line in lines if line["event"] == "decision")
