--- a/balsamtally/entry.py
+++ b/balsamtally/entry.py
@@ -199,7 +199,7 @@
     def _find_customer(self) -> Customer:
         if not self.doors.is_ready():
             raise NotReady
-        scheme, _, key = bottle.request.get_header("Authorization", "").partition(" ")
+        scheme, _, key = (read_header("Authorization") or "").partition(" ")
         if scheme.lower() != "bearer" or not key:
             raise UnknownKey
         customer = self.doors.find_customer(key.strip())
@@ -355,7 +355,8 @@
     :return: its value, ``None`` if it is missing
     :raises MalformedHeader: if it is too long or holds other than printable ASCII
     """
-    value = bottle.request.get_header(name)
+    # bottle's own reader fails on bytes that aren't UTF-8.
+    value = bottle.request.environ.get("HTTP_" + name.upper().replace("-", "_"))
     if value is None:
         return None
     if len(value) > MAX_HEADER_CHARACTERS or not value.isascii() or not value.isprintable():
--- a/balsamtally/metrics.py
+++ b/balsamtally/metrics.py
@@ -17,14 +17,14 @@
     """Values that are read when the metrics are rendered.
 
     :ivar queued: requests waiting in this VM's coordinator queues, by class
-    :ivar in_flight: requests held by this entry VM, by class
+    :ivar in_flight: requests held by this entry VM, by tier
     :ivar members: live entry VMs of the own failure domain
     :ivar tickets: tickets whose state is in force
     :ivar platform_age_s: time since the last good read of the platform, in seconds
     """
 
     queued: Mapping[str, int] = field(default_factory=dict)
-    in_flight: Mapping[str, int] = field(default_factory=dict)
+    in_flight: Mapping[int, int] = field(default_factory=dict)
     members: int = 0
     tickets: int = 0
     platform_age_s: float = 0.0
@@ -156,8 +156,8 @@
         :return: body and its content type
         """
         gauges = self.read_gauges()
-        _set_by_class(self._queued, gauges.queued)
-        _set_by_class(self._in_flight, gauges.in_flight)
+        _set_by_label(self._queued, "class", gauges.queued)
+        _set_by_label(self._in_flight, "tier", gauges.in_flight)
         self._members.set({}, gauges.members)
         self._tickets.set({}, gauges.tickets)
         self._platform_age.set({}, gauges.platform_age_s)
@@ -176,10 +176,11 @@
         )
 
 
-def _set_by_class(gauge: Gauge, values: Mapping[str, int]) -> None:
-    """Set a gauge by class; a class that is no longer there falls to 0."""
+def _set_by_label(gauge: Gauge, label: str, values: Mapping[str | int, int]) -> None:
+    """Set a gauge by a label; what is no longer there falls to 0."""
+    shown = {str(key): value for key, value in values.items()}
     for labels, _ in gauge.get_all():
-        if labels["class"] not in values:
+        if labels[label] not in shown:
             gauge.set(labels, 0)
-    for request_class, value in values.items():
-        gauge.set({"class": request_class}, value)
+    for key, value in shown.items():
+        gauge.set({label: key}, value)
--- a/balsamtally/node.py
+++ b/balsamtally/node.py
@@ -203,6 +203,8 @@
 
     def _note_decision(self, **fields) -> None:
         log.info("decision", **fields)
+        if fields["decision"] == "route":
+            self.metrics.observe_queue_wait(fields["request_class"], fields["waited_ms"] / 1000)
         if fields["decision"] == "retry":
             self.metrics.count_retry(fields["request_class"])
 
@@ -218,6 +220,8 @@
         elif progress.tokens:
             self.metrics.count_tokens(name, progress.tokens)
             self.metrics.observe_first_token(name, progress.first_token_s)
+        for _ in range(progress.preemptions):
+            self.metrics.count_preemption(name)
         for gap_s in progress.gaps_s:
             self.metrics.observe_between_tokens(name, gap_s)
         if isinstance(error, BalsamtallyError) and error.outcome is Outcome.UNKNOWN:
@@ -251,6 +255,7 @@
                 queued[name] = queued.get(name, 0) + count
         return Gauges(
             queued=queued,
+            in_flight=self.entry.admission.requests,
             members=len(self.members.list_domain()),
             tickets=len({entry.number for entry in self.facts.entries.values()}),
             platform_age_s=time.monotonic() - self.platform_read_at,
--- a/tests/balsamtally/test_metrics.py
+++ b/tests/balsamtally/test_metrics.py
@@ -39,9 +39,11 @@
 
 
 def test_gauges_are_read_at_each_render_and_a_gone_class_falls_to_zero():
-    shown = [Gauges(queued={"live": 3}, members=2, platform_age_s=1.5)]
+    shown = [Gauges(queued={"live": 3}, in_flight={0: 7}, members=2, platform_age_s=1.5)]
     metrics = Metrics(lambda: shown[-1])
-    assert read_samples(metrics)['balsamtally_queued{class="live"}'] == 3
+    samples = read_samples(metrics)
+    assert samples['balsamtally_queued{class="live"}'] == 3
+    assert samples['balsamtally_in_flight{tier="0"}'] == 7
     shown.append(Gauges(queued={"summary": 1}, members=3))
     samples = read_samples(metrics)
     assert samples['balsamtally_queued{class="live"}'] == 0
