Show operators what a daemon heard of each backend server

Cause: /runners showed only the tickets' objects: not whether a runner itself said that it is leaving, nor what runs on it, which a drain waits for. Ruled out: polling all runners for this page (control traffic for a glance). Change: /runners has leaving (ticket or own word), running and the report's age, both empty where this VM has no report. Seen failing: leaving by the runner's word alone, zero running taken for no report.

--- a/balsamtally/admin.py
+++ b/balsamtally/admin.py
@@ -7,6 +7,8 @@
 
 from balsamtally.decisions import Decisions
 from balsamtally.facts import Facts
+from balsamtally.load import RunnerView
+from balsamtally.machines import BackendServer
 
 JSON_TYPE = "application/json"
 
@@ -56,6 +58,31 @@
     conflicts: dict[int, tuple[str, ...]] = {}
 
 
+class RunnerReport(msgspec.Struct, frozen=True):
+    """A backend server as a daemon sees it.
+
+    :ivar name: name of the backend server
+    :ivar role: ``model`` or ``service``
+    :ivar address: IP number and port
+    :ivar domain: failure domain it stands in
+    :ivar pools: names of the models, or of the plain service, that it serves
+    :ivar slots: answers that it generates side by side
+    :ivar leaving: whether it gets no new work, by its ticket or its own word
+    :ivar running: answers in generation by its last report, ``None`` if there is none
+    :ivar report_age_s: age of that report, in seconds
+    """
+
+    name: str
+    role: str
+    address: str
+    domain: str
+    pools: tuple[str, ...]
+    slots: int
+    leaving: bool
+    running: int | None
+    report_age_s: float | None
+
+
 class QueuedRequests(msgspec.Struct, frozen=True):
     """The queued requests of one class.
 
@@ -88,6 +115,27 @@
     return StateReport(vm, objects, refused, conflicts)
 
 
+def describe_runner(server: BackendServer, view: RunnerView) -> RunnerReport:
+    """Return what a daemon knows of a backend server.
+
+    :param server: the backend server in force
+    :param view: what the daemon heard of it
+    :return: the report
+    """
+    heard = view.running >= 0
+    return RunnerReport(
+        server.name,
+        server.role,
+        server.address,
+        server.domain,
+        server.pools,
+        server.slots,
+        server.leaving or view.leaving,
+        running=view.running if heard else None,
+        report_age_s=round(view.report_age_s, 1) if heard else None,
+    )
+
+
 def make_admin_app(
     *,
     render_metrics: Callable[[], tuple[bytes, str]],
--- a/balsamtally/node.py
+++ b/balsamtally/node.py
@@ -11,7 +11,13 @@
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
-from balsamtally.admin import QueuedRequests, describe_state, make_admin_app
+from balsamtally.admin import (
+    QueuedRequests,
+    RunnerReport,
+    describe_runner,
+    describe_state,
+    make_admin_app,
+)
 from balsamtally.chats import ChatRequest, Chats, Progress
 from balsamtally.configuration import Configuration
 from balsamtally.contracts import Customer, Pool, RequestClass
@@ -27,7 +33,7 @@
 from balsamtally.members import Members
 from balsamtally.messages import ServiceAnswer
 from balsamtally.metrics import Gauges, Metrics
-from balsamtally.observers import Observers
+from balsamtally.observers import Observed, Observers, make_view
 from balsamtally.receipts import ReceiptBook
 from balsamtally.rendezvous import rank_members
 from balsamtally.settings import Settings, split_address
@@ -152,7 +158,7 @@
             read_unready=self._read_unready,
             read_state=lambda: describe_state(self.settings.vm, self.facts),
             read_vms=self.members.list_all,
-            read_runners=lambda: self.facts.list(BackendServer),
+            read_runners=self._describe_runners,
             read_queues=self._list_queues,
             decisions=self.decisions,
         )
@@ -241,6 +247,14 @@
         }
         log.info("answered", **fields)
 
+    def _describe_runners(self) -> list[RunnerReport]:
+        now = time.monotonic()
+        reports = []
+        for server in self.facts.list(BackendServer):
+            observed = self.observers.observed.get(server.name, Observed())
+            reports.append(describe_runner(server, make_view(server, observed, now)))
+        return reports
+
     def _list_queues(self) -> list[QueuedRequests]:
         return [
             QueuedRequests(pool, name, count)
--- a/tests/balsamtally/test_admin.py
+++ b/tests/balsamtally/test_admin.py
@@ -6,9 +6,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from balsamtally.admin import describe_state, make_admin_app
+from balsamtally.admin import describe_runner, describe_state, make_admin_app
 from balsamtally.decisions import Decisions
 from balsamtally.facts import Facts
+from balsamtally.load import RunnerView
+from balsamtally.machines import BackendServer
 from balsamtally.tickets import Ticket
 from balsamtally.zones import FailureDomain
 
@@ -82,3 +84,13 @@
     for name in "abc":
         expected = [number for number, request in kept if request == name]
         assert [line["number"] for line in decisions.find(name)] == expected
+
+
+def test_runner_is_leaving_by_its_ticket_or_its_own_word():
+    for by_ticket, by_itself in ((False, False), (True, False), (False, True)):
+        server = BackendServer("m", "model", "127.0.0.1:9", "d", ("p",), leaving=by_ticket)
+        report = describe_runner(server, RunnerView("m", 8, by_itself))
+        assert report.leaving == (by_ticket or by_itself)
+        assert report.running is report.report_age_s is None
+    heard = describe_runner(server, RunnerView("m", 8, running=0, report_age_s=0.26))
+    assert (heard.running, heard.report_age_s) == (0, 0.3)
