Judge runners by their own answers, and learn lengths and waits

Cause: load reports come late and may be wrong, so that a slow, stuck or crashed runner has to be found from its answers. Every answer's release tells the coordinator the time to the first token, the tokens and whether it failed. Seen: all tests pass.

--- a/balsamtally/grants.py
+++ b/balsamtally/grants.py
@@ -51,7 +51,8 @@
 
         :param now: seconds of the clock
         """
-        return self.waiting.ask.prompt_tokens + (now - self.since) * TOKENS_PER_S
+        ask = self.waiting.ask
+        return ask.prompt_tokens + ask.generated + (now - self.since) * TOKENS_PER_S
 
 
 class GrantTable:
@@ -122,7 +123,6 @@
     def renew(self, held: HeldGrant) -> None:
         """Extend the lease of a grant."""
         held.expires = self.clock() + GRANT_LEASE_S
-        self._schedule(held)
 
     def drop(self, held: HeldGrant) -> None:
         """Remove a grant."""
@@ -140,13 +140,17 @@
         self.ended[name] = True
 
     def list_expired(self) -> list[HeldGrant]:
-        """Return the grants whose lease has ended; they stay until they are dropped."""
+        """Return the grants whose lease has ended; the caller drops them."""
         now = self.clock()
         expired = []
         while self.leases and self.leases[0][0] <= now:
             _, _, held = heapq.heappop(self.leases)
-            if held.expires <= now and self.held.get(held.name) is held:
+            if self.held.get(held.name) is not held:
+                continue
+            if held.expires <= now:
                 expired.append(held)
+            else:
+                self._schedule(held)
         return expired
 
     def revoke_cheapest(self, count: int) -> list[HeldGrant]:
--- a/balsamtally/lines.py
+++ b/balsamtally/lines.py
@@ -25,18 +25,22 @@
     :ivar sender: entry VM that asked
     :ivar request_class: its request class
     :ivar arrived: when it began to wait, in seconds of the clock
+    :ivar target: when its first token is due, in seconds of the clock
     :ivar deadline: latest grant that still meets its target, in seconds of the clock
     :ivar queued: whether it still waits
     :ivar late: whether the deadline has passed
+    :ivar started: whether part of the answer has reached the caller
     """
 
     ask: Ask
     sender: str
     request_class: RequestClass
     arrived: float
+    target: float
     deadline: float
     queued: bool = True
     late: bool = False
+    started: bool = False
 
 
 class FairLine:
@@ -51,7 +55,6 @@
     def __init__(self, find_weight: Callable[[str], float]):
         self.find_weight = find_weight
         self.queues: dict[str, OrderedDict[str, Waiting]] = {}
-        self.finish: dict[str, float] = {}
         self.heap: list[tuple[float, int, str]] = []
         self.virtual_time = 0.0
         self.size = 0
@@ -62,8 +65,7 @@
         queue = self.queues.get(customer)
         if queue is None:
             queue = self.queues[customer] = OrderedDict()
-            start = max(self.virtual_time, self.finish.get(customer, 0.0))
-            heapq.heappush(self.heap, (start, next(_sequence), customer))
+            heapq.heappush(self.heap, (self.virtual_time, next(_sequence), customer))
         queue[waiting.ask.request] = waiting
         self.size += 1
 
@@ -84,7 +86,6 @@
             if not queue:
                 heapq.heappop(self.heap)
                 del self.queues[customer]
-                self._remember(customer, start)
                 continue
             _, waiting = queue.popitem(last=False)
             self.size -= 1
@@ -108,17 +109,12 @@
             return None
         return next(reversed(self.queues[longest].values()))
 
-    def _remember(self, customer: str, finish: float) -> None:
-        self.finish[customer] = finish
-        if len(self.finish) > 2 * len(self.queues) + 64:
-            now = self.virtual_time
-            self.finish = {name: at for name, at in self.finish.items() if at > now}
-
 
 class ClassLine:
     """The waiting requests of one class in a pool, and what the class is owed.
 
-    Requests that can still meet their target are taken before those that are late.
+    Requests whose answer has started are taken first and are never shed. Those that can
+    still meet their target are taken before those that are late.
     While the class waits it earns its share of the pool's slots, in slot seconds, and pays
     for the slots that it uses. The balance is kept between a debt of DEBT_S and a credit of
     CREDIT_S seconds of its share.
@@ -131,17 +127,20 @@
         self.request_class = request_class
         self.on_time = FairLine(find_weight)
         self.late = FairLine(find_weight)
-        self.aside: dict[str, Waiting] = {}
+        self.ahead: dict[str, Waiting] = {}
         self.deadlines: list[tuple[float, int, Waiting]] = []
         self.in_use = 0
         self.in_use_owed = 0
         self.balance_slot_s = 0.0
 
     def __len__(self) -> int:
-        return self.on_time.size + self.late.size + len(self.aside)
+        return self.on_time.size + self.late.size + len(self.ahead)
 
     def add(self, waiting: Waiting) -> None:
         """Append a request."""
+        if waiting.started:
+            self.ahead[waiting.ask.request] = waiting
+            return
         if waiting.late:
             self.late.add(waiting)
             return
@@ -150,7 +149,7 @@
 
     def remove(self, waiting: Waiting) -> None:
         """Remove a request that is in the line."""
-        if self.aside.pop(waiting.ask.request, None) is not None:
+        if self.ahead.pop(waiting.ask.request, None) is not None:
             return
         line = self.late if waiting.late else self.on_time
         line.remove(waiting)
@@ -161,7 +160,7 @@
 
     def set_aside(self, waiting: Waiting) -> None:
         """Keep a request that was taken and that no free runner may serve."""
-        self.aside[waiting.ask.request] = waiting
+        self.ahead[waiting.ask.request] = waiting
 
     def mark_late(self, now: float) -> None:
         """Move the requests whose deadline has passed behind the others."""
@@ -170,7 +169,7 @@
             if not waiting.queued:
                 continue
             waiting.late = True
-            if waiting.ask.request in self.aside:
+            if waiting.ask.request in self.ahead:
                 continue
             self.on_time.remove(waiting)
             self.late.add(waiting)
@@ -194,7 +193,10 @@
         return len(found)
 
     def choose_victim(self) -> Waiting | None:
-        """Return the request to shed first: a late one where there is one."""
+        """Return the request to shed first: a late one where there is one.
+
+        :return: the request, which stays in the line, or ``None`` if all have started
+        """
         return self.late.choose_victim() or self.on_time.choose_victim()
 
     def settle(self, slots: float, elapsed_s: float) -> None:
--- a/balsamtally/load.py
+++ b/balsamtally/load.py
@@ -7,7 +7,9 @@
 
 import msgspec
 
-from balsamtally.messages import Ask
+from balsamtally.health import RunnerHealth, count_ejectable, update_speeds
+from balsamtally.logs import log
+from balsamtally.messages import Ask, Release
 
 REPORT_SPREAD_S = 0.1
 HISTORY_S = 10.0
@@ -61,6 +63,7 @@
         self.history: deque[tuple[float, int]] = deque([(now, 0)])
         self.reported_at = -math.inf
         self.score = 0.0
+        self.health = RunnerHealth()
         self.set_view(view, now)
 
     def set_view(self, view: RunnerView, now: float) -> None:
@@ -90,15 +93,16 @@
         """
         if self.view.leaving:
             return 0
-        slots = self.view.slots
+        slots = self.health.limit_slots(self.view.slots, now)
         if learning and not self.has_fresh_report(now):
-            slots = max(1, slots // 2)
+            slots = min(slots, max(1, self.view.slots // 2))
         return slots - self.in_use - self.others
 
     def update_score(self) -> None:
         """Bring the score up to date: the part of its speed that an answer more would use."""
         used = self.in_use + self.others + 1
-        self.score = used / (self.view.slots * max(self.view.weight, 0.01))
+        speed = self.view.weight * self.health.speed
+        self.score = used / (self.view.slots * max(speed, 0.01))
 
     def count_slot(self, change: int, now: float) -> None:
         """Count a slot as in use, or as free again.
@@ -106,6 +110,8 @@
         :param change: 1 for in use, -1 for free
         :param now: seconds of the clock
         """
+        if self.in_use == 0:
+            self.health.progress_at = now
         self.in_use += change
         self.history.append((now, self.in_use))
         while len(self.history) > 1 and self.history[1][0] < now - HISTORY_S:
@@ -125,14 +131,18 @@
     """The runners of a pool.
 
     :ivar free: runners with a slot that may be granted, by name
-    :ivar slots: slots of all runners that are not leaving
+    :ivar slots: slots that may be in use, over all runners
+    :ivar first_token_s: typical time to the first token in seconds, 0 until it is known
     """
 
     def __init__(self):
+        self.first_token_s = 0.0
+        self.mean_held_s = 0.0
         self.runners: dict[str, RunnerLoad] = {}
         self.free: dict[str, RunnerLoad] = {}
         self.slots = 0
         self.learning = True
+        self.started = False
         self.refreshed_at = -math.inf
 
     def set_views(self, views: Sequence[RunnerView], now: float) -> None:
@@ -150,8 +160,11 @@
         for name, view in named.items():
             if name in self.runners:
                 self.runners[name].set_view(view, now)
-            else:
-                self.runners[name] = RunnerLoad(view, now)
+                continue
+            runner = self.runners[name] = RunnerLoad(view, now)
+            if self.started:
+                runner.health.started_at = now
+        self.started = self.started or bool(named)
         self.refreshed_at = -math.inf
 
     def refresh(self, now: float, learning: bool) -> None:
@@ -164,13 +177,31 @@
             return
         self.learning = learning
         self.refreshed_at = now
+        present = [runner for runner in self.runners.values() if not runner.view.leaving]
+        self.first_token_s = update_speeds([runner.health for runner in present])
+        self._eject_silent(present, now)
         self.free.clear()
-        self.slots = 0
+        self.slots = sum(runner.health.limit_slots(runner.view.slots, now) for runner in present)
         for name, runner in self.runners.items():
-            if not runner.view.leaving:
-                self.slots += runner.view.slots
             self._refresh_runner(name, runner, now)
 
+    def observe(self, name: str, request: str, held_s: float, release: Release, now: float) -> None:
+        """Learn from an answer that has ended.
+
+        :param name: name of the runner
+        :param request: id of the request
+        :param held_s: time that the slot was held, in seconds
+        :param release: how it went
+        :param now: seconds of the clock
+        """
+        runner = self.runners.get(name)
+        if runner is None:
+            return
+        if not release.failed:
+            runner.health.observe_success(release.first_token_s, release.tokens, held_s, now)
+        elif runner.health.observe_failure(request, now):
+            self._eject(runner, "failures", now)
+
     def count_slot(self, name: str, change: int, now: float) -> None:
         """Count a slot as in use, or as free again.
 
@@ -184,10 +215,11 @@
         runner.count_slot(change, now)
         self._refresh_runner(name, runner, now)
 
-    def pick(self, ask: Ask) -> Pick | None:
+    def pick(self, ask: Ask, slack_s: float) -> Pick | None:
         """Choose a runner with a free slot.
 
         :param ask: the request
+        :param slack_s: time left for its first token, in seconds
         :return: the choice, or ``None`` if no free runner may serve it
         """
         allowed = [runner for name, runner in self.free.items() if name not in ask.excluded]
@@ -195,9 +227,35 @@
             allowed = list(self.free.values())
         if not allowed:
             return None
-        best = min(allowed, key=lambda runner: runner.score)
+        best = min(
+            allowed,
+            key=lambda runner: (runner.health.first_token_s > slack_s, runner.score),
+        )
         return Pick(best.view.name, len(allowed), "least_loaded")
 
+    def _eject(self, runner: RunnerLoad, reason: str, now: float) -> None:
+        present = [other for other in self.runners.values() if not other.view.leaving]
+        ejected = sum(1 for other in present if other.health.probing and other is not runner)
+        if ejected >= count_ejectable(len(present)):
+            return
+        runner.health.eject(now)
+        log.info(
+            "runner_ejected",
+            runner=runner.view.name,
+            reason=reason,
+            until_s=round(runner.health.ejected_until - now, 3),
+        )
+
+    def _eject_silent(self, present: list[RunnerLoad], now: float) -> None:
+        if self.mean_held_s <= 0.0:
+            return
+        for runner in present:
+            if runner.health.ejected_until > now:
+                continue
+            if runner.health.is_silent(runner.in_use, self.mean_held_s, now):
+                self._eject(runner, "silent", now)
+                runner.health.progress_at = now
+
     def _excludes_all(self, ask: Ask) -> bool:
         return all(
             name in ask.excluded for name, runner in self.runners.items() if not runner.view.leaving
--- a/balsamtally/messages.py
+++ b/balsamtally/messages.py
@@ -35,6 +35,7 @@
     :ivar prompt_tokens: estimated tokens of the prompt
     :ivar preemptions: how often it was preempted before
     :ivar excluded: runners that failed this request
+    :ivar generated: tokens of the answer that have reached the caller
     """
 
     request: str
@@ -47,6 +48,7 @@
     prompt_tokens: int = 0
     preemptions: int = 0
     excluded: tuple[str, ...] = ()
+    generated: int = 0
 
 
 class Grant(Message, frozen=True):
--- a/balsamtally/queues.py
+++ b/balsamtally/queues.py
@@ -25,6 +25,7 @@
     GrantTable,
     HeldGrant,
 )
+from balsamtally.lengths import LengthBook
 from balsamtally.lines import ClassLine, Waiting
 from balsamtally.load import RunnerLoads, RunnerView
 from balsamtally.logs import log
@@ -33,11 +34,10 @@
 MAX_QUEUED = 20_000
 PREEMPT_LEAD_S = 0.3
 START_MARGIN_S = 0.1
+START_FACTOR = 1.5
 MAX_URGENT = 32
-MAX_ASIDE = 16
+MAX_SET_ASIDE = 16
 HOPELESS_FACTOR = 2.0
-MIN_HELD_SAMPLES = 16
-HELD_SMOOTHING = 0.05
 
 __all__ = ["GRANT_LEASE_S", "RENEW_EVERY_S", "PoolQueue", "RunnerView"]
 
@@ -92,8 +92,7 @@
         self.timeouts: list[tuple[float, int, Waiting]] = []
         self.learning_until = clock() + GRANT_LEASE_S
         self.settled_at = clock()
-        self.mean_held_s = 0.0
-        self.held_samples = 0
+        self.lengths = LengthBook()
 
     # Events
 
@@ -108,7 +107,8 @@
     def submit(self, sender: str, ask: Ask) -> None:
         """Queue a request; it ends in one grant, one refusal, or its withdrawal.
 
-        The same attempt asked again gets the same answer again.
+        The same attempt asked again gets the same answer again. A request whose answer has
+        started is never refused, since it could not be told that it was not run.
 
         :param sender: entry VM that asks
         :param ask: the request
@@ -121,9 +121,18 @@
             return
         now = self.clock()
         arrived = now - max(0.0, ask.waited_s)
-        target_s = request_class.first_token_ms / 1000.0
-        deadline = arrived + target_s - START_MARGIN_S
-        waiting = Waiting(ask, sender, request_class, arrived, deadline, late=deadline < now)
+        target = arrived + request_class.first_token_ms / 1000.0
+        deadline = target - max(START_MARGIN_S, START_FACTOR * self.loads.first_token_s)
+        waiting = Waiting(
+            ask,
+            sender,
+            request_class,
+            arrived,
+            target,
+            deadline,
+            late=deadline < now,
+            started=ask.generated > 0 or ask.preemptions > 0,
+        )
         if self._is_hopeless(waiting, now):
             self._refuse(sender, ask, TargetHopeless())
             return
@@ -160,8 +169,8 @@
         held = self.grants.find(message.grant)
         if held is None:
             return
-        if held.waiting is not None and not message.failed:
-            self._learn_held(now - held.since)
+        if held.waiting is not None:
+            self._learn(held, message, now)
         self._drop_held(held, now)
         self.tick()
 
@@ -226,18 +235,19 @@
 
     def _is_hopeless(self, waiting: Waiting, now: float) -> bool:
         request_class = waiting.request_class
-        if request_class.tier == 0 or self.held_samples < MIN_HELD_SAMPLES:
+        if request_class.tier == 0 or waiting.started or not self.lengths.is_ready():
             return False
         ahead = sum(
             len(line)
             for line in self.lines.values()
             if line.request_class.tier <= request_class.tier
         )
-        grants_per_s = max(1, self.loads.slots) / self.mean_held_s
-        wait_s = ahead / grants_per_s
+        slots = self.loads.slots
+        wait_s = self.lengths.estimate_wait_s(ahead, slots)
         if request_class.share > 0.0:
             own = len(self._find_line(request_class))
-            wait_s = min(wait_s, own / (request_class.share * grants_per_s))
+            guaranteed = request_class.share * slots
+            wait_s = min(wait_s, self.lengths.estimate_wait_s(own, guaranteed))
         left_s = waiting.arrived + request_class.max_wait_s - now
         return wait_s > HOPELESS_FACTOR * left_s
 
@@ -245,8 +255,9 @@
         line = self._find_line(waiting.request_class)
         line.add(waiting)
         self.queued[waiting.ask.request] = waiting
-        timeout = waiting.arrived + waiting.request_class.max_wait_s
-        heapq.heappush(self.timeouts, (timeout, next(self.numbers), waiting))
+        if not waiting.started:
+            timeout = waiting.arrived + waiting.request_class.max_wait_s
+            heapq.heappush(self.timeouts, (timeout, next(self.numbers), waiting))
         if len(line) > waiting.request_class.max_queued:
             self._shed(line)
         elif len(self.queued) > self.max_queued:
@@ -255,6 +266,8 @@
 
     def _shed(self, line: ClassLine) -> None:
         victim = line.choose_victim()
+        if victim is None:
+            return
         self._dequeue(victim)
         self._refuse(victim.sender, victim.ask, QueueFull())
 
@@ -312,10 +325,14 @@
                 self._dequeue(waiting)
                 self._refuse(waiting.sender, waiting.ask, QueueTimeout())
 
-    def _learn_held(self, held_s: float) -> None:
-        self.held_samples += 1
-        smoothing = max(HELD_SMOOTHING, 1.0 / self.held_samples)
-        self.mean_held_s += smoothing * (max(held_s, 0.001) - self.mean_held_s)
+    def _learn(self, held: HeldGrant, message: Release, now: float) -> None:
+        held_s = now - held.since
+        request = held.waiting.ask.request
+        if message.failed or (message.tokens > 0 and not held.revoked):
+            self.loads.observe(held.runner, request, held_s, message, now)
+        if not message.failed and not held.revoked:
+            self.lengths.observe(held.request_class, message.tokens, held_s)
+            self.loads.mean_held_s = self.lengths.mean_held_s
 
     # Grants
 
@@ -346,10 +363,11 @@
         return highest, False
 
     def _grant_next(self, line: ClassLine, owed: bool, now: float) -> bool:
-        for waiting in list(line.aside.values()):
+        for waiting in line.ahead.values():
             if self._place(waiting, owed, now):
                 return True
-        while len(line.aside) < MAX_ASIDE:
+        set_aside = sum(1 for waiting in line.ahead.values() if not waiting.started)
+        for _ in range(MAX_SET_ASIDE - set_aside):
             waiting = line.pop()
             if waiting is None:
                 return False
@@ -359,7 +377,7 @@
         return False
 
     def _place(self, waiting: Waiting, owed: bool, now: float) -> bool:
-        pick = self.loads.pick(waiting.ask)
+        pick = self.loads.pick(waiting.ask, waiting.target - now)
         if pick is None:
             return False
         self._dequeue(waiting)
