--- a/balsamtally/grants.py
+++ b/balsamtally/grants.py
@@ -31,6 +31,7 @@
     :ivar expires: when its lease ends, in seconds of the clock
     :ivar waiting: the request, ``None`` for a grant of another coordinator
     :ivar message: the grant as it was sent, ``None`` for a grant of another coordinator
+    :ivar owed: whether it was made for the guaranteed share of its class
     :ivar revoked: whether it was revoked
     """
 
@@ -42,6 +43,7 @@
     expires: float
     waiting: Waiting | None = None
     message: Grant | None = None
+    owed: bool = False
     revoked: bool = False
 
     def estimate_waste(self, now: float) -> float:
@@ -49,7 +51,8 @@
 
         :param now: seconds of the clock
         """
-        return self.waiting.ask.prompt_tokens + (now - self.since) * TOKENS_PER_S
+        ask = self.waiting.ask
+        return ask.prompt_tokens + ask.generated + (now - self.since) * TOKENS_PER_S
 
 
 class GrantTable:
@@ -120,7 +123,6 @@
     def renew(self, held: HeldGrant) -> None:
         """Extend the lease of a grant."""
         held.expires = self.clock() + GRANT_LEASE_S
-        self._schedule(held)
 
     def drop(self, held: HeldGrant) -> None:
         """Remove a grant."""
@@ -138,13 +140,17 @@
         self.ended[name] = True
 
     def list_expired(self) -> list[HeldGrant]:
-        """Return the grants whose lease has ended; they stay until they are dropped."""
+        """Return the grants whose lease has ended; the caller drops them."""
         now = self.clock()
         expired = []
         while self.leases and self.leases[0][0] <= now:
             _, _, held = heapq.heappop(self.leases)
-            if held.expires <= now and self.held.get(held.name) is held:
+            if self.held.get(held.name) is not held:
+                continue
+            if held.expires <= now:
                 expired.append(held)
+            else:
+                self._schedule(held)
         return expired
 
     def revoke_cheapest(self, count: int) -> list[HeldGrant]:
--- a/balsamtally/queues.py
+++ b/balsamtally/queues.py
@@ -25,6 +25,7 @@
     GrantTable,
     HeldGrant,
 )
+from balsamtally.lengths import LengthBook
 from balsamtally.lines import ClassLine, Waiting
 from balsamtally.load import RunnerLoads, RunnerView
 from balsamtally.logs import log
@@ -33,11 +34,10 @@
 MAX_QUEUED = 20_000
 PREEMPT_LEAD_S = 0.3
 START_MARGIN_S = 0.1
+START_FACTOR = 1.5
 MAX_URGENT = 32
-MAX_ASIDE = 16
+MAX_SET_ASIDE = 16
 HOPELESS_FACTOR = 2.0
-MIN_HELD_SAMPLES = 16
-HELD_SMOOTHING = 0.05
 
 __all__ = ["GRANT_LEASE_S", "RENEW_EVERY_S", "PoolQueue", "RunnerView"]
 
@@ -92,8 +92,7 @@
         self.timeouts: list[tuple[float, int, Waiting]] = []
         self.learning_until = clock() + GRANT_LEASE_S
         self.settled_at = clock()
-        self.mean_held_s = 0.0
-        self.held_samples = 0
+        self.lengths = LengthBook()
 
     # Events
 
@@ -108,7 +107,8 @@
     def submit(self, sender: str, ask: Ask) -> None:
         """Queue a request; it ends in one grant, one refusal, or its withdrawal.
 
-        The same attempt asked again gets the same answer again.
+        The same attempt asked again gets the same answer again. A request whose answer has
+        started is never refused, since it could not be told that it was not run.
 
         :param sender: entry VM that asks
         :param ask: the request
@@ -121,9 +121,18 @@
             return
         now = self.clock()
         arrived = now - max(0.0, ask.waited_s)
-        target_s = request_class.first_token_ms / 1000.0
-        deadline = arrived + target_s - START_MARGIN_S
-        waiting = Waiting(ask, sender, request_class, arrived, deadline, late=deadline < now)
+        target = arrived + request_class.first_token_ms / 1000.0
+        deadline = target - max(START_MARGIN_S, START_FACTOR * self.loads.first_token_s)
+        waiting = Waiting(
+            ask,
+            sender,
+            request_class,
+            arrived,
+            target,
+            deadline,
+            late=deadline < now,
+            started=ask.generated > 0 or ask.preemptions > 0,
+        )
         if self._is_hopeless(waiting, now):
             self._refuse(sender, ask, TargetHopeless())
             return
@@ -160,8 +169,8 @@
         held = self.grants.find(message.grant)
         if held is None:
             return
-        if held.waiting is not None and not message.failed:
-            self._learn_held(now - held.since)
+        if held.waiting is not None:
+            self._learn(held, message, now)
         self._drop_held(held, now)
         self.tick()
 
@@ -226,18 +235,19 @@
 
     def _is_hopeless(self, waiting: Waiting, now: float) -> bool:
         request_class = waiting.request_class
-        if request_class.tier == 0 or self.held_samples < MIN_HELD_SAMPLES:
+        if request_class.tier == 0 or waiting.started or not self.lengths.is_ready():
             return False
         ahead = sum(
             len(line)
             for line in self.lines.values()
             if line.request_class.tier <= request_class.tier
         )
-        grants_per_s = max(1, self.loads.slots) / self.mean_held_s
-        wait_s = ahead / grants_per_s
+        slots = self.loads.slots
+        wait_s = self.lengths.estimate_wait_s(ahead, slots)
         if request_class.share > 0.0:
             own = len(self._find_line(request_class))
-            wait_s = min(wait_s, own / (request_class.share * grants_per_s))
+            guaranteed = request_class.share * slots
+            wait_s = min(wait_s, self.lengths.estimate_wait_s(own, guaranteed))
         left_s = waiting.arrived + request_class.max_wait_s - now
         return wait_s > HOPELESS_FACTOR * left_s
 
@@ -245,8 +255,9 @@
         line = self._find_line(waiting.request_class)
         line.add(waiting)
         self.queued[waiting.ask.request] = waiting
-        timeout = waiting.arrived + waiting.request_class.max_wait_s
-        heapq.heappush(self.timeouts, (timeout, next(self.numbers), waiting))
+        if not waiting.started:
+            timeout = waiting.arrived + waiting.request_class.max_wait_s
+            heapq.heappush(self.timeouts, (timeout, next(self.numbers), waiting))
         if len(line) > waiting.request_class.max_queued:
             self._shed(line)
         elif len(self.queued) > self.max_queued:
@@ -255,6 +266,8 @@
 
     def _shed(self, line: ClassLine) -> None:
         victim = line.choose_victim()
+        if victim is None:
+            return
         self._dequeue(victim)
         self._refuse(victim.sender, victim.ask, QueueFull())
 
@@ -312,28 +325,34 @@
                 self._dequeue(waiting)
                 self._refuse(waiting.sender, waiting.ask, QueueTimeout())
 
-    def _learn_held(self, held_s: float) -> None:
-        self.held_samples += 1
-        smoothing = max(HELD_SMOOTHING, 1.0 / self.held_samples)
-        self.mean_held_s += smoothing * (max(held_s, 0.001) - self.mean_held_s)
+    def _learn(self, held: HeldGrant, message: Release, now: float) -> None:
+        held_s = now - held.since
+        request = held.waiting.ask.request
+        if message.failed or (message.tokens > 0 and not held.revoked):
+            self.loads.observe(held.runner, request, held_s, message, now)
+        if not message.failed and not held.revoked:
+            self.lengths.observe(held.request_class, message.tokens, held_s)
+            self.loads.mean_held_s = self.lengths.mean_held_s
 
     # Grants
 
     def _grant_free_slots(self, now: float) -> None:
         blocked: set[str] = set()
-        while True:
-            line = self._choose_line(blocked)
+        while self.loads.free:
+            line, owed = self._choose_line(blocked, self._count_urgent(now, 1) > 0)
             if line is None:
                 return
-            if not self._grant_next(line, now):
+            if not self._grant_next(line, owed, now):
                 blocked.add(line.request_class.name)
 
-    def _choose_line(self, blocked: set[str]) -> ClassLine | None:
+    def _choose_line(self, blocked: set[str], urgent: bool) -> tuple[ClassLine | None, bool]:
         waiting = [line for name, line in self.lines.items() if len(line) and name not in blocked]
-        owed = [line for line in waiting if line.is_owed()]
+        slots = self.loads.slots
+        owed = [line for line in waiting if line.is_owed(slots, urgent)]
         if owed:
-            return max(owed, key=lambda line: line.balance_slot_s / line.request_class.share)
-        return min(
+            longest = max(owed, key=lambda line: line.balance_slot_s / line.request_class.share)
+            return longest, True
+        highest = min(
             waiting,
             key=lambda line: (
                 line.request_class.tier,
@@ -341,27 +360,26 @@
             ),
             default=None,
         )
+        return highest, False
 
-    def _grant_next(self, line: ClassLine, now: float) -> bool:
-        if not self.loads.free:
-            return False
-        for waiting in list(line.aside.values()):
-            if self._place(waiting, line, now):
+    def _grant_next(self, line: ClassLine, owed: bool, now: float) -> bool:
+        for waiting in line.ahead.values():
+            if self._place(waiting, owed, now):
                 return True
-        while len(line.aside) < MAX_ASIDE:
+        set_aside = sum(1 for waiting in line.ahead.values() if not waiting.started)
+        for _ in range(MAX_SET_ASIDE - set_aside):
             waiting = line.pop()
             if waiting is None:
                 return False
             line.set_aside(waiting)
-            if self._place(waiting, line, now):
+            if self._place(waiting, owed, now):
                 return True
         return False
 
-    def _place(self, waiting: Waiting, line: ClassLine, now: float) -> bool:
-        pick = self.loads.pick(waiting.ask)
+    def _place(self, waiting: Waiting, owed: bool, now: float) -> bool:
+        pick = self.loads.pick(waiting.ask, waiting.target - now)
         if pick is None:
             return False
-        owed = line.is_owed()
         self._dequeue(waiting)
         ask = waiting.ask
         request_class = waiting.request_class
@@ -383,6 +401,7 @@
             expires=now + GRANT_LEASE_S,
             waiting=waiting,
             message=message,
+            owed=owed,
         )
         preemptible = (
             request_class.preemptible
@@ -392,7 +411,7 @@
         )
         self.grants.add(held, preemptible)
         self._count_slot(held, 1, now)
-        self._log_grant(held, now, owed)
+        self._log_grant(held, now)
         self.send_grant(waiting.sender, message)
         return True
 
@@ -404,6 +423,8 @@
         if line is None:
             line = self._find_line(self.find_class(held.request_class))
         line.in_use += change
+        if held.owed:
+            line.in_use_owed += change
 
     def _drop_held(self, held: HeldGrant, now: float) -> None:
         self.grants.drop(held)
@@ -415,7 +436,7 @@
         if attempt < ask.attempt:
             self.ended[ask.request] = (ask.attempt, None)
 
-    def _log_grant(self, held: HeldGrant, now: float, owed: bool) -> None:
+    def _log_grant(self, held: HeldGrant, now: float) -> None:
         ask = held.waiting.ask
         log.info(
             "granted",
@@ -427,19 +448,22 @@
             runner=held.runner,
             candidates=held.message.candidates,
             reason=held.message.reason,
-            guaranteed=owed,
+            guaranteed=held.owed,
             waited_s=round(now - held.waiting.arrived, 3),
             queued=len(self.queued),
         )
 
     # Preemption
 
-    def _preempt(self, now: float) -> None:
-        urgent = sum(
-            line.count_urgent(now + PREEMPT_LEAD_S, MAX_URGENT)
+    def _count_urgent(self, now: float, most: int) -> int:
+        return sum(
+            line.count_urgent(now + PREEMPT_LEAD_S, most)
             for line in self.lines.values()
             if line.request_class.tier == 0 and len(line)
         )
+
+    def _preempt(self, now: float) -> None:
+        urgent = self._count_urgent(now, MAX_URGENT)
         wanted = urgent - len(self.grants.revoked)
         for held in self.grants.revoke_cheapest(wanted):
             log.info(
