Wait for an idle engine before a test counts its cancelled tokens

Cause: test_closed_connection_cancels_the_work failed twice with (7 - 3) == 1: the engine was still dropping the previous test's cut answer when the counts were read. Ruled out: a fault of the stand-in's cancel (the sum was right once it had settled). Conclusion: mended.

--- a/tests/standins/test_callers.py
+++ b/tests/standins/test_callers.py
@@ -67,7 +67,8 @@
 @pytest.mark.parametrize("streamed", [True, False])
 def test_closed_connection_cancels_the_work(fleet, runner, streamed):
     runner.set_fault(slow_factor=5.0)
-    before = runner.counts()
+    while (before := runner.counts())["running"]:
+        time.sleep(0.02)
     caller = http.client.HTTPConnection(runner.address)
     body = {"messages": [{"role": "user", "content": "vanish"}], "stream": streamed}
     caller.request("POST", "/v1/chat/completions", json.dumps(body))
