Put the limits into the daemon, and tell the domains sooner what is asked for

Cause: check_limits was a stub. Change: node.py takes the customer's and the class's requests before a chat and charges generated tokens after it; a domain tells the others at once (within 1 s) when a limit is newly asked for or its demand changed by over 30%, else every 4 s. Ruled out: telling everything every second, four times the bytes between regions. draw_incarnation goes: node.py has its own. Conclusion: request limits are whole; bytes between regions are not charged by anyone yet, and plain service calls aren't counted.

--- a/balsamtally/limits.py
+++ b/balsamtally/limits.py
@@ -30,7 +30,9 @@
 ASK_TIMEOUT_S = 0.3
 DEMAND_TIME_CONSTANT_S = 2.0
 DEMAND_FRESH_S = 2.5
-EXCHANGE_S = 4.0
+EXCHANGE_S = 1.0
+KEEP_ALIVE_S = 4.0
+NEWS_SHARE = 0.3
 DOMAIN_FRESH_S = 10.0
 BUCKET_S = 1.0
 IDLE_S = 60.0
@@ -135,6 +137,7 @@
         self._stocks: dict[str, Stock] = {}
         self._buckets: dict[str, Bucket] = {}
         self._domains: dict[tuple[str, int], tuple[dict[str, float], float]] = {}
+        self._told: dict[int, tuple[dict[str, float], float]] = {}
         self._tasks: list[gevent.Greenlet] = []
         links.handle(LimitAsk, self._answer_ask)
         links.handle(DomainDemand, self._note_domain)
@@ -334,25 +337,38 @@
         return free * (demand / demands if demands else 1.0)
 
     def exchange(self) -> None:
-        """Tell the other failure domains what this one needs of the limits it coordinates."""
+        """Tell the other failure domains what this one needs of the limits it coordinates.
+
+        A shard whose demand hardly changed is told only every ``KEEP_ALIVE_S``.
+        """
         now = self._clock()
-        by_shard: dict[int, list[LimitDemand]] = {}
+        by_shard: dict[int, dict[str, float]] = {}
         for key, bucket in self._buckets.items():
             rate = bucket.sum_demand(now)
             if rate:
-                by_shard.setdefault(find_shard(key), []).append(LimitDemand(key, rate))
-        own = self._members.own
+                by_shard.setdefault(find_shard(key), {})[key] = rate
+        for shard in range(SHARDS):
+            rates = by_shard.get(shard, {})
+            if self._members.is_coordinator(f"limits/{shard}") and self._is_due(shard, rates, now):
+                self._told[shard] = (rates, now)
+                self._tell_domains(shard, rates)
+
+    def _is_due(self, shard: int, rates: dict[str, float], now: float) -> bool:
+        told, at = self._told.get(shard, ({}, -math.inf))
+        if now - at >= KEEP_ALIVE_S or rates.keys() != told.keys():
+            return True
+        return any(abs(rate - told[key]) > NEWS_SHARE * told[key] for key, rate in rates.items())
+
+    def _tell_domains(self, shard: int, rates: dict[str, float]) -> None:
+        own = self._members.own.domain
+        demands = tuple(LimitDemand(key, rate) for key, rate in rates.items())
         names: dict[str, list[str]] = {}
         for vm in self._members.list_all():
             names.setdefault(vm.domain, []).append(vm.name)
-        names.pop(own.domain, None)
-        for shard in range(SHARDS):
-            task = f"limits/{shard}"
-            if not self._members.is_coordinator(task):
-                continue
-            message = DomainDemand(own.domain, shard, tuple(by_shard.get(shard, ())))
-            for peers in names.values():
-                self._links.cast(rank_members(task, peers)[0], message)
+        for domain, peers in names.items():
+            if domain != own:
+                coordinator = rank_members(f"limits/{shard}", peers)[0]
+                self._links.cast(coordinator, DomainDemand(own, shard, demands))
 
     def _note_domain(self, name: str, message: DomainDemand) -> None:
         rates = {demand.key: demand.rate for demand in message.demands}
--- a/balsamtally/members.py
+++ b/balsamtally/members.py
@@ -3,7 +3,6 @@
 import math
 import time
 from collections.abc import Callable, Iterable
-from random import Random
 
 import msgspec
 import xxhash
@@ -28,16 +27,6 @@
 FLAP_MAX = 8.0
 
 
-def draw_incarnation(now_s: float, random: Random) -> str:
-    """Return the identity of a process that starts.
-
-    :param now_s: time since the epoch in seconds
-    :param random: source of random numbers
-    :return: hexadecimal text of time and random bits
-    """
-    return f"{int(now_s * 1000):012x}-{random.getrandbits(64):016x}"
-
-
 def rank_state(state: MemberState) -> tuple[int, str, int]:
     """Return the order of a state among those of one name; the highest holds.
 
--- a/balsamtally/node.py
+++ b/balsamtally/node.py
@@ -27,6 +27,7 @@
 from balsamtally.entry import Doors, Entry
 from balsamtally.errors import BalsamtallyError, Outcome
 from balsamtally.facts import Facts
+from balsamtally.limits import Limits
 from balsamtally.links import Links
 from balsamtally.logs import log, set_up_logs
 from balsamtally.loops import Loop
@@ -83,6 +84,7 @@
         self.dissemination = enter(
             Dissemination(self.settings, self.facts, self.members, self.configuration, self.links)
         )
+        self.limits = enter(Limits(self.facts, self.members, self.links))
         self.runners = enter(Runners())
         self.observers = enter(Observers(self.runners, self._list_runners))
         self.coordinator = enter(Coordinator(self.links, self.facts, self.observers.list_views))
@@ -149,7 +151,7 @@
             find_class=lambda name: self.facts.find(RequestClass, name),
             find_pool=self.facts.find_pool,
             list_pools=lambda: self.facts.list(Pool),
-            check_limits=lambda customer, request_class: None,
+            check_limits=self._check_limits,
             issue_receipt=lambda customer: self.book.issue(customer.name),
             call_service=self._call_service,
             note_end=self._note_chat_end,
@@ -224,6 +226,7 @@
         code = error.code if isinstance(error, BalsamtallyError) else 0
         on_time = 0 <= progress.first_token_s * 1000 <= chat.request_class.first_token_ms
         self.metrics.count_request(name, code)
+        self.limits.charge(chat.customer, "tokens_per_s", progress.tokens)
         if error is not None:
             self.metrics.count_tokens(name, 0, progress.tokens)
         elif progress.tokens:
@@ -258,6 +261,10 @@
             reports.append(describe_runner(server, make_view(server, observed, now)))
         return reports
 
+    def _check_limits(self, customer: Customer, request_class: RequestClass) -> None:
+        self.limits.take(customer)
+        self.limits.take_class(request_class)
+
     def _list_queues(self) -> list[QueuedRequests]:
         return [
             QueuedRequests(pool, name, count)
