Patch for gevent before the links are measured

Cause: bench_links hung for ten minutes: without the patch the asyncio loop's select blocks the whole thread, and the hub with it. Ruled out: a fault of Links (its tests run patched and pass). Change: the script patches the standard library first.

--- a/standins/bench_links.py
+++ b/standins/bench_links.py
@@ -1,5 +1,10 @@
 """Slopes of the peer links: processor time and bytes for each cast, call and idle peer."""
 
+# ruff: noqa: E402
+from gevent import monkey
+
+monkey.patch_all()
+
 import contextlib
 import json
 import resource
