--- a/balsamtally/chats.py
+++ b/balsamtally/chats.py
@@ -17,7 +17,7 @@
 from balsamtally.logs import log
 from balsamtally.machines import BackendServer
 from balsamtally.messages import Ask
-from balsamtally.slots import HeldGrant, Slots
+from balsamtally.slots import CallerVanished, HeldGrant, Slots
 from balsamtally.streams import (
     Chunk,
     RunnerFailed,
@@ -125,7 +125,7 @@
             progress.attempts += 1
             held = self._acquire(chat, progress, has_vanished)
             try:
-                yield from self._attempt(chat, progress, held)
+                yield from self._attempt(chat, progress, held, has_vanished)
                 return
             except Preempted:
                 progress.preemptions += 1
@@ -169,8 +169,18 @@
         )
         return held
 
-    def _attempt(self, chat: ChatRequest, progress: Progress, held: HeldGrant) -> Iterator[Chunk]:
-        """Stream one attempt; the slot is given back whatever happens."""
+    def _attempt(
+        self,
+        chat: ChatRequest,
+        progress: Progress,
+        held: HeldGrant,
+        has_vanished: Callable[[], bool],
+    ) -> Iterator[Chunk]:
+        """Stream one attempt; the slot is given back whatever happens.
+
+        Writes tell when the caller of a streamed answer has left. The caller of a whole answer
+        is watched, since nothing is written to it before the end.
+        """
         begun = time.monotonic()
         tokens_before = progress.tokens
         first_token_s = -1.0
@@ -179,12 +189,14 @@
             with self._open_stream(chat, progress, held) as stream:
                 held.revoke = stream.cancel
                 for chunk in self._read_checked(stream, held):
+                    if not chat.body.get("stream") and has_vanished():
+                        raise CallerVanished
                     if first_token_s < 0 and read_text(chunk):
                         first_token_s = time.monotonic() - begun
                     note_chunk(chat, progress, chunk)
                     yield chunk
             failed = False
-        except (Preempted, GeneratorExit):
+        except (Preempted, CallerVanished, GeneratorExit):
             failed = False
             raise
         finally:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -131,10 +131,14 @@
         """Ask the process to leave gracefully."""
         self.signal(signal.SIGTERM)
 
+    def end(self) -> None:
+        """Ask the process to end, without waiting for it."""
+        self.resume()
+        self.leave()
+
     def stop(self) -> None:
         """End the process, gracefully if it does so in time."""
-        self.resume()
-        self.signal(signal.SIGINT if "balsamtally" not in self.arguments[0] else signal.SIGTERM)
+        self.end()
         try:
             self.process.wait(STOP_TIMEOUT_S)
         except subprocess.TimeoutExpired:
@@ -292,6 +296,12 @@
             raise
         return self
 
+    def __exit__(self, *exc_info) -> bool | None:
+        for group in (self.vms, self.runners, self.services):
+            for process in group.values():
+                process.end()
+        return super().__exit__(*exc_info)
+
     def start(self) -> None:
         """Start all processes, publish the tickets and wait until the daemons are ready."""
         deadline = time.monotonic() + START_TIMEOUT_S
--- a/tests/standins/test_callers.py
+++ b/tests/standins/test_callers.py
@@ -64,18 +64,24 @@
         ask(fleet, runner, "cut whole", streamed=False)
 
 
+def count_when_idle(runner) -> dict:
+    """Return the counts of a runner once nothing runs in it."""
+    while (counts := runner.counts())["running"]:
+        time.sleep(0.02)
+    return counts
+
+
 @pytest.mark.parametrize("streamed", [True, False])
 def test_closed_connection_cancels_the_work(fleet, runner, streamed):
     runner.set_fault(slow_factor=5.0)
-    before = runner.counts()
+    before = count_when_idle(runner)
     caller = http.client.HTTPConnection(runner.address)
     body = {"messages": [{"role": "user", "content": "vanish"}], "stream": streamed}
     caller.request("POST", "/v1/chat/completions", json.dumps(body))
     while runner.counts()["generated"] == before["generated"]:
         time.sleep(0.02)
     caller.close()
-    while (after := runner.counts())["running"]:
-        time.sleep(0.02)
+    after = count_when_idle(runner)
     generated = after["generated"] - before["generated"]
     assert after["cancelled"] - before["cancelled"] == generated > 0
 
