--- a/balsamtally/metrics.py
+++ b/balsamtally/metrics.py
@@ -17,17 +17,21 @@
     """Values that are read when the metrics are rendered.
 
     :ivar queued: requests waiting in this VM's coordinator queues, by class
-    :ivar in_flight: requests held by this entry VM, by class
+    :ivar in_flight: requests held by this entry VM, by tier
     :ivar members: live entry VMs of the own failure domain
     :ivar tickets: tickets whose state is in force
     :ivar platform_age_s: time since the last good read of the platform, in seconds
+    :ivar sent_bytes: bytes sent over the peer links since the start
+    :ivar received_bytes: bytes received over the peer links since the start
     """
 
     queued: Mapping[str, int] = field(default_factory=dict)
-    in_flight: Mapping[str, int] = field(default_factory=dict)
+    in_flight: Mapping[int, int] = field(default_factory=dict)
     members: int = 0
     tickets: int = 0
     platform_age_s: float = 0.0
+    sent_bytes: int = 0
+    received_bytes: int = 0
 
 
 class Metrics:
@@ -68,6 +72,7 @@
         self._platform_age = self._gauge(
             "platform_age_seconds", "Time since the last good read of the platform"
         )
+        self._link_bytes = self._gauge("link_bytes", "Bytes over the peer links since the start")
 
     def count_request(self, request_class: str, code: int) -> None:
         """Count a finished request.
@@ -156,11 +161,13 @@
         :return: body and its content type
         """
         gauges = self.read_gauges()
-        _set_by_class(self._queued, gauges.queued)
-        _set_by_class(self._in_flight, gauges.in_flight)
+        _set_by_label(self._queued, "class", gauges.queued)
+        _set_by_label(self._in_flight, "tier", gauges.in_flight)
         self._members.set({}, gauges.members)
         self._tickets.set({}, gauges.tickets)
         self._platform_age.set({}, gauges.platform_age_s)
+        self._link_bytes.set({"direction": "sent"}, gauges.sent_bytes)
+        self._link_bytes.set({"direction": "received"}, gauges.received_bytes)
         body, headers = render(self._registry, [])
         return body, headers["Content-Type"]
 
@@ -176,10 +183,11 @@
         )
 
 
-def _set_by_class(gauge: Gauge, values: Mapping[str, int]) -> None:
-    """Set a gauge by class; a class that is no longer there falls to 0."""
+def _set_by_label(gauge: Gauge, label: str, values: Mapping[str | int, int]) -> None:
+    """Set a gauge by a label; what is no longer there falls to 0."""
+    shown = {str(key): value for key, value in values.items()}
     for labels, _ in gauge.get_all():
-        if labels["class"] not in values:
+        if labels[label] not in shown:
             gauge.set(labels, 0)
-    for request_class, value in values.items():
-        gauge.set({"class": request_class}, value)
+    for key, value in shown.items():
+        gauge.set({label: key}, value)
--- a/balsamtally/node.py
+++ b/balsamtally/node.py
@@ -11,14 +11,21 @@
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
-from balsamtally.admin import QueuedRequests, describe_state, make_admin_app
+from balsamtally.admin import (
+    QueuedRequests,
+    RunnerReport,
+    describe_runner,
+    describe_state,
+    make_admin_app,
+)
 from balsamtally.chats import ChatRequest, Chats, Progress
 from balsamtally.configuration import Configuration
 from balsamtally.contracts import Customer, Pool, RequestClass
 from balsamtally.coordinator import Coordinator, list_pool_runners
 from balsamtally.decisions import Decisions
+from balsamtally.dissemination import Dissemination
 from balsamtally.entry import Doors, Entry
-from balsamtally.errors import BalsamtallyError, OperatorError, Outcome, PlatformUnavailable
+from balsamtally.errors import BalsamtallyError, Outcome
 from balsamtally.facts import Facts
 from balsamtally.links import Links
 from balsamtally.logs import log, set_up_logs
@@ -27,16 +34,13 @@
 from balsamtally.members import Members
 from balsamtally.messages import ServiceAnswer
 from balsamtally.metrics import Gauges, Metrics
-from balsamtally.observers import Observers
+from balsamtally.observers import Observed, Observers, make_view
 from balsamtally.receipts import ReceiptBook
 from balsamtally.rendezvous import rank_members
 from balsamtally.settings import Settings, split_address
 from balsamtally.slots import Slots
 from balsamtally.streams import Runners
-from balsamtally.tickets import decode_ticket
 
-WATCH_WAIT_S = 30.0
-WATCH_RETRY_S = 1.0
 DRAIN_POLL_S = 0.1
 ABORT_TIMEOUT_S = 2.0
 EXIT_GRACE_ENDED = 3
@@ -67,8 +71,6 @@
         )
         self.leaving = False
         self.refusing = False
-        self.ready = False
-        self.platform_read_at = 0.0
         self._stack = contextlib.ExitStack()
 
     def __enter__(self) -> "Node":
@@ -78,6 +80,9 @@
         self.metrics = Metrics(self._read_gauges)
         self.links = enter(Links(self.settings, self._find_address, enter(Loop())))
         self.configuration = enter(Configuration(self.settings))
+        self.dissemination = enter(
+            Dissemination(self.settings, self.facts, self.members, self.configuration, self.links)
+        )
         self.runners = enter(Runners())
         self.observers = enter(Observers(self.runners, self._list_runners))
         self.coordinator = enter(Coordinator(self.links, self.facts, self.observers.list_views))
@@ -95,13 +100,16 @@
         )
         self.entry = enter(Entry(self.settings, self.chats, self._make_doors()))
         self._serve_operators(enter)
-        for task in (self._watch_tickets, self._watch_vms):
-            self._stack.callback(gevent.spawn(task).kill)
         return self
 
     def __exit__(self, *exc_info) -> None:
         self._stack.close()
 
+    @property
+    def ready(self) -> bool:
+        """Whether some state was learnt."""
+        return self.dissemination.ready
+
     def leave(self) -> bool:
         """Take no new work and wait for what is in flight.
 
@@ -110,6 +118,7 @@
         :return: whether all ended within the grace period
         """
         self.leaving = True
+        self.members.announce_leaving()
         self.book.leave()
         log.info("leaving", in_flight=self.entry.admission.in_flight)
         begun = time.monotonic()
@@ -152,7 +161,7 @@
             read_unready=self._read_unready,
             read_state=lambda: describe_state(self.settings.vm, self.facts),
             read_vms=self.members.list_all,
-            read_runners=lambda: self.facts.list(BackendServer),
+            read_runners=self._describe_runners,
             read_queues=self._list_queues,
             decisions=self.decisions,
         )
@@ -203,6 +212,8 @@
 
     def _note_decision(self, **fields) -> None:
         log.info("decision", **fields)
+        if fields["decision"] == "route":
+            self.metrics.observe_queue_wait(fields["request_class"], fields["waited_ms"] / 1000)
         if fields["decision"] == "retry":
             self.metrics.count_retry(fields["request_class"])
 
@@ -218,6 +229,8 @@
         elif progress.tokens:
             self.metrics.count_tokens(name, progress.tokens)
             self.metrics.observe_first_token(name, progress.first_token_s)
+        for _ in range(progress.preemptions):
+            self.metrics.count_preemption(name)
         for gap_s in progress.gaps_s:
             self.metrics.observe_between_tokens(name, gap_s)
         if isinstance(error, BalsamtallyError) and error.outcome is Outcome.UNKNOWN:
@@ -237,6 +250,14 @@
         }
         log.info("answered", **fields)
 
+    def _describe_runners(self) -> list[RunnerReport]:
+        now = time.monotonic()
+        reports = []
+        for server in self.facts.list(BackendServer):
+            observed = self.observers.observed.get(server.name, Observed())
+            reports.append(describe_runner(server, make_view(server, observed, now)))
+        return reports
+
     def _list_queues(self) -> list[QueuedRequests]:
         return [
             QueuedRequests(pool, name, count)
@@ -251,37 +272,14 @@
                 queued[name] = queued.get(name, 0) + count
         return Gauges(
             queued=queued,
+            in_flight=self.entry.admission.requests,
             members=len(self.members.list_domain()),
             tickets=len({entry.number for entry in self.facts.entries.values()}),
-            platform_age_s=time.monotonic() - self.platform_read_at,
+            platform_age_s=time.monotonic() - self.dissemination.platform_read_at,
+            sent_bytes=self.links.sent_bytes,
+            received_bytes=self.links.received_bytes,
         )
 
-    def _watch_tickets(self) -> None:
-        index = 0
-        while True:
-            try:
-                rows, index = self.configuration.read_tickets(index, WATCH_WAIT_S)
-            except PlatformUnavailable as error:
-                log.warning("platform_unavailable", reason=str(error))
-                gevent.sleep(WATCH_RETRY_S)
-                continue
-            self.platform_read_at = time.monotonic()
-            for key, body in rows:
-                try:
-                    self.facts.accept(decode_ticket(body))
-                except OperatorError as error:
-                    log.warning("ticket_refused", key=key, reason=str(error))
-            self.ready = self.ready or bool(self.facts.entries)
-
-    def _watch_vms(self) -> None:
-        index = 0
-        while True:
-            try:
-                vms, index = self.configuration.read_vms(index, WATCH_WAIT_S)
-                self.members.learn_listed(vms)
-            except PlatformUnavailable:
-                gevent.sleep(WATCH_RETRY_S)
-
 
 def run_node(settings: Settings) -> int:
     """Run a node until SIGTERM or SIGINT; a second one ends it at once.
