--- a/balsamtally/node.py
+++ b/balsamtally/node.py
@@ -23,8 +23,9 @@
 from balsamtally.contracts import Customer, Pool, RequestClass
 from balsamtally.coordinator import Coordinator, list_pool_runners
 from balsamtally.decisions import Decisions
+from balsamtally.dissemination import Dissemination
 from balsamtally.entry import Doors, Entry
-from balsamtally.errors import BalsamtallyError, OperatorError, Outcome, PlatformUnavailable
+from balsamtally.errors import BalsamtallyError, Outcome
 from balsamtally.facts import Facts
 from balsamtally.links import Links
 from balsamtally.logs import log, set_up_logs
@@ -39,10 +40,7 @@
 from balsamtally.settings import Settings, split_address
 from balsamtally.slots import Slots
 from balsamtally.streams import Runners
-from balsamtally.tickets import decode_ticket
 
-WATCH_WAIT_S = 30.0
-WATCH_RETRY_S = 1.0
 DRAIN_POLL_S = 0.1
 ABORT_TIMEOUT_S = 2.0
 EXIT_GRACE_ENDED = 3
@@ -73,8 +71,6 @@
         )
         self.leaving = False
         self.refusing = False
-        self.ready = False
-        self.platform_read_at = 0.0
         self._stack = contextlib.ExitStack()
 
     def __enter__(self) -> "Node":
@@ -84,6 +80,9 @@
         self.metrics = Metrics(self._read_gauges)
         self.links = enter(Links(self.settings, self._find_address, enter(Loop())))
         self.configuration = enter(Configuration(self.settings))
+        self.dissemination = enter(
+            Dissemination(self.settings, self.facts, self.members, self.configuration, self.links)
+        )
         self.runners = enter(Runners())
         self.observers = enter(Observers(self.runners, self._list_runners))
         self.coordinator = enter(Coordinator(self.links, self.facts, self.observers.list_views))
@@ -101,13 +100,16 @@
         )
         self.entry = enter(Entry(self.settings, self.chats, self._make_doors()))
         self._serve_operators(enter)
-        for task in (self._watch_tickets, self._watch_vms):
-            self._stack.callback(gevent.spawn(task).kill)
         return self
 
     def __exit__(self, *exc_info) -> None:
         self._stack.close()
 
+    @property
+    def ready(self) -> bool:
+        """Whether some state was learnt."""
+        return self.dissemination.ready
+
     def leave(self) -> bool:
         """Take no new work and wait for what is in flight.
 
@@ -116,6 +118,7 @@
         :return: whether all ended within the grace period
         """
         self.leaving = True
+        self.members.announce_leaving()
         self.book.leave()
         log.info("leaving", in_flight=self.entry.admission.in_flight)
         begun = time.monotonic()
@@ -272,35 +275,11 @@
             in_flight=self.entry.admission.requests,
             members=len(self.members.list_domain()),
             tickets=len({entry.number for entry in self.facts.entries.values()}),
-            platform_age_s=time.monotonic() - self.platform_read_at,
+            platform_age_s=time.monotonic() - self.dissemination.platform_read_at,
+            sent_bytes=self.links.sent_bytes,
+            received_bytes=self.links.received_bytes,
         )
 
-    def _watch_tickets(self) -> None:
-        index = 0
-        while True:
-            try:
-                rows, index = self.configuration.read_tickets(index, WATCH_WAIT_S)
-            except PlatformUnavailable as error:
-                log.warning("platform_unavailable", reason=str(error))
-                gevent.sleep(WATCH_RETRY_S)
-                continue
-            self.platform_read_at = time.monotonic()
-            for key, body in rows:
-                try:
-                    self.facts.accept(decode_ticket(body))
-                except OperatorError as error:
-                    log.warning("ticket_refused", key=key, reason=str(error))
-            self.ready = self.ready or bool(self.facts.entries)
-
-    def _watch_vms(self) -> None:
-        index = 0
-        while True:
-            try:
-                vms, index = self.configuration.read_vms(index, WATCH_WAIT_S)
-                self.members.learn_listed(vms)
-            except PlatformUnavailable:
-                gevent.sleep(WATCH_RETRY_S)
-
 
 def run_node(settings: Settings) -> int:
     """Run a node until SIGTERM or SIGINT; a second one ends it at once.
