Queue again a request whose grant expired unseen

Cause: an entry VM asks the same attempt again every 2 s while it waits. If its grant was lost and its lease ended, the coordinator took the attempt for ended and never answered; the request hung. Also the age of a load report as an observer knows it lacks the engine's own lag, so that slots just released were counted as used by others; an adopted grant was counted twice until the next report; and an answer that generated nothing counted as a length. Change: only a release, refusal or withdrawal ends an attempt; reports are compared with the most slots in use in the 2 s before; adoption takes one from those of others; lengths learn from answers with tokens. Ruled out: trusting the runner's own time stamp, since clocks differ.

--- a/balsamtally/load.py
+++ b/balsamtally/load.py
@@ -12,6 +12,7 @@
 from balsamtally.messages import Ask, Release
 
 REPORT_SPREAD_S = 0.1
+REPORT_LAG_S = 2.0
 HISTORY_S = 10.0
 FRESH_REPORT_S = 3.0
 REFRESH_S = 0.25
@@ -70,7 +71,8 @@
         """Take in what is told of the runner.
 
         The report is compared with the slots that were in use when it was made, so that a
-        late report neither hides nor doubles the grants made since.
+        late report neither hides nor doubles the grants made since. The age that is told
+        may lack up to REPORT_LAG_S of the engine's own lag.
         """
         self.view = view
         if view.running < 0 or view.report_age_s > HISTORY_S:
@@ -122,7 +124,7 @@
         for since, in_use in reversed(self.history):
             if since <= made_at + REPORT_SPREAD_S:
                 most = max(most, in_use)
-            if since <= made_at - REPORT_SPREAD_S:
+            if since <= made_at - REPORT_LAG_S:
                 break
         return most
 
@@ -215,6 +217,16 @@
         runner.count_slot(change, now)
         self._refresh_runner(name, runner, now)
 
+    def note_adopted(self, name: str, now: float) -> None:
+        """Count a slot that is now known no longer as one that others use.
+
+        :param name: name of the runner
+        :param now: seconds of the clock
+        """
+        runner = self.runners[name]
+        runner.others = max(0, runner.others - 1)
+        self._refresh_runner(name, runner, now)
+
     def pick(self, ask: Ask, slack_s: float) -> Pick | None:
         """Choose a runner with a free slot.
 
--- a/balsamtally/queues.py
+++ b/balsamtally/queues.py
@@ -107,8 +107,9 @@
     def submit(self, sender: str, ask: Ask) -> None:
         """Queue a request; it ends in one grant, one refusal, or its withdrawal.
 
-        The same attempt asked again gets the same answer again. A request whose answer has
-        started is never refused, since it could not be told that it was not run.
+        The same attempt asked again gets the same answer again, but for one whose grant
+        expired: its entry VM never got the grant, and it is queued again. A request whose
+        answer has started is never refused, since it could not be told that it was not run.
 
         :param sender: entry VM that asks
         :param ask: the request
@@ -157,6 +158,7 @@
             if self.find_class(held.request_class) is None:
                 held.request_class = ""
             self._count_slot(held, 1, now)
+            self.loads.note_adopted(held.runner, now)
 
     def release(self, sender: str, message: Release) -> None:
         """Take a slot back.
@@ -172,6 +174,7 @@
         if held.waiting is not None:
             self._learn(held, message, now)
         self._drop_held(held, now)
+        self._end_attempt(held)
         self.tick()
 
     def withdraw(self, sender: str, message: Withdraw) -> None:
@@ -330,7 +333,7 @@
         request = held.waiting.ask.request
         if message.failed or (message.tokens > 0 and not held.revoked):
             self.loads.observe(held.runner, request, held_s, message, now)
-        if not message.failed and not held.revoked:
+        if message.tokens > 0 and not message.failed and not held.revoked:
             self.lengths.observe(held.request_class, message.tokens, held_s)
             self.loads.mean_held_s = self.lengths.mean_held_s
 
@@ -429,6 +432,8 @@
     def _drop_held(self, held: HeldGrant, now: float) -> None:
         self.grants.drop(held)
         self._count_slot(held, -1, now)
+
+    def _end_attempt(self, held: HeldGrant) -> None:
         if held.waiting is None:
             return
         ask = held.waiting.ask
