Close the connection of a caller that left in place of an empty answer

Cause: a caller taken as gone was sent status 200 with an empty body. It showed when test_entry_fuzz met the watch on callers of whole answers: a caller that closes only its sending side still reads, and got an empty answer that looks whole.

Ruled out: taking a half-closed connection as alive, since a closed and a half-closed one look the same until something is written; an interim status as a probe, which each client would have to bear. So a caller that closes its sending side before its whole answer comes is taken as gone.

Change: entry.Entry._guard shuts the connection down.

--- a/balsamtally/entry.py
+++ b/balsamtally/entry.py
@@ -155,7 +155,7 @@
         return app
 
     def _guard(self, serve: Callable) -> Callable:
-        """Wrap a route: checks common to all, and errors as JSON."""
+        """Wrap a route: checks common to all, errors as JSON, nothing to callers that left."""
 
         def serve_guarded(**path):
             request_id = f"req-{secrets.token_hex(8)}"
@@ -163,6 +163,8 @@
             try:
                 return self._admit(request_id, serve, path)
             except CallerVanished:
+                with contextlib.suppress(OSError):
+                    bottle.request.environ["balsamtally.socket"].shutdown(socket.SHUT_RDWR)
                 return b""
             except BalsamtallyError as error:
                 return render_error(error, request_id)
