--- a/balsamtally/limits.py
+++ b/balsamtally/limits.py
@@ -91,13 +91,16 @@
 class Bucket:
     """The tokens of one limit that this VM hands out as a coordinator.
 
-    :ivar tokens: tokens left
+    It begins full, so that the first request of a customer passes. A new coordinator thus adds at
+    most ``BUCKET_S`` of the limit.
+
+    :ivar tokens: tokens left, infinite before the first grant bounds them
     :ivar filled_at: clock of the last filling
     :ivar demands: rate that each entry VM asked for, and when
     """
 
     def __init__(self, now: float):
-        self.tokens = 0.0
+        self.tokens = math.inf
         self.filled_at = now
         self.demands: dict[str, tuple[float, float]] = {}
 
@@ -278,6 +281,7 @@
         if stock.alone_since is None:
             log.info("limit_on_fixed_share", limit=key)
             stock.alone_since = self._clock()
+            stock.tokens = min(1.0, stock.tokens + 1.0)
         self._add_fixed_share(key, stock)
 
     def _add_fixed_share(self, key: str, stock: Stock) -> None:
--- a/balsamtally/node.py
+++ b/balsamtally/node.py
@@ -20,13 +20,14 @@
 )
 from balsamtally.chats import ChatRequest, Chats, Progress
 from balsamtally.configuration import Configuration
-from balsamtally.contracts import Customer, Pool, RequestClass
+from balsamtally.contracts import Customer, Policy, Pool, RequestClass
 from balsamtally.coordinator import Coordinator, list_pool_runners
 from balsamtally.decisions import Decisions
 from balsamtally.dissemination import Dissemination
 from balsamtally.entry import Doors, Entry
 from balsamtally.errors import BalsamtallyError, Outcome
 from balsamtally.facts import Facts
+from balsamtally.limits import Limits
 from balsamtally.links import Links
 from balsamtally.logs import log, set_up_logs
 from balsamtally.loops import Loop
@@ -37,6 +38,8 @@
 from balsamtally.observers import Observed, Observers, make_view
 from balsamtally.receipts import ReceiptBook
 from balsamtally.rendezvous import rank_members
+from balsamtally.retries import RetryBudget
+from balsamtally.services import ServiceCalls, send_call
 from balsamtally.settings import Settings, split_address
 from balsamtally.slots import Slots
 from balsamtally.streams import Runners
@@ -90,12 +93,23 @@
         self.book = ReceiptBook(
             self.settings.vm, self.incarnation, bytes.fromhex(self.settings.link_key)
         )
+        self.budget = RetryBudget(lambda: self._find_policy().retry_share)
+        self.limits = enter(Limits(self.facts, self.members, self.links))
+        self.services = ServiceCalls(
+            self.members,
+            self.facts,
+            self.links,
+            self.book,
+            send_call,
+            self.budget,
+            self.observers.is_leaving,
+        )
         self.chats = Chats(
             self.slots,
             self.runners,
             self._find_open_runner,
             self.observers.note_refusal,
-            lambda request_class, pool: True,
+            self.budget.take,
             self._note_decision,
         )
         self.entry = enter(Entry(self.settings, self.chats, self._make_doors()))
@@ -138,7 +152,9 @@
             gevent.sleep(DRAIN_POLL_S)
 
     def _has_drained(self) -> bool:
-        idle = not self.entry.admission.in_flight and not self.book.count_usable()
+        idle = not (
+            self.entry.admission.in_flight or self.services.in_flight or self.book.count_usable()
+        )
         return self.refusing and idle
 
     def _make_doors(self) -> Doors:
@@ -149,7 +165,7 @@
             find_class=lambda name: self.facts.find(RequestClass, name),
             find_pool=self.facts.find_pool,
             list_pools=lambda: self.facts.list(Pool),
-            check_limits=lambda customer, request_class: None,
+            check_limits=self._check_limits,
             issue_receipt=lambda customer: self.book.issue(customer.name),
             call_service=self._call_service,
             note_end=self._note_chat_end,
@@ -205,15 +221,23 @@
     def _find_customer(self, key: str) -> Customer | None:
         return self.facts.find_customer(hashlib.sha256(key.encode()).hexdigest())
 
+    def _find_policy(self) -> Policy:
+        return self.facts.find(Policy, "default") or Policy()
+
+    def _check_limits(self, customer: Customer, request_class: RequestClass) -> None:
+        self.limits.take_class(request_class)
+        self.limits.take(customer)
+
     def _call_service(
         self, customer: Customer, service: str, operation: str, body: bytes, receipt: str | None
     ) -> ServiceAnswer:
-        raise NotImplementedError
+        return self.services.call(customer.name, service, operation, body, receipt)
 
     def _note_decision(self, **fields) -> None:
         log.info("decision", **fields)
         if fields["decision"] == "route":
             self.metrics.observe_queue_wait(fields["request_class"], fields["waited_ms"] / 1000)
+            self.budget.note_request(fields["request_class"], fields["pool"])
         if fields["decision"] == "retry":
             self.metrics.count_retry(fields["request_class"])
 
@@ -224,6 +248,7 @@
         code = error.code if isinstance(error, BalsamtallyError) else 0
         on_time = 0 <= progress.first_token_s * 1000 <= chat.request_class.first_token_ms
         self.metrics.count_request(name, code)
+        self.limits.charge(chat.customer, "tokens_per_s", progress.tokens)
         if error is not None:
             self.metrics.count_tokens(name, 0, progress.tokens)
         elif progress.tokens:
