Refuse a chat of a customer without classes, and write the tickets' rules down

Cause: a customer's ticket may list no class; its chats then gave 9000 with the outcome unknown. Ruled out: making an empty list a fault of the ticket: customers who only call plain services have no class, and published tickets would be refused anew. Change: without a class the request is refused as 1005.

--- a/balsamtally/entry.py
+++ b/balsamtally/entry.py
@@ -268,7 +268,7 @@
         return collect_answer(chat, chunks)
 
     def _find_class(self, customer: Customer) -> RequestClass:
-        name = read_header(CLASS_HEADER) or customer.classes[0]
+        name = read_header(CLASS_HEADER) or next(iter(customer.classes), "")
         request_class = self.doors.find_class(name) if name in customer.classes else None
         if request_class is None:
             raise UnknownClass(f"request class {name!r} is unknown or not open to this customer")
--- a/tests/balsamtally/test_entry_fuzz.py
+++ b/tests/balsamtally/test_entry_fuzz.py
@@ -1,6 +1,7 @@
 """Hostile, slow and vanishing callers against a real daemon."""
 
 import contextlib
+import hashlib
 import json
 import re
 import socket
@@ -12,8 +13,10 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from balsamtally.errors import ERRORS, BalsamtallyError, BodyTooLarge
+from balsamtally.contracts import Customer
+from balsamtally.errors import ERRORS, BalsamtallyError, BodyTooLarge, UnknownClass
 from balsamtally.settings import split_address
+from balsamtally.tickets import FORMAT, Ticket
 from standins.fleet import Fleet
 
 KEY = "example-key-of-buggy-cabo"
@@ -110,8 +113,8 @@
     return received
 
 
-def post_chat(vm, body, **options):
-    headers = {"Authorization": f"Bearer {KEY}", "Content-Type": "application/json"}
+def post_chat(vm, body, key=KEY, **options):
+    headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
     url = f"http://{vm.caller}/v1/chat/completions"
     options.setdefault("timeout", READ_TIMEOUT_S)
     return urllib3.request("POST", url, body=body, headers=headers, retries=False, **options)
@@ -177,6 +180,17 @@
         check_numbered_error(status, rest[:length])
 
 
+@pytest.mark.parametrize("classes", [(), ("dangling",)])
+def test_customer_without_a_class_gets_a_numbered_error(fleet, vm, classes):
+    key = "key-of-" + "-".join(("nobody", *classes))
+    customer = Customer(key, (hashlib.sha256(key.encode()).hexdigest(),), classes)
+    fleet.publish(Ticket(FORMAT, 90 + len(classes), "ana", (customer,)))
+    wait_until(lambda: key.encode() in vm.read("/state"))
+    answer = post_chat(vm, json.dumps(CHAT).encode(), key=key)
+    check_numbered_error(answer.status, answer.data)
+    assert answer.json()["error"]["code"] == UnknownClass.code
+
+
 def test_work_of_vanished_callers_is_cancelled(fleet, vm):
     [runner] = fleet.runners.values()
     body = json.dumps(CHAT | {"stream": True, "max_tokens": 5000}).encode()
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -20,6 +20,8 @@
 from balsamtally.errors import list_errors
 from balsamtally.machines import BackendServer
 from balsamtally.metrics import Metrics
+from balsamtally.porcelain import TEMPLATES
+from balsamtally.rules import check_object
 from balsamtally.settings import RANGES, list_settings
 from balsamtally.tickets import Removed, Ticket
 from balsamtally.zones import FailureDomain, RegionLink
@@ -91,6 +93,29 @@
     }
 
 
+def test_tickets_page_has_every_range():
+    text = read_page("TICKETS.md").partition("## Rules")[2]
+    shown = {row[0].strip("`"): row[1:] for row in read_rows(text) if row[0][0] == "`"}
+    numbers = set()
+    for kind, template in TEMPLATES.items():
+        for field in msgspec.structs.fields(template):
+            if field.type not in (int, float):
+                continue
+            numbers.add(f"{kind}.{field.name}")
+            low, high = shown[f"{kind}.{field.name}"]
+            least = float(low.removeprefix("more than "))
+            assert has_fault(template, field.name, least) == low.startswith("more than")
+            assert not has_fault(template, field.name, float(high))
+            assert has_fault(template, field.name, least - 0.001)
+            assert has_fault(template, field.name, float(high) + 0.001)
+    assert shown.keys() == numbers
+
+
+def has_fault(template, field, value):
+    changed = msgspec.structs.replace(template, **{field: value})
+    return any(place == f".{field}" for place, _ in check_object(changed))
+
+
 def test_operators_page_has_every_alarm():
     found = set()
     for path in (ROOT / "balsamtally").glob("*.py"):
