Prefer a runner that seems to hold the prompt's prefix, among equals

Cause: engines cache prompt prefixes, but tell of it late and with gaps. The pick takes the warmest of the free runners that meet the target and are at most a quarter of a runner's speed busier than the best. Ruled out: waiting for a warm runner, since it costs targets; a score that adds load and hint, since then a long prefix could outweigh any load.

--- a/balsamtally/load.py
+++ b/balsamtally/load.py
@@ -2,11 +2,12 @@
 
 import math
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 import msgspec
 
+from balsamtally.affinity import AFFINITY_MARGIN
 from balsamtally.health import RunnerHealth, count_ejectable, update_speeds
 from balsamtally.logs import log
 from balsamtally.messages import Ask, Release
@@ -227,11 +228,12 @@
         runner.others = max(0, runner.others - 1)
         self._refresh_runner(name, runner, now)
 
-    def pick(self, ask: Ask, slack_s: float) -> Pick | None:
+    def pick(self, ask: Ask, slack_s: float, hints: Mapping[str, float]) -> Pick | None:
         """Choose a runner with a free slot.
 
         :param ask: the request
         :param slack_s: time left for its first token, in seconds
+        :param hints: part of the prompt's prefix that a runner seems to hold, by name
         :return: the choice, or ``None`` if no free runner may serve it
         """
         allowed = [runner for name, runner in self.free.items() if name not in ask.excluded]
@@ -239,12 +241,25 @@
             allowed = list(self.free.values())
         if not allowed:
             return None
-        best = min(
-            allowed,
-            key=lambda runner: (runner.health.first_token_s > slack_s, runner.score),
-        )
+        in_time = [runner for runner in allowed if runner.health.first_token_s <= slack_s]
+        best = min(in_time or allowed, key=lambda runner: runner.score)
+        warm = self._find_warmest(hints, in_time, best)
+        if warm is not None:
+            return Pick(warm.view.name, len(allowed), "prefix")
         return Pick(best.view.name, len(allowed), "least_loaded")
 
+    def _find_warmest(
+        self, hints: Mapping[str, float], in_time: list[RunnerLoad], best: RunnerLoad
+    ) -> RunnerLoad | None:
+        if not hints:
+            return None
+        near = [
+            runner
+            for runner in in_time
+            if runner.view.name in hints and runner.score <= best.score + AFFINITY_MARGIN
+        ]
+        return max(near, key=lambda runner: hints[runner.view.name], default=None)
+
     def _eject(self, runner: RunnerLoad, reason: str, now: float) -> None:
         present = [other for other in self.runners.values() if not other.view.leaving]
         ejected = sum(1 for other in present if other.health.probing and other is not runner)
--- a/balsamtally/queues.py
+++ b/balsamtally/queues.py
@@ -9,6 +9,7 @@
 
 from cachetools import TTLCache
 
+from balsamtally.affinity import PrefixHints
 from balsamtally.contracts import Customer, Policy, RequestClass
 from balsamtally.errors import (
     CapacityError,
@@ -93,6 +94,7 @@
         self.learning_until = clock() + GRANT_LEASE_S
         self.settled_at = clock()
         self.lengths = LengthBook()
+        self.hints = PrefixHints(clock)
 
     # Events
 
@@ -380,7 +382,8 @@
         return False
 
     def _place(self, waiting: Waiting, owed: bool, now: float) -> bool:
-        pick = self.loads.pick(waiting.ask, waiting.target - now)
+        hints = self.hints.match(waiting.ask.prefix)
+        pick = self.loads.pick(waiting.ask, waiting.target - now, hints)
         if pick is None:
             return False
         self._dequeue(waiting)
@@ -413,6 +416,7 @@
             and ask.preemptions < self.find_policy().max_preemptions
         )
         self.grants.add(held, preemptible)
+        self.hints.note_grant(pick.runner, ask.prefix)
         self._count_slot(held, 1, now)
         self._log_grant(held, now)
         self.send_grant(waiting.sender, message)
--- a/tests/balsamtally/test_health.py
+++ b/tests/balsamtally/test_health.py
@@ -66,8 +66,8 @@
     for name in "ab":
         for _ in range(7):
             loads.count_slot(name, 1, 100.0)
-    assert loads.pick(ASK, slack_s=1.0).runner in "ab"
-    assert loads.pick(ASK, slack_s=5.0).runner == "c"
+    assert loads.pick(ASK, slack_s=1.0, hints={}).runner in "ab"
+    assert loads.pick(ASK, slack_s=5.0, hints={}).runner == "c"
 
 
 def test_stuck_runner_that_reports_zero_is_ejected():
--- a/tests/balsamtally/test_queues.py
+++ b/tests/balsamtally/test_queues.py
@@ -472,6 +472,13 @@
         world.queue.set_runners([RunnerView("a", 4, running=running, report_age_s=age_s)])
         assert runner.others == others
     assert runner.count_free(world.now, learning=False) == 2
+    world.pass_time(1.0)
+    for grant in held[1:]:
+        world.queue.release("vm1", Release(grant, "m"))
+    world.pass_time(1.0)
+    world.queue.set_runners([RunnerView("a", 4, running=2, report_age_s=0.0)])
+    assert runner.others == 0
+    assert world.queue.lengths.samples == 0
 
 
 def test_request_waits_for_a_runner_that_has_not_failed_it():
