--- a/balsamtally/limits.py
+++ b/balsamtally/limits.py
@@ -83,6 +83,7 @@
     :ivar waiting: cost of the requests that wait for tokens
     :ivar asking: set at the end of the ask that is in flight, if there is one
     :ivar asked_at: clock of the last ask
+    :ivar credited_at: clock at which the fixed share last began with a request
     :ivar is_short: whether the last ask was not granted in full
     :ivar alone_since: clock of the last part of the fixed share, ``None`` while coordinated
     """
@@ -95,12 +96,16 @@
         self.asked_at = -math.inf
         self.is_short = False
         self.used_at = now
+        self.credited_at = -math.inf
         self.alone_since: float | None = None
 
 
 class Bucket:
     """The tokens of one limit that this VM hands out as a coordinator.
 
+    It begins with the domain's fixed share, so that the first requests of a customer pass. A new
+    coordinator thus adds at most ``BUCKET_S`` of the limit.
+
     :ivar tokens: tokens left
     :ivar filled_at: clock of the last filling
     :ivar demands: rate that each entry VM asked for, and when
@@ -315,9 +320,18 @@
             return
         if stock.alone_since is None:
             log.info("limit_on_fixed_share", limit=key)
-            stock.alone_since = self._clock() - BUCKET_S
+            self._begin_alone(stock)
         self._add_fixed_share(key, stock)
 
+    def _begin_alone(self, stock: Stock) -> None:
+        """Begin the fixed share with one request, but not at each loss of one message."""
+        now = self._clock()
+        stock.alone_since = now
+        if now - stock.credited_at >= IDLE_S:
+            stock.credited_at = now
+            stock.alone_since = now - BUCKET_S
+            stock.tokens = min(1.0, stock.tokens + 1.0)
+
     def _add_fixed_share(self, key: str, stock: Stock) -> None:
         now = self._clock()
         rate = self._find_limit(key) / max(1, sum(self._members.count_known().values()))
--- a/balsamtally/load.py
+++ b/balsamtally/load.py
@@ -2,16 +2,18 @@
 
 import math
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 import msgspec
 
+from balsamtally.affinity import AFFINITY_MARGIN
 from balsamtally.health import RunnerHealth, count_ejectable, update_speeds
 from balsamtally.logs import log
 from balsamtally.messages import Ask, Release
 
 REPORT_SPREAD_S = 0.1
+REPORT_LAG_S = 2.0
 HISTORY_S = 10.0
 FRESH_REPORT_S = 3.0
 REFRESH_S = 0.25
@@ -70,7 +72,8 @@
         """Take in what is told of the runner.
 
         The report is compared with the slots that were in use when it was made, so that a
-        late report neither hides nor doubles the grants made since.
+        late report neither hides nor doubles the grants made since. The age that is told
+        may lack up to REPORT_LAG_S of the engine's own lag.
         """
         self.view = view
         if view.running < 0 or view.report_age_s > HISTORY_S:
@@ -122,7 +125,7 @@
         for since, in_use in reversed(self.history):
             if since <= made_at + REPORT_SPREAD_S:
                 most = max(most, in_use)
-            if since <= made_at - REPORT_SPREAD_S:
+            if since <= made_at - REPORT_LAG_S:
                 break
         return most
 
@@ -215,11 +218,22 @@
         runner.count_slot(change, now)
         self._refresh_runner(name, runner, now)
 
-    def pick(self, ask: Ask, slack_s: float) -> Pick | None:
+    def note_adopted(self, name: str, now: float) -> None:
+        """Count a slot that is now known no longer as one that others use.
+
+        :param name: name of the runner
+        :param now: seconds of the clock
+        """
+        runner = self.runners[name]
+        runner.others = max(0, runner.others - 1)
+        self._refresh_runner(name, runner, now)
+
+    def pick(self, ask: Ask, slack_s: float, hints: Mapping[str, float]) -> Pick | None:
         """Choose a runner with a free slot.
 
         :param ask: the request
         :param slack_s: time left for its first token, in seconds
+        :param hints: part of the prompt's prefix that a runner seems to hold, by name
         :return: the choice, or ``None`` if no free runner may serve it
         """
         allowed = [runner for name, runner in self.free.items() if name not in ask.excluded]
@@ -227,12 +241,25 @@
             allowed = list(self.free.values())
         if not allowed:
             return None
-        best = min(
-            allowed,
-            key=lambda runner: (runner.health.first_token_s > slack_s, runner.score),
-        )
+        in_time = [runner for runner in allowed if runner.health.first_token_s <= slack_s]
+        best = min(in_time or allowed, key=lambda runner: runner.score)
+        warm = self._find_warmest(hints, in_time, best)
+        if warm is not None:
+            return Pick(warm.view.name, len(allowed), "prefix")
         return Pick(best.view.name, len(allowed), "least_loaded")
 
+    def _find_warmest(
+        self, hints: Mapping[str, float], in_time: list[RunnerLoad], best: RunnerLoad
+    ) -> RunnerLoad | None:
+        if not hints:
+            return None
+        near = [
+            runner
+            for runner in in_time
+            if runner.view.name in hints and runner.score <= best.score + AFFINITY_MARGIN
+        ]
+        return max(near, key=lambda runner: hints[runner.view.name], default=None)
+
     def _eject(self, runner: RunnerLoad, reason: str, now: float) -> None:
         present = [other for other in self.runners.values() if not other.view.leaving]
         ejected = sum(1 for other in present if other.health.probing and other is not runner)
--- a/balsamtally/queues.py
+++ b/balsamtally/queues.py
@@ -9,6 +9,7 @@
 
 from cachetools import TTLCache
 
+from balsamtally.affinity import PrefixHints
 from balsamtally.contracts import Customer, Policy, RequestClass
 from balsamtally.errors import (
     CapacityError,
@@ -93,6 +94,7 @@
         self.learning_until = clock() + GRANT_LEASE_S
         self.settled_at = clock()
         self.lengths = LengthBook()
+        self.hints = PrefixHints(clock)
 
     # Events
 
@@ -107,8 +109,9 @@
     def submit(self, sender: str, ask: Ask) -> None:
         """Queue a request; it ends in one grant, one refusal, or its withdrawal.
 
-        The same attempt asked again gets the same answer again. A request whose answer has
-        started is never refused, since it could not be told that it was not run.
+        The same attempt asked again gets the same answer again, but for one whose grant
+        expired: its entry VM never got the grant, and it is queued again. A request whose
+        answer has started is never refused, since it could not be told that it was not run.
 
         :param sender: entry VM that asks
         :param ask: the request
@@ -157,6 +160,7 @@
             if self.find_class(held.request_class) is None:
                 held.request_class = ""
             self._count_slot(held, 1, now)
+            self.loads.note_adopted(held.runner, now)
 
     def release(self, sender: str, message: Release) -> None:
         """Take a slot back.
@@ -172,6 +176,7 @@
         if held.waiting is not None:
             self._learn(held, message, now)
         self._drop_held(held, now)
+        self._end_attempt(held)
         self.tick()
 
     def withdraw(self, sender: str, message: Withdraw) -> None:
@@ -330,7 +335,7 @@
         request = held.waiting.ask.request
         if message.failed or (message.tokens > 0 and not held.revoked):
             self.loads.observe(held.runner, request, held_s, message, now)
-        if not message.failed and not held.revoked:
+        if message.tokens > 0 and not message.failed and not held.revoked:
             self.lengths.observe(held.request_class, message.tokens, held_s)
             self.loads.mean_held_s = self.lengths.mean_held_s
 
@@ -377,7 +382,8 @@
         return False
 
     def _place(self, waiting: Waiting, owed: bool, now: float) -> bool:
-        pick = self.loads.pick(waiting.ask, waiting.target - now)
+        hints = self.hints.match(waiting.ask.prefix)
+        pick = self.loads.pick(waiting.ask, waiting.target - now, hints)
         if pick is None:
             return False
         self._dequeue(waiting)
@@ -410,6 +416,7 @@
             and ask.preemptions < self.find_policy().max_preemptions
         )
         self.grants.add(held, preemptible)
+        self.hints.note_grant(pick.runner, ask.prefix)
         self._count_slot(held, 1, now)
         self._log_grant(held, now)
         self.send_grant(waiting.sender, message)
@@ -429,6 +436,8 @@
     def _drop_held(self, held: HeldGrant, now: float) -> None:
         self.grants.drop(held)
         self._count_slot(held, -1, now)
+
+    def _end_attempt(self, held: HeldGrant) -> None:
         if held.waiting is None:
             return
         ask = held.waiting.ask
--- a/tests/balsamtally/test_limits.py
+++ b/tests/balsamtally/test_limits.py
@@ -163,3 +163,11 @@
     with pytest.raises(ClassLimited):
         for _ in range(4):
             limits.take_class(fleet.classes)
+
+
+def test_first_request_passes_at_each_vm_also_where_the_coordinator_is_out_of_reach():
+    fleet = Fleet()
+    assert [fleet.try_take(name) for name in LAYOUT] == [1] * len(LAYOUT)
+    cut_off = Fleet()
+    cut_off.network.is_cut = lambda source, target: source != target
+    assert [cut_off.try_take(name) for name in LAYOUT] == [1] * len(LAYOUT)
