--- a/balsamtally/receipts.py
+++ b/balsamtally/receipts.py
@@ -233,12 +233,13 @@
         self.leaving = True
 
     def count_usable(self) -> int:
-        """Return how many receipts may still be used for a first call."""
+        """Return how many receipts may still be used, or have their call running."""
         latest = self._monotonic() - self._lifetime_s
-        return sum(
+        unused = sum(
             entry.state is State.ISSUED and entry.issued_at > latest
             for entry in self._entries.values()
         )
+        return unused + self.running
 
     def _seal(self, receipt: Receipt) -> str:
         payload = msgspec.msgpack.encode(receipt)
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -31,6 +31,9 @@
     test: str
 
 
+EXCHANGE = "tests/balsamtally/test_exchange.py"
+FACTS = "tests/balsamtally/test_facts.py"
+MEMBERS = "tests/balsamtally/test_members.py"
 RECEIPTS = "tests/balsamtally/test_receipts.py"
 SERVICES = "tests/balsamtally/test_services.py"
 RETRIES = "tests/balsamtally/test_retries.py"
@@ -81,6 +84,36 @@
         "max(0, account.saved + passed_s",
         RETRIES,
     ),
+    Mutation("facts", "order <= (held.number, held.digest)", "False", FACTS),
+    Mutation("facts", "order <= (held.number, held.digest)", "order[0] <= held.number", FACTS),
+    Mutation("facts", 'self._flip((number, f"conflict {digest}"))', "pass", EXCHANGE),
+    Mutation("facts", "if held.uses == 0:", "if False:", FACTS),
+    Mutation("members", "self._raise_generation(state.generation)", "pass", EXCHANGE),
+    Mutation("members", "if rank_state(state) <= rank_state(record.state):", "if 0:", EXCHANGE),
+    Mutation("heartbeats", "if self._beats % REVIVAL_BEATS == 0:", "if False:", EXCHANGE),
+    Mutation("heartbeats", "if domains and self._clock()", "if False and self._clock()", EXCHANGE),
+    Mutation("heartbeats", "if not domains or not self.is_gateway():", "if True:", EXCHANGE),
+    Mutation("exchange", "return self.pull(name)", "pass", EXCHANGE),
+    Mutation("members", "return not self.is_away() and", "return", MEMBERS),
+    Mutation("members", "if now - self._ticked_at > AWAY_S:", "if False:", MEMBERS),
+    Mutation("members", "record.penalize(now)", "pass", MEMBERS),
+    Mutation("members", "now - at > LISTED_LEAVING_S", "False", MEMBERS),
+    Mutation("members", "state.leaving or listed", "state.leaving", MEMBERS),
+    Mutation("members", "and not record.damped", "", MEMBERS),
+    Mutation("heartbeats", "            self.members.confirm()", "            pass", MEMBERS),
+    Mutation(
+        "heartbeats",
+        "if self.members.wakes == wakes:\n            self.members.c",
+        "if 1:\n            self.members.c",
+        MEMBERS,
+    ),
+    Mutation(
+        "heartbeats",
+        "if self.members.wakes == wakes:\n                ",
+        "if 1:\n                ",
+        MEMBERS,
+    ),
+    Mutation("heartbeats", "min(PROBE_HELPERS, len(helpers))", "0", MEMBERS),
 )
 
 
