End a streamed answer as whole only if it is

Cause: an answer was ended as whole if a finish reason and the end marker came; text behind the finish reason and doubled chunks passed, and the finish reason reached the caller before the end marker, so that a cut between the two led to a resume of an answer that the caller had seen finished. Ruled out: sequence numbers in the chunks (the engines have none); resuming after a doubled chunk (the text delivered so far is wrong, so the caller is told of a failure). Change: AnswerCheck, used by streams.py: own id, one finish reason, nothing behind it, no more chunks with text than tokens counted; the last chunks are held back until the end marker. Conclusion: a resume after a cut is begun only where the caller has seen no finish reason.

--- a/balsamtally/streams.py
+++ b/balsamtally/streams.py
@@ -7,7 +7,8 @@
 import sseclient
 import urllib3
 
-from balsamtally.errors import BackendFailed, WrongAnswer
+from balsamtally.answers import AnswerCheck
+from balsamtally.errors import AnswerCut, BackendFailed
 from balsamtally.settings import split_address
 
 CONNECT_TIMEOUT_S = 1.0
@@ -74,6 +75,18 @@
 _decoder = msgspec.json.Decoder(Chunk)
 
 
+def accept_chunk(check: AnswerCheck, chunk: Chunk) -> None:
+    """Check the next chunk of an answer.
+
+    :param check: what was seen of the answer
+    :param chunk: the chunk
+    """
+    text = "".join(choice.delta.content or "" for choice in chunk.choices)
+    reasons = [choice.finish_reason for choice in chunk.choices if choice.finish_reason]
+    tokens = (chunk.usage or {}).get("completion_tokens")
+    check.accept(chunk.id, text, reasons[0] if reasons else None, tokens)
+
+
 class Runners:
     """Connections to the model runners, closed by context."""
 
@@ -147,24 +160,30 @@
         :return: the chunks
         :raises RunnerFailed: if the stream ended or failed before that
         :raises WrongAnswer: if a chunk belongs to another request
+        :raises BackendFailed: if chunks came twice or out of order
         """
-        finished = False
+        check = AnswerCheck(self.attempt_id)
+        last: list[Chunk] = []
         try:
             for event in sseclient.SSEClient(self._read_bytes()).events():
                 if event.data == END_OF_STREAM:
                     break
                 chunk = _decoder.decode(event.data)
-                if chunk.id != self.attempt_id:
-                    raise WrongAnswer(f"{chunk.id!r} came for {self.attempt_id!r}")
-                finished = finished or any(choice.finish_reason for choice in chunk.choices)
+                accept_chunk(check, chunk)
+                if check.finish_reason is not None:
+                    last.append(chunk)
+                    continue
                 yield chunk
             else:
                 raise RunnerFailed("the stream ended before its end")
         except _FAILURES as error:
             raise RunnerFailed(f"{type(error).__name__}: {error}") from error
-        if not finished:
-            raise RunnerFailed("the stream has no finish reason")
+        try:
+            check.end()
+        except AnswerCut as error:
+            raise RunnerFailed(str(error)) from error
         self.whole = self._has_ended()
+        yield from last
 
     def _has_ended(self) -> bool:
         """Return whether nothing follows the end marker, so that the connection is clean."""
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -36,6 +36,7 @@
 MEMBERS = "tests/balsamtally/test_members.py"
 RECEIPTS = "tests/balsamtally/test_receipts.py"
 SERVICES = "tests/balsamtally/test_services.py"
+ANSWERS = "tests/balsamtally/test_answers.py"
 RETRIES = "tests/balsamtally/test_retries.py"
 
 MUTATIONS = (
@@ -77,6 +78,10 @@
     Mutation("services", "raise WrongAnswer()", "pass", SERVICES),
     Mutation("services", "response.length_remaining is None", "False", SERVICES),
     Mutation("services", "receipt_text is None or", "True or", SERVICES),
+    Mutation("answers", "if chunk_id != self.attempt_id:", "if False:", ANSWERS),
+    Mutation("answers", "self.finish_reason is not None and (text", "False and (text", ANSWERS),
+    Mutation("answers", "completion_tokens < self.chunks", "False", ANSWERS),
+    Mutation("answers", "if self.finish_reason is None:", "if False:", ANSWERS),
     Mutation("retries", "if account.saved < 1.0:", "if False:", RETRIES),
     Mutation(
         "retries",
