--- a/balsamtally/limits.py
+++ b/balsamtally/limits.py
@@ -79,6 +79,7 @@
     :ivar tokens: tokens held, negative where costs were charged afterwards
     :ivar demand: cost that callers ask for
     :ivar asked_at: clock of the last ask
+    :ivar was_short: whether that brought less than was wanted
     :ivar alone_since: clock of the last part of the fixed share, ``None`` while coordinated
     """
 
@@ -86,6 +87,7 @@
         self.tokens = 0.0
         self.demand = Rate(now)
         self.asked_at = -math.inf
+        self.was_short = False
         self.used_at = now
         self.alone_since: float | None = None
 
@@ -214,7 +216,8 @@
         stock.demand.add(cost, now)
         if stock.alone_since is not None and now - stock.alone_since >= ASK_GAP_S:
             self._add_fixed_share(key, stock)
-        if not _has_tokens(stock, cost) and now - stock.asked_at >= ASK_GAP_S:
+        may_ask = not stock.was_short or now - stock.asked_at >= ASK_GAP_S
+        if not _has_tokens(stock, cost) and may_ask:
             self._ask(find_shard(key), [key], cost or MIN_STOCK)
         if not _has_tokens(stock, cost):
             raise error(text, self._estimate_wait(key, stock, cost))
@@ -270,6 +273,7 @@
                 tokens = ()
         for place, key in enumerate(keys):
             granted = tokens[place] if len(tokens) == len(keys) else -1.0
+            self._stocks[key].was_short = granted < demands[place].want
             self._add_tokens(key, granted)
 
     def _add_tokens(self, key: str, granted: float) -> None:
--- a/balsamtally/services.py
+++ b/balsamtally/services.py
@@ -151,7 +151,8 @@
             return self._call_idempotent(call, known)
         except BalsamtallyError as error:
             log.info(
-                "service_call_failed",
+                "decision",
+                decision="service_end",
                 request=call.request,
                 code=error.code,
                 outcome=error.outcome.value,
@@ -201,7 +202,14 @@
     def _forward(self, call: Call, receipt: Receipt, receipt_text: str) -> ServiceAnswer:
         """Forward a call to the issuer of its receipt, the only process that may run it."""
         message = CallService(receipt_text, call.customer, call.service, call.operation, call.body)
-        log.info("service_forward", request=call.request, issuer=receipt.vm, number=receipt.number)
+        log.info(
+            "decision",
+            decision="service_forward",
+            request=call.request,
+            issuer=receipt.vm,
+            number=receipt.number,
+            reason="only the issuer of its receipt may run it",
+        )
         timeout_s = self._find_timeout(call) + FORWARD_MARGIN_S
         for attempt in range(FORWARD_ATTEMPTS):
             if attempt:
@@ -294,7 +302,8 @@
                 continue
             attempt += 1
             log.info(
-                "service_route",
+                "decision",
+                decision="service_route",
                 request=call.request,
                 attempt=attempt,
                 runner=name,
