--- a/standins/engine.py
+++ b/standins/engine.py
@@ -41,6 +41,7 @@
     :ivar duplicate_answer: whether a streamed answer is sent twice
     :ivar late_s: delay of each answer's beginning, in seconds
     :ivar cut_after_tokens: tokens of an answer after which its connection is closed
+    :ivar cut_answers: how many answers are cut so, ``None`` for all
     :ivar error: whether requests are answered with status 500
     """
 
@@ -51,6 +52,7 @@
     duplicate_answer: bool = False
     late_s: float = 0.0
     cut_after_tokens: int | None = None
+    cut_answers: int | None = None
     error: bool = False
 
 
@@ -66,6 +68,7 @@
     :ivar output: tokens for the caller, ``None`` at the end
     :ivar cancelled: whether the caller left
     :ivar ready_at: time at which the prompt is prefilled
+    :ivar cut_after_tokens: tokens after which a fault cuts the answer, ``None`` for never
     """
 
     def __init__(self, request: str, prompt: str, held: str, max_tokens: int | None):
@@ -79,6 +82,7 @@
         self.output = SimpleQueue()
         self.cancelled = False
         self.ready_at = 0.0
+        self.cut_after_tokens: int | None = None
 
     def cancel(self) -> None:
         """Stop the job: its caller left."""
@@ -143,6 +147,7 @@
         self.cache = cache
         self.fault = Fault()
         self.fault_tokens = 0
+        self.fault_cuts = 0
         self.running: list[Job] = []
         self.waiting: list[tuple[int, int, Job]] = []
         self.arrivals = count()
@@ -165,8 +170,17 @@
         """Change how the engine misbehaves."""
         self.fault = fault
         self.fault_tokens = 0
+        self.fault_cuts = 0
         self.awake.set()
 
+    def take_cut(self) -> int | None:
+        """Return the tokens after which an answer that begins now is cut, ``None`` for never."""
+        cuts = self.fault.cut_answers
+        if self.fault.cut_after_tokens is None or cuts is not None and self.fault_cuts >= cuts:
+            return None
+        self.fault_cuts += 1
+        return self.fault.cut_after_tokens
+
     def run(self) -> None:
         """Generate tokens, one for each running job a step, for ever."""
         while True:
--- a/standins/service.py
+++ b/standins/service.py
@@ -58,7 +58,8 @@
         if self.leaving or self.fault.refuse:
             code = "leaving" if self.leaving else "refused"
             return answer({"error": {"code": code}}, 503)
-        call = request.get_header("Idempotency-Key") or request.get_header("X-Request-Id", "")
+        request_id = request.get_header("X-Request-Id", "")
+        call = request.get_header("Idempotency-Key", request_id)
         content = request.body.read()
         self.running += 1
         try:
@@ -71,7 +72,7 @@
         finally:
             self.running -= 1
         body = service_answer(operation, content)
-        headers = {"Content-Type": "application/json", "X-Request-Id": call}
+        headers = {"Content-Type": "application/json", "X-Request-Id": request_id}
         return bottle.HTTPResponse(body, 200, headers)
 
     def drain(self) -> None:
