--- a/balsamtally/node.py
+++ b/balsamtally/node.py
@@ -86,6 +86,7 @@
         self.dissemination = enter(
             Dissemination(self.settings, self.facts, self.members, self.configuration, self.links)
         )
+        self.limits = enter(Limits(self.facts, self.members, self.links))
         self.runners = enter(Runners())
         self.observers = enter(Observers(self.runners, self._list_runners))
         self.coordinator = enter(Coordinator(self.links, self.facts, self.observers.list_views))
@@ -283,6 +284,10 @@
             reports.append(describe_runner(server, make_view(server, observed, now)))
         return reports
 
+    def _check_limits(self, customer: Customer, request_class: RequestClass) -> None:
+        self.limits.take(customer)
+        self.limits.take_class(request_class)
+
     def _list_queues(self) -> list[QueuedRequests]:
         return [
             QueuedRequests(pool, name, count)
