--- a/standins/service.py
+++ b/standins/service.py
@@ -60,7 +60,8 @@
             refusal = answer({"error": {"code": code}}, 503)
             refusal.set_header("X-Request-Id", request.get_header("X-Request-Id", ""))
             return refusal
-        call = request.get_header("Idempotency-Key") or request.get_header("X-Request-Id", "")
+        request_id = request.get_header("X-Request-Id", "")
+        call = request.get_header("Idempotency-Key") or request_id
         content = request.body.read()
         self.running += 1
         try:
@@ -73,10 +74,7 @@
         finally:
             self.running -= 1
         body = service_answer(operation, content)
-        headers = {
-            "Content-Type": "application/json",
-            "X-Request-Id": request.get_header("X-Request-Id", call),
-        }
+        headers = {"Content-Type": "application/json", "X-Request-Id": request_id}
         return bottle.HTTPResponse(body, 200, headers)
 
     def drain(self) -> None:
