Tell a caller that left with a number, and count it so

The metrics counted each vanished caller, and any unnumbered fault, as a whole answer (code 0). Ruled out: changing the test, which had found it; taking a half-closed caller for a live one (it can't be told from a vanished one). Change: code 3008 CallerLeft (499, unknown); node.find_result_code gives 0 to whole answers only, 3008 to callers that left, 9000 to unnumbered faults. Seen failing: vanished callers counted as 0, waiting or streaming.

--- a/balsamtally/entry.py
+++ b/balsamtally/entry.py
@@ -21,6 +21,7 @@
     AnswerCut,
     BalsamtallyError,
     BodyTooLarge,
+    CallerLeft,
     GraceEnded,
     Leaving,
     MalformedBody,
@@ -163,7 +164,7 @@
             try:
                 return self._admit(request_id, serve, path)
             except CallerVanished:
-                return b""
+                return render_error(CallerLeft(), request_id)
             except BalsamtallyError as error:
                 return render_error(error, request_id)
             except OSError as error:
--- a/balsamtally/errors.py
+++ b/balsamtally/errors.py
@@ -343,6 +343,14 @@
     default = "no model runner answered"
 
 
+class CallerLeft(ResultError):
+    """The caller closed its connection, or its side of it, before the answer."""
+
+    code = 3008
+    status = 499
+    default = "the caller closed its side of the connection; its work was cancelled"
+
+
 class OperatorError(BalsamtallyError):
     """Something that an operator wrote isn't valid."""
 
--- a/balsamtally/node.py
+++ b/balsamtally/node.py
@@ -25,7 +25,7 @@
 from balsamtally.decisions import Decisions
 from balsamtally.dissemination import Dissemination
 from balsamtally.entry import Doors, Entry
-from balsamtally.errors import BalsamtallyError, Outcome
+from balsamtally.errors import BalsamtallyError, CallerLeft, Outcome
 from balsamtally.facts import Facts
 from balsamtally.links import Links
 from balsamtally.logs import log, set_up_logs
@@ -38,7 +38,7 @@
 from balsamtally.receipts import ReceiptBook
 from balsamtally.rendezvous import rank_members
 from balsamtally.settings import Settings, split_address
-from balsamtally.slots import Slots
+from balsamtally.slots import CallerVanished, Slots
 from balsamtally.streams import Runners
 
 DRAIN_POLL_S = 0.1
@@ -51,6 +51,19 @@
     return f"{time.time_ns():x}-{secrets.token_hex(4)}"
 
 
+def find_result_code(error: BaseException | None) -> int:
+    """Return the numbered result code of a finished request.
+
+    :param error: what ended it, ``None`` after a whole answer
+    :return: the code, 0 for a whole answer
+    """
+    if error is None:
+        return 0
+    if isinstance(error, (CallerVanished, GeneratorExit)):
+        return CallerLeft.code
+    return error.code if isinstance(error, BalsamtallyError) else BalsamtallyError.code
+
+
 class Node:
     """The parts of one entry VM's daemon, closed by context.
 
@@ -221,7 +234,7 @@
         self, chat: ChatRequest, progress: Progress, error: BaseException | None
     ) -> None:
         name = chat.request_class.name
-        code = error.code if isinstance(error, BalsamtallyError) else 0
+        code = find_result_code(error)
         on_time = 0 <= progress.first_token_s * 1000 <= chat.request_class.first_token_ms
         self.metrics.count_request(name, code)
         if error is not None:
--- a/tests/balsamtally/test_entry_fuzz.py
+++ b/tests/balsamtally/test_entry_fuzz.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from balsamtally.contracts import Customer
-from balsamtally.errors import ERRORS, BalsamtallyError, BodyTooLarge, UnknownClass
+from balsamtally.errors import ERRORS, BalsamtallyError, BodyTooLarge, CallerLeft, UnknownClass
 from balsamtally.settings import split_address
 from balsamtally.tickets import FORMAT, Ticket
 from standins.fleet import Fleet
@@ -135,7 +135,15 @@
 
 
 def count_in_flight(vm):
-    counts = re.findall(rb"balsamtally_in_flight{[^}]*} (\d+)", vm.read("/metrics"))
+    return sum_metric(vm, rb"in_flight{[^}]*}")
+
+
+def count_ended(vm, code):
+    return sum_metric(vm, rb'requests_total{[^}]*code="%d"}' % code)
+
+
+def sum_metric(vm, labels):
+    counts = re.findall(rb"balsamtally_" + labels + rb" (\d+)", vm.read("/metrics"))
     return sum(int(count) for count in counts)
 
 
@@ -194,6 +202,7 @@
 def test_work_of_vanished_callers_is_cancelled(fleet, vm):
     [runner] = fleet.runners.values()
     body = json.dumps(CHAT | {"stream": True, "max_tokens": 5000}).encode()
+    ended_whole, ended_left = count_ended(vm, 0), count_ended(vm, CallerLeft.code)
     answers = [post_chat(vm, body, preload_content=False) for _ in range(runner.server.slots)]
     waiting = [connect(vm) for _ in range(VANISHING_CALLERS - len(answers))]
     head = f"POST /v1/chat/completions HTTP/1.1\r\nAuthorization: Bearer {KEY}\r\n"
@@ -207,6 +216,8 @@
         answer.close()
     wait_until(lambda: count_in_flight(vm) == 0)
     wait_until(lambda: runner.counts()["running"] == runner.counts()["waiting"] == 0)
+    assert count_ended(vm, CallerLeft.code) == ended_left + VANISHING_CALLERS
+    assert count_ended(vm, 0) == ended_whole
 
 
 def test_slow_readers_hold_up_nobody(vm):
