--- a/balsamtally/entry.py
+++ b/balsamtally/entry.py
@@ -21,6 +21,7 @@
     AnswerCut,
     BalsamtallyError,
     BodyTooLarge,
+    CallerLeft,
     GraceEnded,
     Leaving,
     MalformedBody,
@@ -166,9 +167,7 @@
             try:
                 return self._admit(request_id, serve, path)
             except CallerVanished:
-                with contextlib.suppress(OSError):
-                    bottle.request.environ["balsamtally.socket"].shutdown(socket.SHUT_RDWR)
-                return b""
+                return render_error(CallerLeft(), request_id)
             except BalsamtallyError as error:
                 return render_error(self._qualify(serve, error), request_id)
             except OSError as error:
