--- a/balsamtally/load.py
+++ b/balsamtally/load.py
@@ -205,6 +205,13 @@
         elif runner.health.observe_failure(request, now):
             self._eject(runner, "failures", now)
 
+    def count_all_free(self, now: float) -> int:
+        """Return how many slots may be granted now, over all runners.
+
+        :param now: seconds of the clock
+        """
+        return sum(runner.count_free(now, self.learning) for runner in self.free.values())
+
     def count_slot(self, name: str, change: int, now: float) -> None:
         """Count a slot as in use, or as free again.
 
--- a/balsamtally/spill.py
+++ b/balsamtally/spill.py
@@ -8,6 +8,7 @@
 
 from balsamtally.contracts import Customer, Policy, RequestClass
 from balsamtally.logs import log
+from balsamtally.queues import PoolQueue
 from balsamtally.zones import FailureDomain, RegionLink
 
 MAX_VIEW_AGE_S = 5.0
@@ -35,6 +36,22 @@
     age_s: float = 0.0
 
 
+def view_queue(domain: str, queue: PoolQueue, tier: int) -> PoolView:
+    """Return what the coordinator of a pool knows, for a request of a tier.
+
+    :param domain: name of its failure domain
+    :param queue: the queue
+    :param tier: priority tier of the request
+    """
+    ahead = sum(len(line) for line in queue.lines.values() if line.request_class.tier <= tier)
+    free = queue.loads.count_all_free(queue.clock())
+    wait_s = 0.0
+    preempts = tier == 0 and len(queue.grants.preemptible) > ahead
+    if ahead >= free and not preempts:
+        wait_s = queue.lengths.estimate_wait_s(ahead - free, queue.loads.slots)
+    return PoolView(domain, wait_s, queue.loads.first_token_s, max(0, free - ahead))
+
+
 class SpillRequest(msgspec.Struct, frozen=True):
     """A request that may be served in another failure domain.
 
--- a/tests/balsamtally/test_spill.py
+++ b/tests/balsamtally/test_spill.py
@@ -4,7 +4,16 @@
 import structlog
 
 from balsamtally.contracts import Customer, Policy, RequestClass
-from balsamtally.spill import BUDGET_BURST_S, PoolView, RegionBytes, Spiller, SpillRequest
+from balsamtally.messages import Ask
+from balsamtally.queues import PoolQueue, RunnerView
+from balsamtally.spill import (
+    BUDGET_BURST_S,
+    PoolView,
+    RegionBytes,
+    Spiller,
+    SpillRequest,
+    view_queue,
+)
 from balsamtally.zones import FailureDomain, RegionLink
 
 HOME = FailureDomain("rocha-a", "uy-east")
@@ -84,3 +93,21 @@
     assert world.choose(view(FAR)) is FAR
     world.now += 1000.0
     assert world.choose(view(FAR), size=25_000 * BUDGET_BURST_S + 1) is None
+
+
+def test_view_of_a_queue_counts_what_goes_before_and_what_may_be_preempted():
+    classes = {"live": LIVE, "batch": RequestClass("batch", 3, 60000.0, preemptible=True)}
+    now = [0.0]
+    ignore = lambda *_: None  # noqa: E731
+    queue = PoolQueue("m", classes.get, ignore, ignore, ignore, ignore, lambda: now[0])
+    queue.set_runners([RunnerView("a", 4, running=0, report_age_s=0.0)])
+    queue.lengths.observe("live", 100, 4.0)
+    assert view_queue("rocha-a", queue, 0).free_slots == 4
+    for number in range(3):
+        queue.submit("vm", Ask(f"batch{number}", 1, "m", "dunes", "batch"))
+    queue.submit("vm", Ask("live0", 1, "m", "dunes", "live"))
+    assert view_queue("rocha-a", queue, 0) == PoolView("rocha-a", 0.0, 0.0, 0)
+    assert view_queue("rocha-a", queue, 3).wait_s == pytest.approx(1.0)
+    for number in range(1, 5):
+        queue.submit("vm", Ask(f"live{number}", 1, "m", "dunes", "live"))
+    assert view_queue("rocha-a", queue, 0).wait_s == pytest.approx(5.0)
