--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -54,7 +54,7 @@
         "receipts", "error: BalsamtallyError = OutcomeUnknown()", "error = Leaving()", RECEIPTS
     ),
     Mutation("receipts", "while self._kept_bytes > ", "while False and ", RECEIPTS),
-    Mutation("receipts", "entry.state = State.VOID\n        else", "pass\n        else", SERVICES),
+    Mutation("receipts", "entry.state = State.VOID\n        else", "pass\n        else", RECEIPTS),
     Mutation(
         "services",
         "except BalsamtallyError as error:\n                raise OutcomeUnknown(str(error))",
