--- a/balsamtally/chats.py
+++ b/balsamtally/chats.py
@@ -123,6 +123,7 @@
         """
         while True:
             progress.attempts += 1
+            tokens_before = progress.tokens
             held = self._acquire(chat, progress, has_vanished)
             try:
                 yield from self._attempt(chat, progress, held, has_vanished)
@@ -132,7 +133,8 @@
                 log.info("preempted", request=chat.request, tokens=progress.tokens)
             except (RunnerRefused, RunnerFailed, WrongAnswer) as failure:
                 progress.excluded.append(held.grant.runner)
-                self._check_retry(chat, progress, failure)
+                has_advanced = progress.tokens > tokens_before
+                self._check_retry(chat, progress, failure, has_advanced)
 
     def _acquire(self, chat: ChatRequest, progress: Progress, has_vanished) -> HeldGrant:
         text = msgspec.json.encode(chat.body["messages"])
@@ -235,10 +237,16 @@
                 raise Preempted from failure
             raise
 
-    def _check_retry(self, chat: ChatRequest, progress: Progress, failure: Exception) -> None:
-        """Return if another attempt is allowed, else raise what the caller is told."""
-        allowed = progress.attempts < MAX_ATTEMPTS and self.take_retry(
-            chat.request_class.name, chat.pool.name
+    def _check_retry(
+        self, chat: ChatRequest, progress: Progress, failure: Exception, has_advanced: bool
+    ) -> None:
+        """Return if another attempt is allowed, else raise what the caller is told.
+
+        An attempt that delivered tokens is resumed outside the retry budget: no token is
+        generated twice, so the load hardly grows.
+        """
+        allowed = progress.attempts < MAX_ATTEMPTS and (
+            has_advanced or self.take_retry(chat.request_class.name, chat.pool.name)
         )
         self.note_decision(
             decision="retry" if allowed else "give_up",
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -32,6 +32,7 @@
 
 
 DISSEMINATION = "tests/balsamtally/test_dissemination.py"
+ANSWERS = "tests/balsamtally/test_answers.py"
 EXCHANGE = "tests/balsamtally/test_exchange.py"
 FACTS = "tests/balsamtally/test_facts.py"
 LIMITS = "tests/balsamtally/test_limits.py"
@@ -54,6 +55,10 @@
         "receipts", "error: BalsamtallyError = OutcomeUnknown()", "error = Leaving()", RECEIPTS
     ),
     Mutation("receipts", "while self._kept_bytes > ", "while False and ", RECEIPTS),
+    Mutation("answers", "if chunk_id != self.attempt_id:", "if False:", ANSWERS),
+    Mutation("answers", "self.finish_reason is not None and (text", "False and (text", ANSWERS),
+    Mutation("answers", "completion_tokens < self.chunks", "False", ANSWERS),
+    Mutation("answers", "if self.finish_reason is None:", "if False:", ANSWERS),
     Mutation("facts", "order <= (held.number, held.digest)", "False", FACTS),
     Mutation("facts", "order <= (held.number, held.digest)", "order[0] <= held.number", FACTS),
     Mutation("facts", 'self._flip((number, f"conflict {digest}"))', "pass", EXCHANGE),
