Route asks over several coordinators and to other failure domains

Cause: a large pool had one coordinator, whose measured cost (1.06 ms for an ask and grant, both ends) bounds it to some tens of grants a second at 3.4% of a core; a pool that is full at home was never served elsewhere although spill.py could judge it. Ruled out: letting each entry VM survey the other domains (at 48 VMs, 28 pools and 6 domains about 170 queries a second for each VM); the pool's coordinator does it, only while its queue would miss a target (about 2 a second for each VM, computed). Change: routes.py, surveys.py, domains.py; coordinators tell their queue's state in reply to an ask; a VM that is no coordinator grants one VM's share; bytes between regions are counted; being over region_bytes_per_s keeps a customer's requests at home and refuses none.

--- a/balsamtally/chats.py
+++ b/balsamtally/chats.py
@@ -1,5 +1,6 @@
 """Chat requests: from the caller's body to the chunks of the whole answer."""
 
+import contextlib
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -91,6 +92,7 @@
     :param take_retry: takes one retry of a class and pool from its budget, or tells that
         none is left
     :param note_decision: called with the fields of each decision
+    :param note_traffic: called with the runner's name and the bytes exchanged in an attempt
     """
 
     def __init__(
@@ -101,6 +103,7 @@
         note_refusal: Callable[[str], None],
         take_retry: Callable[[str, str], bool],
         note_decision: Callable[..., None],
+        note_traffic: Callable[[ChatRequest, str, int], None],
     ):
         self.slots = slots
         self.runners = runners
@@ -108,6 +111,7 @@
         self.note_refusal = note_refusal
         self.take_retry = take_retry
         self.note_decision = note_decision
+        self.note_traffic = note_traffic
 
     def answer(
         self, chat: ChatRequest, progress: Progress, has_vanished: Callable[[], bool]
@@ -188,7 +192,7 @@
         first_token_s = -1.0
         failed = True
         try:
-            with self._open_stream(chat, progress, held) as stream:
+            with self._open_stream(chat, progress, held) as stream, self._count(chat, held, stream):
                 held.revoke = stream.cancel
                 for chunk in self._read_checked(stream, held):
                     if not chat.body.get("stream") and has_vanished():
@@ -226,6 +230,14 @@
         progress.touched = True
         return stream
 
+    @contextlib.contextmanager
+    def _count(self, chat: ChatRequest, held: HeldGrant, stream: RunnerStream) -> Iterator[None]:
+        """Report the bytes exchanged with the runner at the end."""
+        try:
+            yield
+        finally:
+            self.note_traffic(chat, held.grant.runner, stream.exchanged_bytes)
+
     @staticmethod
     def _read_checked(stream: RunnerStream, held: HeldGrant) -> Iterator[Chunk]:
         if held.revoked:
--- a/balsamtally/coordinator.py
+++ b/balsamtally/coordinator.py
@@ -4,17 +4,19 @@
 from collections.abc import Callable
 
 import gevent
+import msgspec
 
 from balsamtally.contracts import Customer, Policy, RequestClass
 from balsamtally.facts import Facts
 from balsamtally.links import Links
-from balsamtally.machines import BackendServer
-from balsamtally.messages import Ask, Release, Renew, Withdraw
+from balsamtally.messages import Ask, QueueQuery, QueueState, Release, Renew, TierState, Withdraw
 from balsamtally.queues import PoolQueue, RunnerView
+from balsamtally.spill import view_queue
 
 TICK_S = 0.05
 VIEWS_EVERY_S = 0.5
 IDLE_END_S = 60.0
+MEDIAN = 0.5
 
 
 class Coordinator:
@@ -22,23 +24,29 @@
 
     :param links: links to the other entry VMs
     :param facts: the state in force
-    :param list_views: gives what is known of a pool's runners
-    :param note_use: called with a pool's name when its queue is in use
+    :param domain: own failure domain
+    :param list_views: gives what is known of the runners that this VM may grant for a pool
+    :param list_others: gives the state of a pool in the other failure domains
     """
 
     def __init__(
         self,
         links: Links,
         facts: Facts,
+        domain: str,
         list_views: Callable[[str], list[RunnerView]],
+        list_others: Callable[[str], tuple[QueueState, ...]],
     ):
         self.links = links
         self.facts = facts
+        self.domain = domain
         self.list_views = list_views
+        self.list_others = list_others
         self.queues: dict[str, PoolQueue] = {}
         self._used_at: dict[str, float] = {}
         self._tasks: dict[str, gevent.Greenlet] = {}
         links.handle(Ask, self._take_ask)
+        links.handle(QueueQuery, self._take_query)
         links.handle(Release, self._take_release)
         links.handle(Renew, self._take_renew)
         links.handle(Withdraw, self._take_withdraw)
@@ -61,8 +69,49 @@
         for queue in self.queues.values():
             queue.drop_sender(vm)
 
-    def _take_ask(self, sender: str, ask: Ask) -> None:
-        self._open_queue(ask.pool).submit(sender, ask)
+    def describe_queue(self, pool: str, request_class: str = "") -> QueueState:
+        """Return the state of a pool's queue here.
+
+        :param pool: name of the model
+        :param request_class: class whose answers' length is wanted
+        """
+        queue = self._open_queue(pool)
+        tiers = sorted({known.tier for known in self.facts.list(RequestClass)})
+        views = {tier: view_queue(self.domain, queue, tier) for tier in tiers}
+        return QueueState(
+            domain=self.domain,
+            runners=len(self.list_views(pool)),
+            queued=sum(queue.count_queued().values()),
+            slots=queue.loads.slots,
+            tiers=tuple(
+                TierState(tier, view.wait_s, view.first_token_s, view.free_slots)
+                for tier, view in views.items()
+            ),
+            tokens=queue.lengths.find_quantile(request_class, MEDIAN) if request_class else 0.0,
+        )
+
+    def _take_query(self, sender: str, query: QueueQuery) -> QueueState:
+        return self.describe_queue(query.pool)
+
+    def _take_ask(self, sender: str, ask: Ask) -> QueueState:
+        """Queue a request, unless the pool has no runner here; tell how the queue stands."""
+        state = self.describe_queue(ask.pool, ask.request_class)
+        if state.runners:
+            self._open_queue(ask.pool).submit(sender, ask)
+        if state.runners and not self._would_miss(state, ask):
+            return state
+        return msgspec.structs.replace(state, others=self.list_others(ask.pool))
+
+    def _would_miss(self, state: QueueState, ask: Ask) -> bool:
+        request_class = self.facts.find(RequestClass, ask.request_class)
+        if request_class is None:
+            return False
+        slack_s = request_class.first_token_ms / 1000 - ask.waited_s
+        return any(
+            tier.wait_s + tier.first_token_s > slack_s
+            for tier in state.tiers
+            if tier.tier == request_class.tier
+        )
 
     def _take_release(self, sender: str, release: Release) -> None:
         queues = [self.queues.get(release.pool)] if release.pool else list(self.queues.values())
@@ -109,18 +158,3 @@
                 queue.tick()
         del self.queues[pool]
         del self._tasks[pool]
-
-
-def list_pool_runners(facts: Facts, pool: str, domain: str) -> list[BackendServer]:
-    """Return the model runners of a pool in a failure domain.
-
-    :param facts: the state in force
-    :param pool: name of the model
-    :param domain: name of the failure domain
-    :return: the runners, by name
-    """
-    return [
-        server
-        for server in facts.list(BackendServer)
-        if server.role == "model" and server.domain == domain and pool in server.pools
-    ]
--- a/balsamtally/limits.py
+++ b/balsamtally/limits.py
@@ -40,7 +40,6 @@
 IDLE_S = 60.0
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 60.0
-CUSTOMER_FIELDS = ("requests_per_s", "tokens_per_s", "region_bytes_per_s")
 
 
 def find_shard(key: str) -> int:
@@ -180,10 +179,9 @@
         :param cost: number of requests
         :raises CustomerLimited: if a limit of the customer is used up
         """
-        for field in CUSTOMER_FIELDS[1:]:
-            if getattr(customer, field):
-                key = f"customer/{customer.name}/{field}"
-                self._spend(key, 0.0, CustomerLimited, f"{customer.name} is over {field}")
+        if customer.tokens_per_s:
+            key = f"customer/{customer.name}/tokens_per_s"
+            self._spend(key, 0.0, CustomerLimited, f"{customer.name} is over tokens_per_s")
         if customer.requests_per_s:
             key = f"customer/{customer.name}/requests_per_s"
             self._spend(key, cost, CustomerLimited, f"{customer.name} is over requests_per_s")
@@ -203,7 +201,7 @@
         """Charge a cost that was not known before, such as generated tokens.
 
         :param customer: the customer
-        :param field: ``tokens_per_s`` or ``region_bytes_per_s``
+        :param field: name of the limit, such as ``tokens_per_s``
         :param cost: the cost
         """
         if getattr(customer, field):
--- a/balsamtally/messages.py
+++ b/balsamtally/messages.py
@@ -51,6 +51,53 @@
     generated: int = 0
 
 
+class TierState(msgspec.Struct, frozen=True, array_like=True):
+    """What a new request of one tier would meet in a queue.
+
+    :ivar tier: the priority tier
+    :ivar wait_s: expected time until it is granted a slot, in seconds
+    :ivar first_token_s: usual time from the grant to the first token, in seconds
+    :ivar free_slots: slots that are free for it
+    """
+
+    tier: int
+    wait_s: float
+    first_token_s: float
+    free_slots: int
+
+
+class QueueState(Message, frozen=True):
+    """The state of a pool's queue at one coordinator.
+
+    :ivar domain: name of its failure domain
+    :ivar runners: number of its runners, 0 if it can't queue for the pool
+    :ivar queued: requests that wait
+    :ivar slots: slots of its runners
+    :ivar tiers: what a new request would meet, by tier
+    :ivar tokens: expected length of an answer of the asking request's class
+    :ivar age_s: age of this knowledge, in seconds
+    :ivar others: the pool in other failure domains, where this one has no room
+    """
+
+    domain: str
+    runners: int
+    queued: int = 0
+    slots: int = 0
+    tiers: tuple[TierState, ...] = ()
+    tokens: float = 0.0
+    age_s: float = 0.0
+    others: tuple["QueueState", ...] = ()
+
+
+class QueueQuery(Message, frozen=True):
+    """A question for the state of a pool's queue; the reply is a :class:`QueueState`.
+
+    :ivar pool: name of the model
+    """
+
+    pool: str
+
+
 class Grant(Message, frozen=True):
     """A slot on a model runner, granted to one attempt.
 
@@ -357,6 +404,8 @@
     Done
     | Failed
     | Ask
+    | QueueState
+    | QueueQuery
     | Grant
     | Refuse
     | Release
--- a/balsamtally/node.py
+++ b/balsamtally/node.py
@@ -21,9 +21,10 @@
 from balsamtally.chats import ChatRequest, Chats, Progress
 from balsamtally.configuration import Configuration
 from balsamtally.contracts import Customer, Policy, Pool, RequestClass
-from balsamtally.coordinator import Coordinator, list_pool_runners
+from balsamtally.coordinator import Coordinator
 from balsamtally.decisions import Decisions
 from balsamtally.dissemination import Dissemination
+from balsamtally.domains import DomainChoice, find_link
 from balsamtally.entry import Doors, Entry
 from balsamtally.errors import BalsamtallyError, CallerLeft, Outcome
 from balsamtally.facts import Facts
@@ -37,12 +38,15 @@
 from balsamtally.metrics import Gauges, Metrics
 from balsamtally.observers import Observed, Observers, make_view
 from balsamtally.receipts import ReceiptBook
-from balsamtally.rendezvous import rank_members
 from balsamtally.retries import RetryBudget
+from balsamtally.routes import Routes
 from balsamtally.services import ServiceCalls, send_call
 from balsamtally.settings import Settings, split_address
 from balsamtally.slots import CallerVanished, Slots
+from balsamtally.spill import RegionBytes, Spiller
 from balsamtally.streams import Runners
+from balsamtally.surveys import Surveys
+from balsamtally.zones import FailureDomain
 
 DRAIN_POLL_S = 0.1
 ABORT_TIMEOUT_S = 2.0
@@ -100,9 +104,20 @@
             Dissemination(self.settings, self.facts, self.members, self.configuration, self.links)
         )
         self.runners = enter(Runners())
-        self.observers = enter(Observers(self.runners, self._list_runners))
-        self.coordinator = enter(Coordinator(self.links, self.facts, self.observers.list_views))
-        self.slots = enter(Slots(self.links, self._list_coordinators))
+        self.observers = enter(Observers(self.runners))
+        self.routes = Routes(self.settings.domain, self.facts, self.members)
+        self.surveys = enter(Surveys(self.links, self._list_survey_targets))
+        self.coordinator = enter(
+            Coordinator(
+                self.links,
+                self.facts,
+                self.settings.domain,
+                lambda pool: self.routes.list_own_views(pool, self.observers.list_views),
+                self.surveys.list_states,
+            )
+        )
+        self.region_bytes = RegionBytes(time.monotonic, lambda: len(self.members.list_all()))
+        self.slots = enter(Slots(self.links, self.routes, self._make_domain_choice().choose))
         self.book = ReceiptBook(
             self.settings.vm, self.incarnation, bytes.fromhex(self.settings.link_key)
         )
@@ -124,6 +139,7 @@
             self.observers.note_refusal,
             self.budget.take,
             self._note_decision,
+            self._note_traffic,
         )
         self.entry = enter(Entry(self.settings, self.chats, self._make_doors()))
         self._serve_operators(enter)
@@ -207,29 +223,41 @@
         found = self.members.find(vm)
         return found.address if found is not None else None
 
-    def _list_runners(self, pool: str) -> list[BackendServer]:
-        return list_pool_runners(self.facts, pool, self.settings.domain)
-
     def _find_open_runner(self, name: str) -> BackendServer | None:
         server = self.facts.find(BackendServer, name)
         if server is None or server.leaving or self.observers.is_leaving(name):
             return None
         return server
 
-    def _list_coordinators(self, pool: str) -> list[str]:
-        """Return the coordinators of a pool, the first choice first."""
-        domain = self._find_serving_domain(pool)
-        names = [vm.name for vm in self.members.list_all() if vm.domain == domain]
-        return rank_members(f"queue/{pool}", names)
-
-    def _find_serving_domain(self, pool: str) -> str:
-        if self._list_runners(pool):
-            return self.settings.domain
-        domains = {vm.domain for vm in self.members.list_all()}
-        for domain in sorted(domains):
-            if list_pool_runners(self.facts, pool, domain):
-                return domain
-        return self.settings.domain
+    def _list_survey_targets(self, pool: str) -> list[str]:
+        """Return the first coordinator of a pool in each other failure domain."""
+        targets = []
+        for domain in self.routes.list_domains(pool):
+            if domain != self.settings.domain:
+                targets += self.routes.list_coordinators(pool, domain)[:1]
+        return targets
+
+    def _make_domain_choice(self) -> DomainChoice:
+        home = FailureDomain(self.settings.domain, self.settings.region)
+        spiller = Spiller(
+            home,
+            lambda one, other: find_link(self.facts, one, other),
+            self.region_bytes,
+            self._find_policy,
+            time.monotonic,
+        )
+        return DomainChoice(home, self.facts, self.routes, spiller)
+
+    def _note_traffic(self, chat: ChatRequest, runner: str, size: int) -> None:
+        """Count the bytes of an answer from another region."""
+        server = self.facts.find(BackendServer, runner)
+        domain = self.facts.find(FailureDomain, server.domain) if server is not None else None
+        if domain is None or domain.region == self.settings.region:
+            return
+        link = find_link(self.facts, self.settings.region, domain.region)
+        name = chat.request_class.name
+        self.region_bytes.count(chat.customer, name, link, size)
+        self.metrics.count_region_bytes(chat.customer.name, name, size)
 
     def _find_customer(self, key: str) -> Customer | None:
         return self.facts.find_customer(hashlib.sha256(key.encode()).hexdigest())
--- a/balsamtally/observers.py
+++ b/balsamtally/observers.py
@@ -1,7 +1,7 @@
 """Observation of the model runners' load reports: one task for each observed runner."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import gevent
@@ -53,12 +53,10 @@
     """Polls the runners whose views are asked for; closed by context.
 
     :param runners: connections to the runners
-    :param list_runners: lists the model runners of a pool in the own failure domain
     """
 
-    def __init__(self, runners: Runners, list_runners: Callable[[str], list[BackendServer]]):
+    def __init__(self, runners: Runners):
         self.runners = runners
-        self.list_runners = list_runners
         self.observed: dict[str, Observed] = {}
         self._tasks: dict[str, gevent.Greenlet] = {}
 
@@ -68,15 +66,15 @@
     def __exit__(self, *exc_info) -> None:
         gevent.killall(list(self._tasks.values()))
 
-    def list_views(self, pool: str) -> list[RunnerView]:
-        """Return what is known of a pool's runners, and observe them from now on.
+    def list_views(self, servers: Sequence[BackendServer]) -> list[RunnerView]:
+        """Return what is known of runners, and observe them from now on.
 
-        :param pool: name of the model
+        :param servers: the runners
         :return: a view of each runner
         """
         now = time.monotonic()
         views = []
-        for server in self.list_runners(pool):
+        for server in servers:
             observed = self.observed.setdefault(server.name, Observed())
             observed.wanted_at = now
             if server.name not in self._tasks:
--- a/balsamtally/slots.py
+++ b/balsamtally/slots.py
@@ -11,12 +11,14 @@
 from balsamtally.errors import BalsamtallyError, LinkError, NoBackend
 from balsamtally.links import Links
 from balsamtally.logs import log
-from balsamtally.messages import Ask, Grant, Refuse, Release, Renew, Revoke, Withdraw
+from balsamtally.messages import Ask, Grant, QueueState, Refuse, Release, Renew, Revoke, Withdraw
+from balsamtally.routes import Routes
 
 ASK_TIMEOUT_S = 0.25
 RENEW_EVERY_S = 1.0
 REASK_EVERY_S = 2.0
 VANISHED_CHECK_S = 0.5
+MAX_COORDINATORS_ASKED = 4
 
 
 class CallerVanished(Exception):
@@ -45,12 +47,17 @@
     """Asks for slots, holds the grants and gives them back; closed by context.
 
     :param links: links to the other entry VMs
-    :param list_coordinators: gives the names of a pool's coordinators, first choice first
+    :param routes: who coordinates what
+    :param choose_domain: gives the failure domain that is to serve a request, given what its
+        coordinator at home told; the home domain or another
     """
 
-    def __init__(self, links: Links, list_coordinators: Callable[[str], list[str]]):
+    def __init__(
+        self, links: Links, routes: Routes, choose_domain: Callable[[Ask, QueueState], str]
+    ):
         self.links = links
-        self.list_coordinators = list_coordinators
+        self.routes = routes
+        self.choose_domain = choose_domain
         self.held: dict[str, HeldGrant] = {}
         self._waiting: dict[tuple[str, int], AsyncResult] = {}
         self._renewing = None
@@ -81,15 +88,15 @@
         """
         key = (ask.request, ask.attempt)
         result = self._waiting[key] = AsyncResult()
-        asked_at = 0.0
-        coordinator = ""
-        begun = time.monotonic()
+        asked_at, begun = 0.0, time.monotonic()
+        domain, coordinator = self.routes.domain, ""
         try:
             while True:
                 now = time.monotonic()
-                if now - asked_at >= REASK_EVERY_S or not self._is_first(ask.pool, coordinator):
-                    waited_s = ask.waited_s + now - begun
-                    coordinator = self._ask(msgspec.structs.replace(ask, waited_s=waited_s))
+                is_gone = coordinator not in self.routes.list_members(domain)
+                if is_gone or now - asked_at >= REASK_EVERY_S:
+                    renewed = msgspec.structs.replace(ask, waited_s=ask.waited_s + now - begun)
+                    domain, coordinator = self._ask_somewhere(renewed, domain, coordinator)
                     asked_at = now
                 result.wait(VANISHED_CHECK_S)
                 if result.ready():
@@ -112,15 +119,39 @@
         message = Release(held.grant.grant, held.pool, tokens, first_token_s, failed)
         self.links.cast(held.coordinator, message)
 
-    def _is_first(self, pool: str, coordinator: str) -> bool:
-        return self.list_coordinators(pool)[:1] == [coordinator]
+    def _ask_somewhere(self, ask: Ask, domain: str, previous: str) -> tuple[str, str]:
+        """Ask at home first, and elsewhere if the request would miss its target there.
 
-    def _ask(self, ask: Ask) -> str:
+        :param ask: the request
+        :param domain: failure domain that was asked before
+        :param previous: coordinator that was asked before, empty if none was
+        :return: the failure domain and the coordinator that have the request now
+        """
+        coordinator, state = self._ask_domain(ask, domain, previous)
+        if domain != self.routes.domain:
+            return domain, coordinator
+        chosen = self.choose_domain(ask, state)
+        if chosen == domain and not state.runners:
+            raise NoBackend(f"no model runner in reach serves {ask.pool}")
+        if chosen == domain:
+            return domain, coordinator
+        try:
+            elsewhere, _ = self._ask_domain(ask, chosen, "")
+        except NoBackend:
+            if not state.runners:
+                raise
+            return domain, coordinator
+        self.links.cast(coordinator, Withdraw(ask.request, ask.pool))
+        return chosen, elsewhere
+
+    def _ask_domain(self, ask: Ask, domain: str, previous: str) -> tuple[str, QueueState]:
         error: BalsamtallyError = NoBackend("no coordinator is known")
-        for name in self.list_coordinators(ask.pool):
+        ranked = self.routes.rank(ask, domain)
+        if previous in ranked:
+            ranked = [previous, *(name for name in ranked if name != previous)]
+        for name in ranked[:MAX_COORDINATORS_ASKED]:
             try:
-                self.links.call(name, ask, ASK_TIMEOUT_S)
-                return name
+                state = self.links.call(name, ask, ASK_TIMEOUT_S)
             except LinkError as failed:
                 error = failed
                 log.warning(
@@ -129,6 +160,9 @@
                     coordinator=name,
                     why=str(failed),
                 )
+                continue
+            self.routes.note_state(name, ask.pool, state)
+            return name, state
         raise NoBackend(str(error))
 
     def _accept(self, answer: tuple[str, Grant | Refuse], pool: str) -> HeldGrant:
@@ -144,7 +178,8 @@
         if result is not None and not result.ready():
             result.set((sender, grant))
             return
-        if result is None and grant.grant not in self.held:
+        is_taken = result is not None and result.get()[1] == grant
+        if grant.grant not in self.held and not is_taken:
             self.links.cast(sender, Release(grant.grant, ""))
 
     def _take_refuse(self, sender: str, refuse: Refuse) -> None:
@@ -167,6 +202,7 @@
     def _group_grants(self) -> dict[tuple[str, str], list[str]]:
         groups: dict[tuple[str, str], list[str]] = {}
         for held in self.held.values():
-            for name in {held.coordinator, *self.list_coordinators(held.pool)[:1]}:
+            responsible = self.routes.find_responsible(held.pool, held.grant.runner)
+            for name in {held.coordinator, responsible or held.coordinator}:
                 groups.setdefault((name, held.pool), []).append(held.grant.grant)
         return groups
--- a/balsamtally/streams.py
+++ b/balsamtally/streams.py
@@ -135,6 +135,7 @@
         self.attempt_id = attempt_id
         self.whole = False
         self.cancelled = False
+        self.exchanged_bytes = 0
         self._response = self._send(pool, body)
 
     def __enter__(self) -> "RunnerStream":
@@ -197,17 +198,20 @@
         received = 0
         for piece in self._bytes:
             received += len(piece)
+            self.exchanged_bytes += len(piece)
             if received > MAX_ANSWER_BYTES:
                 raise RunnerFailed(f"the answer is over {MAX_ANSWER_BYTES} bytes")
             yield piece
 
     def _send(self, pool: urllib3.HTTPConnectionPool, body: dict) -> urllib3.HTTPResponse:
         headers = {"Content-Type": "application/json", "X-Request-Id": self.attempt_id}
+        content = msgspec.json.encode(body)
+        self.exchanged_bytes += len(content)
         try:
             response = pool.urlopen(
                 "POST",
                 "/v1/chat/completions",
-                body=msgspec.json.encode(body),
+                body=content,
                 headers=headers,
                 preload_content=False,
                 redirect=False,
