--- a/balsamtally/retries.py
+++ b/balsamtally/retries.py
@@ -26,8 +26,9 @@
 class RetryBudget:
     """Retries allowed as a share of the requests, per request class and pool.
 
-    Each first attempt earns ``share`` of a retry. A small floor per second lets a rare request
-    be retried as well. At most ``MAX_SAVED`` retries are saved up.
+    Each first attempt earns ``share`` of a retry. At most ``MAX_SAVED`` retries are saved up,
+    which a new class and pool begins with, and a small floor per second restores them, so that a
+    rare request can be retried as well.
     """
 
     def __init__(
@@ -72,7 +73,7 @@
         now = self._clock()
         account = self._accounts.get((request_class, pool))
         if account is None:
-            account = self._accounts[(request_class, pool)] = Account(1.0, now)
+            account = self._accounts[(request_class, pool)] = Account(MAX_SAVED, now)
         passed_s = max(0.0, now - account.updated_at)
         account.saved = min(MAX_SAVED, account.saved + passed_s * self._floor_per_s)
         account.updated_at = now
--- a/balsamtally/services.py
+++ b/balsamtally/services.py
@@ -39,8 +39,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_ATTEMPTS = 3
-FORWARD_ATTEMPTS = 3
-FORWARD_PAUSE_S = 0.05
+FORWARD_ATTEMPTS = 20
+FORWARD_PAUSE_S = 0.2
 FORWARD_MARGIN_S = 2.0
 UNKNOWN_OPERATION_TIMEOUT_S = 10.0
 REFUSED_S = 5.0
@@ -214,6 +214,8 @@
         for attempt in range(FORWARD_ATTEMPTS):
             if attempt:
                 self._sleep(FORWARD_PAUSE_S)
+            if self._is_gone(receipt):
+                break
             try:
                 result = self._links.call(receipt.vm, message, timeout_s)
             except PeerUnreachable:
@@ -223,6 +225,11 @@
             return self._read_result(result, receipt)
         raise OutcomeUnknown("the entry VM that issued the receipt is not in reach")
 
+    def _is_gone(self, receipt: Receipt) -> bool:
+        """Return whether another process is known to run at the issuer's VM."""
+        found = self._members.find(receipt.vm)
+        return found is not None and found.incarnation not in ("", receipt.incarnation)
+
     def _read_result(self, result, receipt: Receipt) -> ServiceAnswer:
         """Return the answer of a forwarded call; only the issuer itself is believed."""
         expected = (receipt.incarnation, receipt.number)
