Find lost coordinators and refusing runners at once, and serve elsewhere what home can't

Cause: four process tests. With the coordinator killed or paused a request waited for up to 2 s before it asked anew (3 s client time-outs hit). Four requests to a pool whose only runner at home had left failed with 2009 (retry budget spent on refused connections), then with 2005 (the nearest failure domain was the own one, by the ticket). Ruled out: a shorter period for asking anew (at 10,000 queued it multiplies the asks). Change: grants are renewed every 0.5 s, by a call where requests wait, so that a coordinator which does not reply is found within 0.75 s; a refusal is told to the coordinator in the release and lifted by a report that came 3 s later; refused attempts are free of the retry budget; the nearest domain is another one; prompts carry hashes of their prefix blocks.

--- a/balsamtally/affinity.py
+++ b/balsamtally/affinity.py
@@ -3,16 +3,34 @@
 from collections.abc import Callable, Iterable, Sequence
 from itertools import islice
 
+import xxhash
 from cachetools import LRUCache
 
 MAX_BLOCKS = 20_000
 MAX_HOLDERS = 4
 MAX_PREFIX_BLOCKS = 32
+BLOCK_BYTES = 256
 HINT_S = 300.0
 AFFINITY_MARGIN = 0.25
 """Part of a runner's speed that may be given up for a cached prefix."""
 
 
+def hash_prefix(prompt: bytes) -> tuple[int, ...]:
+    """Return hashes of a prompt's prefixes, one for each whole block.
+
+    :param prompt: text of the prompt
+    :return: the hashes, that of the shortest prefix first
+    """
+    running = xxhash.xxh3_64()
+    hashes = []
+    for end in range(BLOCK_BYTES, len(prompt) + 1, BLOCK_BYTES):
+        if len(hashes) == MAX_PREFIX_BLOCKS:
+            break
+        running.update(prompt[end - BLOCK_BYTES : end])
+        hashes.append(running.intdigest())
+    return tuple(hashes)
+
+
 class PrefixHints:
     """Which runners seem to hold which prefix blocks, in bounded memory.
 
--- a/balsamtally/chats.py
+++ b/balsamtally/chats.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from balsamtally.affinity import hash_prefix
 from balsamtally.contracts import Customer, Pool, RequestClass
 from balsamtally.errors import (
     AnswerCut,
@@ -17,7 +18,7 @@
 )
 from balsamtally.logs import log
 from balsamtally.machines import BackendServer
-from balsamtally.messages import Ask
+from balsamtally.messages import Ask, Release
 from balsamtally.slots import CallerVanished, HeldGrant, Slots
 from balsamtally.streams import (
     Chunk,
@@ -137,8 +138,8 @@
                 log.info("preempted", request=chat.request, tokens=progress.tokens)
             except (RunnerRefused, RunnerFailed, WrongAnswer) as failure:
                 progress.excluded.append(held.grant.runner)
-                has_advanced = progress.tokens > tokens_before
-                self._check_retry(chat, progress, failure, has_advanced)
+                is_free = progress.tokens > tokens_before or isinstance(failure, RunnerRefused)
+                self._check_retry(chat, progress, failure, is_free)
 
     def _acquire(self, chat: ChatRequest, progress: Progress, has_vanished) -> HeldGrant:
         text = msgspec.json.encode(chat.body["messages"])
@@ -149,6 +150,7 @@
             customer=chat.customer.name,
             request_class=chat.request_class.name,
             waited_s=time.monotonic() - chat.arrived if progress.attempts == 1 else 0.0,
+            prefix=hash_prefix(text),
             prompt_tokens=len(text) // CHARACTERS_PER_TOKEN,
             preemptions=progress.preemptions,
             excluded=tuple(progress.excluded),
@@ -190,7 +192,7 @@
         begun = time.monotonic()
         tokens_before = progress.tokens
         first_token_s = -1.0
-        failed = True
+        failed, refused = True, False
         try:
             with self._open_stream(chat, progress, held) as stream, self._count(chat, held, stream):
                 held.revoke = stream.cancel
@@ -205,24 +207,27 @@
         except (Preempted, CallerVanished, GeneratorExit):
             failed = False
             raise
+        except RunnerRefused:
+            refused = True
+            raise
         finally:
             tokens = progress.tokens - tokens_before
-            self.slots.release(held, tokens, first_token_s, failed)
+            name, pool = held.grant.grant, held.pool
+            release = Release(name, pool, tokens, first_token_s, failed, refused)
+            self.slots.release(held, release)
 
     def _open_stream(self, chat: ChatRequest, progress: Progress, held: HeldGrant) -> RunnerStream:
         if held.revoked:
             raise Preempted
         server = self.find_open(held.grant.runner)
         if server is None:
-            raise RunnerRefused(f"{held.grant.runner} is leaving")
+            raise RunnerLeaving(f"{held.grant.runner} is leaving")
         pool = self.runners.find_pool(server.address)
         attempt_id = f"{chat.request}.{progress.attempts}"
         try:
             stream = RunnerStream(pool, attempt_id, make_runner_body(chat, progress))
-        except RunnerLeaving:
-            self.note_refusal(server.name)
-            raise
         except RunnerRefused:
+            self.note_refusal(server.name)
             raise
         except Exception:
             progress.touched = True
@@ -250,15 +255,15 @@
             raise
 
     def _check_retry(
-        self, chat: ChatRequest, progress: Progress, failure: Exception, has_advanced: bool
+        self, chat: ChatRequest, progress: Progress, failure: Exception, is_free: bool
     ) -> None:
         """Return if another attempt is allowed, else raise what the caller is told.
 
-        An attempt that delivered tokens is resumed outside the retry budget: no token is
-        generated twice, so the load hardly grows.
+        An attempt that delivered tokens, or that the runner refused, is free of the retry budget:
+        no token is generated twice, so the load hardly grows.
         """
         allowed = progress.attempts < MAX_ATTEMPTS and (
-            has_advanced or self.take_retry(chat.request_class.name, chat.pool.name)
+            is_free or self.take_retry(chat.request_class.name, chat.pool.name)
         )
         self.note_decision(
             decision="retry" if allowed else "give_up",
--- a/balsamtally/coordinator.py
+++ b/balsamtally/coordinator.py
@@ -27,6 +27,7 @@
     :param domain: own failure domain
     :param list_views: gives what is known of the runners that this VM may grant for a pool
     :param list_others: gives the state of a pool in the other failure domains
+    :param note_refusal: called with the name of a runner that refused work
     """
 
     def __init__(
@@ -36,12 +37,14 @@
         domain: str,
         list_views: Callable[[str], list[RunnerView]],
         list_others: Callable[[str], tuple[QueueState, ...]],
+        note_refusal: Callable[[str], None],
     ):
         self.links = links
         self.facts = facts
         self.domain = domain
         self.list_views = list_views
         self.list_others = list_others
+        self.note_refusal = note_refusal
         self.queues: dict[str, PoolQueue] = {}
         self._used_at: dict[str, float] = {}
         self._tasks: dict[str, gevent.Greenlet] = {}
@@ -80,7 +83,7 @@
         views = {tier: view_queue(self.domain, queue, tier) for tier in tiers}
         return QueueState(
             domain=self.domain,
-            runners=len(self.list_views(pool)),
+            runners=sum(1 for view in self.list_views(pool) if not view.leaving),
             queued=sum(queue.count_queued().values()),
             slots=queue.loads.slots,
             tiers=tuple(
@@ -116,8 +119,13 @@
     def _take_release(self, sender: str, release: Release) -> None:
         queues = [self.queues.get(release.pool)] if release.pool else list(self.queues.values())
         for queue in queues:
-            if queue is not None:
-                queue.release(sender, release)
+            if queue is None:
+                continue
+            held = queue.grants.find(release.grant)
+            queue.release(sender, release)
+            if release.refused and held is not None:
+                self.note_refusal(held.runner)
+                queue.set_runners(self.list_views(queue.pool))
 
     def _take_renew(self, sender: str, renew: Renew) -> None:
         self._open_queue(renew.pool).renew(sender, renew)
--- a/balsamtally/domains.py
+++ b/balsamtally/domains.py
@@ -60,8 +60,12 @@
         return self._find_nearest(ask.pool)
 
     def _find_nearest(self, pool: str) -> str:
-        """Return the nearest failure domain that serves a pool and has a live entry VM."""
-        names = [name for name in self.routes.list_domains(pool) if self.routes.list_members(name)]
+        """Return the nearest other failure domain that serves a pool and has a live VM."""
+        names = [
+            name
+            for name in self.routes.list_domains(pool)
+            if name != self.home.name and self.routes.list_members(name)
+        ]
         return min(names, key=self._measure_way, default=self.home.name)
 
     def _measure_way(self, name: str) -> tuple[float, str]:
--- a/balsamtally/messages.py
+++ b/balsamtally/messages.py
@@ -140,6 +140,7 @@
     :ivar tokens: tokens generated
     :ivar first_token_s: time from dispatch to the first token in seconds, negative if none came
     :ivar failed: whether the runner failed
+    :ivar refused: whether it refused the request or the connection
     """
 
     grant: str
@@ -147,6 +148,7 @@
     tokens: int = 0
     first_token_s: float = -1.0
     failed: bool = False
+    refused: bool = False
 
 
 class Renew(Message, frozen=True):
--- a/balsamtally/node.py
+++ b/balsamtally/node.py
@@ -114,6 +114,7 @@
                 self.settings.domain,
                 lambda pool: self.routes.list_own_views(pool, self.observers.list_views),
                 self.surveys.list_states,
+                self.observers.note_refusal,
             )
         )
         self.region_bytes = RegionBytes(time.monotonic, lambda: len(self.members.list_all()))
--- a/balsamtally/observers.py
+++ b/balsamtally/observers.py
@@ -16,6 +16,7 @@
 POLL_TIMEOUT_S = 1.0
 UNWANTED_AFTER_S = 10.0
 LEAVING_KEPT_S = 30.0
+REPORT_LAG_S = 3.0
 
 
 class LoadReport(msgspec.Struct, frozen=True):
@@ -118,12 +119,15 @@
 
 
 def is_leaving(observed: Observed, now: float) -> bool:
-    """Tell whether a runner said that it is leaving, by its report or by a refusal.
+    """Tell whether a runner is leaving, by its report or by a refusal.
+
+    Reports lag, so that only one which came well after a refusal lifts it.
 
     :param observed: what was heard of it
     :param now: seconds of the monotonic clock
     """
-    if now - observed.refused_at < LEAVING_KEPT_S:
+    is_newer = observed.heard_at > observed.refused_at + REPORT_LAG_S
+    if now - observed.refused_at < LEAVING_KEPT_S and not is_newer:
         return True
     return observed.report is not None and observed.report.leaving
 
--- a/balsamtally/slots.py
+++ b/balsamtally/slots.py
@@ -15,7 +15,7 @@
 from balsamtally.routes import Routes
 
 ASK_TIMEOUT_S = 0.25
-RENEW_EVERY_S = 1.0
+RENEW_EVERY_S = 0.5
 REASK_EVERY_S = 2.0
 VANISHED_CHECK_S = 0.5
 MAX_COORDINATORS_ASKED = 4
@@ -60,6 +60,8 @@
         self.choose_domain = choose_domain
         self.held: dict[str, HeldGrant] = {}
         self._waiting: dict[tuple[str, int], AsyncResult] = {}
+        self._asked: dict[tuple[str, int], tuple[str, str]] = {}
+        self._lost_at: dict[str, float] = {}
         self._renewing = None
         links.handle(Grant, self._take_grant)
         links.handle(Refuse, self._take_refuse)
@@ -93,10 +95,12 @@
         try:
             while True:
                 now = time.monotonic()
+                is_lost = self._lost_at.get(coordinator, 0.0) > asked_at
                 is_gone = coordinator not in self.routes.list_members(domain)
-                if is_gone or now - asked_at >= REASK_EVERY_S:
+                if is_lost or is_gone or now - asked_at >= REASK_EVERY_S:
                     renewed = msgspec.structs.replace(ask, waited_s=ask.waited_s + now - begun)
                     domain, coordinator = self._ask_somewhere(renewed, domain, coordinator)
+                    self._asked[key] = (coordinator, ask.pool)
                     asked_at = now
                 result.wait(VANISHED_CHECK_S)
                 if result.ready():
@@ -106,18 +110,16 @@
                     raise CallerVanished
         finally:
             self._waiting.pop(key, None)
+            self._asked.pop(key, None)
 
-    def release(self, held: HeldGrant, tokens: int, first_token_s: float, failed: bool) -> None:
+    def release(self, held: HeldGrant, release: Release) -> None:
         """Give a slot back.
 
         :param held: the grant
-        :param tokens: tokens generated
-        :param first_token_s: seconds from dispatch to the first token, negative if none came
-        :param failed: whether the runner failed
+        :param release: how it went
         """
         self.held.pop(held.grant.grant, None)
-        message = Release(held.grant.grant, held.pool, tokens, first_token_s, failed)
-        self.links.cast(held.coordinator, message)
+        self.links.cast(held.coordinator, release)
 
     def _ask_somewhere(self, ask: Ask, domain: str, previous: str) -> tuple[str, str]:
         """Ask at home first, and elsewhere if the request would miss its target there.
@@ -194,10 +196,26 @@
             held.revoke()
 
     def _renew_grants(self) -> None:
+        """Renew the grants in use, and find coordinators that no longer reply."""
         while True:
             gevent.sleep(RENEW_EVERY_S)
-            for (coordinator, pool), grants in self._group_grants().items():
-                self.links.cast(coordinator, Renew(pool, tuple(grants)))
+            groups = self._group_grants()
+            awaited = set(self._asked.values())
+            for key in awaited | groups.keys():
+                coordinator, pool = key
+                message = Renew(pool, tuple(groups.get(key, ())))
+                if key in awaited:
+                    gevent.spawn(self._check_coordinator, coordinator, message)
+                else:
+                    self.links.cast(coordinator, message)
+
+    def _check_coordinator(self, coordinator: str, message: Renew) -> None:
+        """Renew by a call, and note a coordinator that doesn't reply as lost."""
+        try:
+            self.links.call(coordinator, message, ASK_TIMEOUT_S)
+        except LinkError as error:
+            self._lost_at[coordinator] = time.monotonic()
+            log.warning("coordinator_lost", coordinator=coordinator, why=str(error))
 
     def _group_grants(self) -> dict[tuple[str, str], list[str]]:
         groups: dict[tuple[str, str], list[str]] = {}
--- a/tests/balsamtally/test_affinity.py
+++ b/tests/balsamtally/test_affinity.py
@@ -2,7 +2,7 @@
 
 import random
 
-from balsamtally.affinity import HINT_S, PrefixHints
+from balsamtally.affinity import HINT_S, PrefixHints, hash_prefix
 from balsamtally.load import RunnerLoads, RunnerView
 from balsamtally.messages import Ask
 
@@ -69,3 +69,10 @@
         loads.count_slot("c", 1, 0.0)
     pick = loads.pick(ask, 1.0, {"c": 0.5, "b": 0.1})
     assert (pick.runner, pick.reason) == ("b", "prefix")
+
+
+def test_prompts_share_the_hashes_of_their_common_blocks():
+    one, other = hash_prefix(b"a" * 600 + b"b" * 600), hash_prefix(b"a" * 600 + b"c" * 600)
+    assert len(one) == len(other) == 4
+    assert one[:2] == other[:2]
+    assert not set(one[2:]) & set(other[2:])
--- /dev/null
+++ b/tests/standins/test_coordinators.py
@@ -0,0 +1,84 @@
+"""Tests of coordinators that are killed, paused or full, with separate processes."""
+
+import json
+
+import gevent
+import pytest
+import urllib3
+
+from balsamtally.shards import list_coordinators
+from standins.answers import answer_tokens, join_prompt
+from standins.callers import make_headers
+from standins.fleet import Fleet
+from tests.standins.test_path import CHATS, CLASS, CUSTOMER, make_messages
+
+ANSWER_TOKENS = 40
+TIMEOUT_S = 60.0
+MAX_ROUNDS = 10
+
+
+def ask_whole(vm, label):
+    """Send one request for a whole answer and return whether it was the right one."""
+    messages = make_messages(label)
+    body = {"model": "waivers-8b", "messages": messages, "max_tokens": ANSWER_TOKENS}
+    headers = make_headers(CUSTOMER, **{"X-Request-Class": CLASS})
+    url = f"http://{vm.caller}{CHATS}"
+    response = urllib3.request(
+        "POST", url, body=json.dumps(body), headers=headers, timeout=TIMEOUT_S, retries=False
+    )
+    if response.status != 200:
+        return response.json()["error"]["code"]
+    right = "".join(answer_tokens(join_prompt(messages), ANSWER_TOKENS))
+    return response.json()["choices"][0]["message"]["content"] == right
+
+
+def ask_many(vm, label, count):
+    """Send requests side by side and return the results."""
+    asked = [gevent.spawn(ask_whole, vm, f"{label} {number}") for number in range(count)]
+    return [each.get() for each in asked]
+
+
+def find_coordinator(fleet):
+    """Return the coordinator of the pool and another daemon of its failure domain."""
+    first = list_coordinators(fleet.pool, list(fleet.vms), len(fleet.runners))[0]
+    other = next(vm for name, vm in fleet.vms.items() if name != first)
+    return fleet.vms[first], other
+
+
+@pytest.fixture
+def domain(tmp_path):
+    with Fleet(tmp_path, domains=1, vms_per_domain=3, slots=4) as fleet:
+        yield fleet
+
+
+@pytest.mark.parametrize("fault", ["kill", "pause"])
+def test_requests_go_on_while_their_coordinator_is_lost(domain, fault):
+    coordinator, other = find_coordinator(domain)
+    assert ask_many(other, "before", 4) == [True] * 4
+    asked = [gevent.spawn(ask_many, other, f"burst {number}", 4) for number in range(5)]
+    gevent.sleep(0.1)
+    getattr(coordinator, fault)()
+    assert [each.get() for each in asked] == [[True] * 4] * 5
+    assert ask_many(other, "after", 8) == [True] * 8
+    if fault == "pause":
+        coordinator.resume()
+        assert ask_many(coordinator, "woken", 4) == [True] * 4
+
+
+def test_requests_that_would_miss_at_home_are_served_in_another_domain(tmp_path):
+    flags = ("--token-ms", "60")
+    with Fleet(tmp_path, domains=2, runners_per_domain=1, slots=2, runner_flags=flags) as fleet:
+        home, _ = fleet.vms.values()
+        rounds = iter(range(MAX_ROUNDS))
+        while '"spilled"' not in home.read_log():
+            assert ask_many(home, f"round {next(rounds)}", 6) == [True] * 6
+        _, other = fleet.runners.values()
+        assert other.counts()["generated"] > 0
+
+
+def test_pool_without_a_runner_at_home_is_served_elsewhere(tmp_path):
+    with Fleet(tmp_path, domains=2, runners_per_domain=1) as fleet:
+        home, _ = fleet.vms.values()
+        runner = next(iter(fleet.runners.values()))
+        runner.leave()
+        assert ask_many(home, "elsewhere", 4) == [True] * 4
