--- a/balsamtally/chats.py
+++ b/balsamtally/chats.py
@@ -17,7 +17,7 @@
 from balsamtally.logs import log
 from balsamtally.machines import BackendServer
 from balsamtally.messages import Ask
-from balsamtally.slots import HeldGrant, Slots
+from balsamtally.slots import CallerVanished, HeldGrant, Slots
 from balsamtally.streams import (
     Chunk,
     RunnerFailed,
@@ -123,16 +123,18 @@
         """
         while True:
             progress.attempts += 1
+            tokens_before = progress.tokens
             held = self._acquire(chat, progress, has_vanished)
             try:
-                yield from self._attempt(chat, progress, held)
+                yield from self._attempt(chat, progress, held, has_vanished)
                 return
             except Preempted:
                 progress.preemptions += 1
                 log.info("preempted", request=chat.request, tokens=progress.tokens)
             except (RunnerRefused, RunnerFailed, WrongAnswer) as failure:
                 progress.excluded.append(held.grant.runner)
-                self._check_retry(chat, progress, failure)
+                has_advanced = progress.tokens > tokens_before
+                self._check_retry(chat, progress, failure, has_advanced)
 
     def _acquire(self, chat: ChatRequest, progress: Progress, has_vanished) -> HeldGrant:
         text = msgspec.json.encode(chat.body["messages"])
@@ -169,8 +171,18 @@
         )
         return held
 
-    def _attempt(self, chat: ChatRequest, progress: Progress, held: HeldGrant) -> Iterator[Chunk]:
-        """Stream one attempt; the slot is given back whatever happens."""
+    def _attempt(
+        self,
+        chat: ChatRequest,
+        progress: Progress,
+        held: HeldGrant,
+        has_vanished: Callable[[], bool],
+    ) -> Iterator[Chunk]:
+        """Stream one attempt; the slot is given back whatever happens.
+
+        Writes tell when the caller of a streamed answer has left. The caller of a whole answer
+        is watched, since nothing is written to it before the end.
+        """
         begun = time.monotonic()
         tokens_before = progress.tokens
         first_token_s = -1.0
@@ -179,12 +191,14 @@
             with self._open_stream(chat, progress, held) as stream:
                 held.revoke = stream.cancel
                 for chunk in self._read_checked(stream, held):
+                    if not chat.body.get("stream") and has_vanished():
+                        raise CallerVanished
                     if first_token_s < 0 and read_text(chunk):
                         first_token_s = time.monotonic() - begun
                     note_chunk(chat, progress, chunk)
                     yield chunk
             failed = False
-        except (Preempted, GeneratorExit):
+        except (Preempted, CallerVanished, GeneratorExit):
             failed = False
             raise
         finally:
@@ -223,10 +237,16 @@
                 raise Preempted from failure
             raise
 
-    def _check_retry(self, chat: ChatRequest, progress: Progress, failure: Exception) -> None:
-        """Return if another attempt is allowed, else raise what the caller is told."""
-        allowed = progress.attempts < MAX_ATTEMPTS and self.take_retry(
-            chat.request_class.name, chat.pool.name
+    def _check_retry(
+        self, chat: ChatRequest, progress: Progress, failure: Exception, has_advanced: bool
+    ) -> None:
+        """Return if another attempt is allowed, else raise what the caller is told.
+
+        An attempt that delivered tokens is resumed outside the retry budget: no token is
+        generated twice, so the load hardly grows.
+        """
+        allowed = progress.attempts < MAX_ATTEMPTS and (
+            has_advanced or self.take_retry(chat.request_class.name, chat.pool.name)
         )
         self.note_decision(
             decision="retry" if allowed else "give_up",
--- a/balsamtally/entry.py
+++ b/balsamtally/entry.py
@@ -21,6 +21,7 @@
     AnswerCut,
     BalsamtallyError,
     BodyTooLarge,
+    CallerLeft,
     GraceEnded,
     Leaving,
     MalformedBody,
@@ -33,6 +34,7 @@
 )
 from balsamtally.logs import log
 from balsamtally.messages import ServiceAnswer
+from balsamtally.services import qualify_refusal
 from balsamtally.settings import Settings, split_address
 from balsamtally.slots import CallerVanished
 from balsamtally.streams import Chunk
@@ -42,6 +44,8 @@
 MAX_HEADER_CHARACTERS = 512
 CLASS_HEADER = "X-Request-Class"
 RECEIPT_HEADER = "Idempotency-Key"
+ROUTED = "balsamtally.routed"
+SOCKET = "balsamtally.socket"
 
 
 class ChatMessage(msgspec.Struct, frozen=True):
@@ -155,7 +159,7 @@
         return app
 
     def _guard(self, serve: Callable) -> Callable:
-        """Wrap a route: checks common to all, and errors as JSON."""
+        """Wrap a route: checks common to all, errors as JSON, nothing to callers that left."""
 
         def serve_guarded(**path):
             request_id = f"req-{secrets.token_hex(8)}"
@@ -163,17 +167,24 @@
             try:
                 return self._admit(request_id, serve, path)
             except CallerVanished:
-                return b""
+                return render_error(CallerLeft(), request_id)
             except BalsamtallyError as error:
-                return render_error(error, request_id)
+                return render_error(self._qualify(serve, error), request_id)
             except OSError as error:
-                return render_error(MalformedBody(f"the body ended early: {error}"), request_id)
+                early = MalformedBody(f"the body ended early: {error}")
+                return render_error(self._qualify(serve, early), request_id)
             except Exception:
                 log.exception("request_failed", request=request_id)
                 return render_error(BalsamtallyError(), request_id)
 
         return serve_guarded
 
+    def _qualify(self, serve: Callable, error: BalsamtallyError) -> BalsamtallyError:
+        """Return the error as a caller may be told it, where another copy may be on its way."""
+        if serve != self._serve_service or ROUTED in bottle.request.environ:
+            return error
+        return qualify_refusal(error, bottle.request.get_header(RECEIPT_HEADER))
+
     def _admit(self, request_id: str, serve: Callable, path: dict) -> object:
         """Call a route with its request counted in flight until the answer's end."""
         customer = self._find_customer()
@@ -242,6 +253,7 @@
     ) -> bytes:
         receipt = read_header(RECEIPT_HEADER)
         body = self._read_body()
+        bottle.request.environ[ROUTED] = True
         answer = self.doors.call_service(customer, service, operation, body, receipt)
         bottle.response.status = answer.status
         bottle.response.content_type = answer.content_type
@@ -268,7 +280,7 @@
         return collect_answer(chat, chunks)
 
     def _find_class(self, customer: Customer) -> RequestClass:
-        name = read_header(CLASS_HEADER) or customer.classes[0]
+        name = read_header(CLASS_HEADER) or next(iter(customer.classes), "")
         request_class = self.doors.find_class(name) if name in customer.classes else None
         if request_class is None:
             raise UnknownClass(f"request class {name!r} is unknown or not open to this customer")
@@ -276,7 +288,7 @@
 
     def _note_end(self, chat: ChatRequest, progress: Progress) -> Iterator[Chunk]:
         """Yield the answer's chunks and report the end, also if the caller leaves early."""
-        has_vanished = make_vanished_check(bottle.request.environ.get("balsamtally.socket"))
+        has_vanished = make_vanished_check(bottle.request.environ.get(SOCKET))
         error: BaseException | None = None
         try:
             yield from self.chats.answer(chat, progress, has_vanished)
@@ -319,7 +331,7 @@
     def get_environ(self) -> dict:
         """Return the request's environment with the caller's socket."""
         environ = super().get_environ()
-        environ["balsamtally.socket"] = self.socket
+        environ[SOCKET] = self.socket
         return environ
 
     def read_requestline(self) -> str:
--- a/balsamtally/errors.py
+++ b/balsamtally/errors.py
@@ -280,6 +280,13 @@
     default = "the request waited too long in the queue"
 
 
+class BackendUnreachable(CapacityError):
+    """No connection to the backend server was made, so that nothing was sent to it."""
+
+    code = 2012
+    default = "no connection to the backend server"
+
+
 class ResultError(BalsamtallyError):
     """A request was sent to a backend server and has no whole answer."""
 
@@ -343,6 +350,14 @@
     default = "no model runner answered"
 
 
+class CallerLeft(ResultError):
+    """The caller closed its connection, or its side of it, before the answer."""
+
+    code = 3008
+    status = 499
+    default = "the caller closed its side of the connection; its work was cancelled"
+
+
 class OperatorError(BalsamtallyError):
     """Something that an operator wrote isn't valid."""
 
--- a/balsamtally/messages.py
+++ b/balsamtally/messages.py
@@ -165,6 +165,23 @@
     content_type: str = "application/json"
 
 
+class CallResult(Message, frozen=True):
+    """How a forwarded plain service call ended.
+
+    Only the incarnation that issued the receipt knows whether the call was run.
+
+    :ivar incarnation: identity of the replying process
+    :ivar number: sequence number of the receipt
+    :ivar answer: the answer, ``None`` where there is an error
+    :ivar error: the error, ``None`` where there is an answer
+    """
+
+    incarnation: str
+    number: int
+    answer: ServiceAnswer | None = None
+    error: ErrorReport | None = None
+
+
 class MemberState(msgspec.Struct, frozen=True, array_like=True):
     """What an entry VM knows of another.
 
@@ -292,6 +309,50 @@
     wanted: tuple[tuple[int, str], ...]
 
 
+class LimitDemand(msgspec.Struct, frozen=True, array_like=True):
+    """What an entry VM needs of a limit.
+
+    :ivar key: the limit, such as ``customer/dunas/requests_per_s``
+    :ivar rate: cost that callers ask for a second
+    :ivar want: tokens wanted now
+    """
+
+    key: str
+    rate: float
+    want: float = 0.0
+
+
+class LimitAsk(Message, frozen=True):
+    """A request for tokens of limits, to their coordinator in the failure domain.
+
+    :ivar demands: what the sender needs
+    """
+
+    demands: tuple[LimitDemand, ...]
+
+
+class LimitTokens(Message, frozen=True):
+    """Tokens of limits.
+
+    :ivar tokens: tokens for each demand, in the same order, negative where the limit is unknown
+    """
+
+    tokens: tuple[float, ...]
+
+
+class DomainDemand(Message, frozen=True):
+    """What a failure domain needs of the limits of one shard.
+
+    :ivar domain: name of the failure domain
+    :ivar shard: number of the shard
+    :ivar demands: what its entry VMs need together
+    """
+
+    domain: str
+    shard: int
+    demands: tuple[LimitDemand, ...] = ()
+
+
 AnyMessage = (
     Done
     | Failed
@@ -304,6 +365,7 @@
     | Withdraw
     | CallService
     | ServiceAnswer
+    | CallResult
     | Heartbeat
     | Probe
     | ProbeResult
@@ -312,4 +374,7 @@
     | TicketDigests
     | TicketIndex
     | TicketRequest
+    | LimitAsk
+    | LimitTokens
+    | DomainDemand
 )
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -31,10 +31,14 @@
     test: str
 
 
+ANSWERS = "tests/balsamtally/test_answers.py"
 EXCHANGE = "tests/balsamtally/test_exchange.py"
 FACTS = "tests/balsamtally/test_facts.py"
+LIMITS = "tests/balsamtally/test_limits.py"
 MEMBERS = "tests/balsamtally/test_members.py"
 RECEIPTS = "tests/balsamtally/test_receipts.py"
+SERVICES = "tests/balsamtally/test_services.py"
+RETRIES = "tests/balsamtally/test_retries.py"
 
 MUTATIONS = (
     Mutation("receipts", "receipt.customer != customer", "False", RECEIPTS),
@@ -50,12 +54,16 @@
         "receipts", "error: BalsamtallyError = OutcomeUnknown()", "error = Leaving()", RECEIPTS
     ),
     Mutation("receipts", "while self._kept_bytes > ", "while False and ", RECEIPTS),
+    Mutation("answers", "if chunk_id != self.attempt_id:", "if False:", ANSWERS),
+    Mutation("answers", "self.finish_reason is not None and (text", "False and (text", ANSWERS),
+    Mutation("answers", "completion_tokens < self.chunks", "False", ANSWERS),
+    Mutation("answers", "if self.finish_reason is None:", "if False:", ANSWERS),
     Mutation("facts", "order <= (held.number, held.digest)", "False", FACTS),
     Mutation("facts", "order <= (held.number, held.digest)", "order[0] <= held.number", FACTS),
     Mutation("facts", 'self._flip((number, f"conflict {digest}"))', "pass", EXCHANGE),
     Mutation("facts", "if held.uses == 0:", "if False:", FACTS),
     Mutation("members", "self._raise_generation(state.generation)", "pass", EXCHANGE),
-    Mutation("members", "if rank_state(state) <= rank_state(record.state):", "if 0:", EXCHANGE),
+    Mutation("members", "if rank_state(state) <= rank_state(record.state):", "if 0:", MEMBERS),
     Mutation("heartbeats", "if self._beats % REVIVAL_BEATS == 0:", "if False:", EXCHANGE),
     Mutation("heartbeats", "if domains and self._clock()", "if False and self._clock()", EXCHANGE),
     Mutation("heartbeats", "if not domains or not self.is_gateway():", "if True:", EXCHANGE),
@@ -80,6 +88,49 @@
         MEMBERS,
     ),
     Mutation("heartbeats", "min(PROBE_HELPERS, len(helpers))", "0", MEMBERS),
+    Mutation("members", "        self._ranks.clear()\n", "", MEMBERS),
+    Mutation("limits", "bucket.tokens -= granted", "pass", LIMITS),
+    Mutation("limits", "room = max(1.0, rate * BUCKET_S)\n", "room = 1e9\n", LIMITS),
+    Mutation("limits", "reserved += count\n", "pass\n", LIMITS),
+    Mutation(
+        "limits", "reserved += max(0, count - self", "reserved += min(0, count - self", LIMITS
+    ),
+    Mutation("limits", "demands += rates.get(key, 0.0)", "pass", LIMITS),
+    Mutation("limits", "stock.tokens += max(0.0, min(room, ", "stock.tokens += (max(9.0, ", LIMITS),
+    Mutation("limits", "return stock.tokens >= cost if cost", "return True if cost", LIMITS),
+    Mutation("limits", "self._ask(find_shard(key), [key])", "pass", LIMITS),
+    Mutation("receipts", "entry.state = State.VOID\n        else", "pass\n        else", SERVICES),
+    Mutation(
+        "services",
+        "except BalsamtallyError as error:\n                raise OutcomeUnknown(str(error))",
+        "except BalsamtallyError as error:\n                failed = error\n"
+        "                continue\n                raise OutcomeUnknown(str(error))",
+        SERVICES,
+    ),
+    Mutation("services", "if (result.incarnation, result.number) != expected:", "if 0:", SERVICES),
+    Mutation(
+        "services", 'OutcomeUnknown("the entry VM that issued', 'NoBackend("the entry VM', SERVICES
+    ),
+    Mutation(
+        "services",
+        'OutcomeUnknown(f"forwarded, and no result',
+        'NoBackend(f"forwarded, and no result',
+        SERVICES,
+    ),
+    Mutation("services", "if receipt.vm == self._book.vm:", "if True:", SERVICES),
+    Mutation("services", "not server.leaving and not", "not", SERVICES),
+    Mutation("services", "if is_refusal(answer):", "if False:", SERVICES),
+    Mutation("services", "if not known.idempotent:", "if False:", SERVICES),
+    Mutation("services", "raise WrongAnswer()", "pass", SERVICES),
+    Mutation("services", "response.length_remaining is None", "False", SERVICES),
+    Mutation("services", "receipt_text is None or", "True or", SERVICES),
+    Mutation("retries", "if account.saved < 1.0:", "if False:", RETRIES),
+    Mutation(
+        "retries",
+        "min(MAX_SAVED, account.saved + passed_s",
+        "max(0, account.saved + passed_s",
+        RETRIES,
+    ),
 )
 
 
--- a/standins/service.py
+++ b/standins/service.py
@@ -57,8 +57,11 @@
         """Run the current request's call and return its answer."""
         if self.leaving or self.fault.refuse:
             code = "leaving" if self.leaving else "refused"
-            return answer({"error": {"code": code}}, 503)
-        call = request.get_header("Idempotency-Key") or request.get_header("X-Request-Id", "")
+            refusal = answer({"error": {"code": code}}, 503)
+            refusal.set_header("X-Request-Id", request.get_header("X-Request-Id", ""))
+            return refusal
+        request_id = request.get_header("X-Request-Id", "")
+        call = request.get_header("Idempotency-Key") or request_id
         content = request.body.read()
         self.running += 1
         try:
@@ -71,7 +74,7 @@
         finally:
             self.running -= 1
         body = service_answer(operation, content)
-        headers = {"Content-Type": "application/json", "X-Request-Id": call}
+        headers = {"Content-Type": "application/json", "X-Request-Id": request_id}
         return bottle.HTTPResponse(body, 200, headers)
 
     def drain(self) -> None:
