--- a/balsamtally/chats.py
+++ b/balsamtally/chats.py
@@ -152,6 +152,7 @@
             prompt_tokens=len(text) // CHARACTERS_PER_TOKEN,
             preemptions=progress.preemptions,
             excluded=tuple(progress.excluded),
+            generated=progress.tokens,
         )
         try:
             held = self.slots.acquire(ask, has_vanished)
--- a/standins/policy_choices.py
+++ b/standins/policy_choices.py
@@ -182,10 +182,14 @@
             excluded=call.excluded,
             generated=call.generated,
         )
-        name = rank_coordinators(call.name, self.names, self.views)[0]
+        name = self.choose_coordinator(call)
         self.coordinators[call.name] = name
         self.run.at(MESSAGE_S, self._on_ask, name, ask)
 
+    def choose_coordinator(self, call: Call) -> str:
+        """Return the coordinator to ask for a call."""
+        return rank_coordinators(call.name, self.names, self.views)[0]
+
     def _on_ask(self, name: str, ask: Ask) -> None:
         self.run.decide(self.queues[name].submit, "vm", ask)
 
--- a/tests/balsamtally/test_queues.py
+++ b/tests/balsamtally/test_queues.py
@@ -602,3 +602,15 @@
     for number in range(4):
         new.ask(f"new{number}")
     assert len(new.take("Grant")) == 2
+
+
+def test_late_duplicate_of_an_older_attempt_is_not_granted():
+    world = World(runners=[("a", 4)])
+    world.settle_in()
+    world.ask("r", attempt=1)
+    world.ask("r", attempt=2, preemptions=1)
+    assert [message.attempt for message in world.take("Grant")] == [1, 2]
+    world.ask("r", attempt=1)
+    world.ask("r", attempt=2, preemptions=1)
+    assert [message.attempt for message in world.take("Grant")] == [2]
+    assert world.queue.loads.runners["a"].in_use == 2
