Test what the spill view and a request set aside had untested

Cause: mutations showed that the view's tier, its free slots and the late mark of a request that was set aside had no test. Change: tests for them; the view is simpler, since no request that is counted waits while a slot is free.

--- a/balsamtally/spill.py
+++ b/balsamtally/spill.py
@@ -47,9 +47,9 @@
     free = queue.loads.count_all_free(queue.clock())
     wait_s = 0.0
     preempts = tier == 0 and len(queue.grants.preemptible) > ahead
-    if ahead >= free and not preempts:
-        wait_s = queue.lengths.estimate_wait_s(ahead - free, queue.loads.slots)
-    return PoolView(domain, wait_s, queue.loads.first_token_s, max(0, free - ahead))
+    if free == 0 and not preempts:
+        wait_s = queue.lengths.estimate_wait_s(ahead, queue.loads.slots)
+    return PoolView(domain, wait_s, queue.loads.first_token_s, free)
 
 
 class SpillRequest(msgspec.Struct, frozen=True):
--- a/tests/balsamtally/test_queues.py
+++ b/tests/balsamtally/test_queues.py
@@ -528,6 +528,7 @@
     world.ask("lost", excluded=("a", "b"))
     grants = {message.request: message.runner for message in world.take("Grant")}
     assert grants == {"running": "a", "easy": "b"}
+    world.pass_time(2.0)
     for request in ("running", "picky"):
         held = world.queue.grants.by_request[request]
         world.queue.release("vm1", Release(held.name, "m"))
--- a/tests/balsamtally/test_spill.py
+++ b/tests/balsamtally/test_spill.py
@@ -102,7 +102,7 @@
     queue = PoolQueue("m", classes.get, ignore, ignore, ignore, ignore, lambda: now[0])
     queue.set_runners([RunnerView("a", 4, running=0, report_age_s=0.0)])
     queue.lengths.observe("live", 100, 4.0)
-    assert view_queue("rocha-a", queue, 0).free_slots == 4
+    assert view_queue("rocha-a", queue, 0) == PoolView("rocha-a", 0.0, 0.0, 4)
     for number in range(3):
         queue.submit("vm", Ask(f"batch{number}", 1, "m", "dunes", "batch"))
     queue.submit("vm", Ask("live0", 1, "m", "dunes", "live"))
@@ -111,3 +111,7 @@
     for number in range(1, 5):
         queue.submit("vm", Ask(f"live{number}", 1, "m", "dunes", "live"))
     assert view_queue("rocha-a", queue, 0).wait_s == pytest.approx(5.0)
+    for number in range(3, 5):
+        queue.submit("vm", Ask(f"batch{number}", 1, "m", "dunes", "batch"))
+    assert view_queue("rocha-a", queue, 0).wait_s == pytest.approx(5.0)
+    assert view_queue("rocha-a", queue, 3).wait_s == pytest.approx(7.0)
