--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -31,6 +31,7 @@
     test: str
 
 
+DISSEMINATION = "tests/balsamtally/test_dissemination.py"
 ANSWERS = "tests/balsamtally/test_answers.py"
 EXCHANGE = "tests/balsamtally/test_exchange.py"
 FACTS = "tests/balsamtally/test_facts.py"
@@ -68,6 +69,18 @@
     Mutation("heartbeats", "if domains and self._clock()", "if False and self._clock()", EXCHANGE),
     Mutation("heartbeats", "if not domains or not self.is_gateway():", "if True:", EXCHANGE),
     Mutation("exchange", "return self.pull(name)", "pass", EXCHANGE),
+    Mutation(
+        "dissemination",
+        'self.members.is_coordinator("watch", WATCHERS_PER_DOMAIN)',
+        "True",
+        f"{DISSEMINATION}::test_tickets_reach_all_daemons_by_few_reads",
+    ),
+    Mutation(
+        "dissemination",
+        "return bool(self.facts.entries)",
+        "return True",
+        f"{DISSEMINATION}::test_outage_leaves_daemons_ready_and_one_that_knows_nothing_not",
+    ),
     Mutation("members", "return not self.is_away() and", "return", MEMBERS),
     Mutation("members", "if now - self._ticked_at > AWAY_S:", "if False:", MEMBERS),
     Mutation("members", "record.penalize(now)", "pass", MEMBERS),
@@ -89,6 +102,7 @@
     ),
     Mutation("heartbeats", "min(PROBE_HELPERS, len(helpers))", "0", MEMBERS),
     Mutation("members", "        self._ranks.clear()\n", "", MEMBERS),
+    Mutation("members", "        self._counts = None\n", "", LIMITS),
     Mutation("limits", "bucket.tokens -= granted", "pass", LIMITS),
     Mutation("limits", "room = max(1.0, rate * BUCKET_S)\n", "room = 1e9\n", LIMITS),
     Mutation("limits", "reserved += count\n", "pass\n", LIMITS),
