Order model runners which models to hold, where that is switched on

Cause: placement.py decided and nothing carried its orders to the runners. Ruled out: on by default (no example has a runner that may serve two models, and draining a pool's only runner for an order costs more than it brings there); one decider for each runner (each would read all the reports of its failure domain, 186 at the size of two years). Change: setting place_models; one entry VM of a failure domain reads all reports every 10 s, plans, holds new work from a runner that is to be ordered, and orders; a runner is moved only among the models that its ticket names; one that does not hold a pool's model gets no grant of it. Conclusion: whole with fakes; not yet tried with real daemons over its dwell of two minutes.

--- a/balsamtally/coordinator.py
+++ b/balsamtally/coordinator.py
@@ -86,6 +86,7 @@
             runners=sum(1 for view in self.list_views(pool) if not view.leaving),
             queued=sum(queue.count_queued().values()),
             slots=queue.loads.slots,
+            used=len(queue.grants),
             tiers=tuple(
                 TierState(tier, view.wait_s, view.first_token_s, view.free_slots)
                 for tier, view in views.items()
--- a/balsamtally/messages.py
+++ b/balsamtally/messages.py
@@ -73,6 +73,7 @@
     :ivar runners: number of its runners, 0 if it can't queue for the pool
     :ivar queued: requests that wait
     :ivar slots: slots of its runners
+    :ivar used: slots in use by grants
     :ivar tiers: what a new request would meet, by tier
     :ivar tokens: expected length of an answer of the asking request's class
     :ivar age_s: age of this knowledge, in seconds
@@ -83,6 +84,7 @@
     runners: int
     queued: int = 0
     slots: int = 0
+    used: int = 0
     tiers: tuple[TierState, ...] = ()
     tokens: float = 0.0
     age_s: float = 0.0
@@ -98,6 +100,17 @@
     pool: str
 
 
+class Hold(Message, frozen=True):
+    """Runners that are to get no new work for a while, so that they can take an order.
+
+    :ivar runners: their names
+    :ivar time_s: for how long, in seconds
+    """
+
+    runners: tuple[str, ...]
+    time_s: float
+
+
 class Grant(Message, frozen=True):
     """A slot on a model runner, granted to one attempt.
 
@@ -408,6 +421,7 @@
     | Ask
     | QueueState
     | QueueQuery
+    | Hold
     | Grant
     | Refuse
     | Release
--- a/balsamtally/node.py
+++ b/balsamtally/node.py
@@ -34,9 +34,10 @@
 from balsamtally.loops import Loop
 from balsamtally.machines import BackendServer, EntryVm
 from balsamtally.members import Members
-from balsamtally.messages import ServiceAnswer
+from balsamtally.messages import Hold, ServiceAnswer
 from balsamtally.metrics import Gauges, Metrics
 from balsamtally.observers import Observed, Observers, make_view
+from balsamtally.orders import Orders
 from balsamtally.receipts import ReceiptBook
 from balsamtally.retries import RetryBudget
 from balsamtally.routes import Routes
@@ -142,6 +143,9 @@
             self._note_decision,
             self._note_traffic,
         )
+        self.links.handle(Hold, self._hold_runners)
+        if self.settings.place_models:
+            enter(Orders(self.facts, self.routes, self.links, self.runners, self._is_placer))
         self.entry = enter(Entry(self.settings, self.chats, self._make_doors()))
         self._serve_operators(enter)
         return self
@@ -224,6 +228,13 @@
         found = self.members.find(vm)
         return found.address if found is not None else None
 
+    def _is_placer(self) -> bool:
+        return self.members.is_coordinator("place")
+
+    def _hold_runners(self, sender: str, hold: Hold) -> None:
+        for runner in hold.runners:
+            self.observers.hold(runner, hold.time_s)
+
     def _find_open_runner(self, name: str) -> BackendServer | None:
         server = self.facts.find(BackendServer, name)
         if server is None or server.leaving or self.observers.is_leaving(name):
--- a/balsamtally/placement.py
+++ b/balsamtally/placement.py
@@ -31,6 +31,7 @@
     :ivar leaving: whether it is leaving
     :ivar unchanged_s: time since its placement changed, in seconds
     :ivar age_s: age of this report, in seconds
+    :ivar allowed: models that it may be ordered to serve, ``None`` for any
     """
 
     name: str
@@ -44,6 +45,7 @@
     leaving: bool = False
     unchanged_s: float = math.inf
     age_s: float = 0.0
+    allowed: tuple[str, ...] | None = None
 
 
 class PoolNeed(msgspec.Struct, frozen=True):
@@ -134,6 +136,15 @@
     return plan
 
 
+def may_serve(report: RunnerReport, pool: str) -> bool:
+    """Return whether a runner may be ordered to serve a model.
+
+    :param report: report of the runner
+    :param pool: name of the model
+    """
+    return report.allowed is None or pool in report.allowed
+
+
 def _describe(pools: list[Pool]) -> Wanted:
     adapters = sorted({adapter for pool in pools for adapter in pool.adapters})
     return Wanted(
@@ -157,7 +168,7 @@
         for need in needs
         if need.pool.name != target and _has_spare(need, present)
         for report in present
-        if report.pools == (need.pool.name,)
+        if report.pools == (need.pool.name,) and may_serve(report, target)
     ]
     if not spare:
         return None
--- a/balsamtally/routes.py
+++ b/balsamtally/routes.py
@@ -100,7 +100,7 @@
         return next((name for name, runners in divided.items() if runner in runners), None)
 
     def list_own_views(
-        self, pool: str, make_views: Callable[[list[BackendServer]], list[RunnerView]]
+        self, pool: str, make_views: Callable[[list[BackendServer], str], list[RunnerView]]
     ) -> list[RunnerView]:
         """Return the runners that this entry VM may grant, as a coordinator of a pool.
 
@@ -113,9 +113,9 @@
         runners = self.list_runners(pool, self.domain)
         divided = self._divide(pool, self.domain)
         if own in divided:
-            return make_views([server for server in runners if server.name in divided[own]])
+            return make_views([server for server in runners if server.name in divided[own]], pool)
         members = max(1, len(self.list_members(self.domain)))
-        return [share_view(view, members) for view in make_views(runners)]
+        return [share_view(view, members) for view in make_views(runners, pool)]
 
     def note_state(self, coordinator: str, pool: str, state: QueueState) -> None:
         """Take in what a coordinator told of its queue.
--- a/balsamtally/settings.py
+++ b/balsamtally/settings.py
@@ -62,6 +62,9 @@
     leave_notice_s: float = _setting(
         "seconds", "time for which a leaving VM still takes requests, while it is not ready", 2.0
     )
+    place_models: bool = _setting(
+        "true/false", "whether model runners are ordered which models to hold", False
+    )
     max_requests: int = _setting(
         "requests", "most requests held at a time, of a tier and those above it", 2000
     )
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -40,12 +40,14 @@
 
     :ivar fence: fencing number
     :ivar pools: models to serve, ``None`` to leave them as they are
+    :ivar versions: version of the weights of each model
     :ivar adapters: adapters to hold
     :ivar leaving: whether to refuse new work, ``None`` to leave it as it is
     """
 
     fence: int
     pools: tuple[str, ...] | None = None
+    versions: tuple[str, ...] = ()
     adapters: tuple[str, ...] | None = None
     leaving: bool | None = None
 
@@ -57,6 +59,8 @@
         self.engine = engine
         self.pools = pools
         self.adapters: tuple[str, ...] = ()
+        self.versions: dict[str, str] = {}
+        self.loading = False
         self.fencing = fencing
         self.load_s = load_s
         self.fence = 0
@@ -72,7 +76,10 @@
         self.fence = order.fence if self.fencing else max(self.fence, order.fence)
         if order.pools is not None and order.pools != self.pools:
             self.pools = tuple(pool for pool in self.pools if pool in order.pools)
+            self.loading = True
             gevent.spawn_later(self.load_s, self.load_pools, order)
+        if order.pools is not None:
+            self.versions = dict(zip(order.pools, order.versions, strict=False))
         if order.adapters is not None:
             self.adapters = order.adapters
         if order.leaving is not None:
@@ -83,6 +90,7 @@
         """Take up the models of an order, unless a later one came meanwhile."""
         if order.fence == self.fence:
             self.pools = order.pools
+            self.loading = False
 
     def drain(self) -> None:
         """Refuse new work and wait until the running answers have ended."""
@@ -236,7 +244,9 @@
                 "reported_at": reported_at,
                 "fence": runner.fence,
                 "model_list": runner.pools,
+                "versions": runner.versions,
                 "adapters": runner.adapters,
+                "loading": runner.loading,
             }
         )
 
