--- a/balsamtally/dissemination.py
+++ b/balsamtally/dissemination.py
@@ -93,6 +93,15 @@
         """Return whether this VM is one of those that watch the platform for its domain."""
         return self.members.is_coordinator("watch", WATCHERS_PER_DOMAIN)
 
+    def announce_leaving(self) -> None:
+        """Tell all members of the failure domain at once that this VM is leaving."""
+        self.members.announce_leaving()
+        self._cast_heartbeats()
+
+    def _cast_heartbeats(self) -> None:
+        for peer in self.members.list_peers((ALIVE,)):
+            self.heartbeats.cast_heartbeat(peer.name)
+
     def _note_digest(self, name: str, digest: str) -> None:
         self.exchange.note_digest(name, digest)
 
@@ -171,8 +180,7 @@
         vms, index = self._configuration.read_vms(index, wait_s)
         self.platform_read_at = self._clock()
         if self.members.learn_listed(vms, self.is_watching()):
-            for peer in self.members.list_peers((ALIVE,)):
-                self.heartbeats.cast_heartbeat(peer.name)
+            self._cast_heartbeats()
         return index
 
     def _try_read(self, read: Callable[[], object]) -> bool:
--- a/balsamtally/exchange.py
+++ b/balsamtally/exchange.py
@@ -24,6 +24,7 @@
 MAX_PUSH_BYTES = 16_000
 ANNOUNCE_PEERS = 4
 MAX_KNOWN_TEXTS = 20_000
+MAX_REASON_CHARS = 4000
 
 
 class Exchange:
@@ -92,7 +93,7 @@
             ticket = decode_ticket(body)
         except OperatorError as error:
             digest = xxhash.xxh3_128_hexdigest(body)
-            notice = TicketNotice(digest, source, str(error))
+            notice = TicketNotice(digest, source, str(error)[:MAX_REASON_CHARS])
             return notice if self.facts.refuse(notice) else None
         if self.facts.accept(ticket, body):
             news.append(body)
--- a/balsamtally/members.py
+++ b/balsamtally/members.py
@@ -288,6 +288,8 @@
                 before=STATUS_NAMES[before.status] if before else "unknown",
                 generation=state.generation,
             )
+        if state.leaving and not (before and before.leaving):
+            log.info("member_leaving", member=state.name, domain=state.domain)
         is_return = before is not None and before.status == DEAD and state.status == ALIVE
         if is_return and before.incarnation == state.incarnation:
             record.penalize(now)
--- a/balsamtally/node.py
+++ b/balsamtally/node.py
@@ -161,7 +161,7 @@
         :return: whether all ended within the grace period
         """
         self.leaving = True
-        self.members.announce_leaving()
+        self.dissemination.announce_leaving()
         self.book.leave()
         log.info("leaving", in_flight=self.entry.admission.in_flight)
         begun = time.monotonic()
--- a/standins/bench_facts.py
+++ b/standins/bench_facts.py
@@ -135,15 +135,17 @@
 
     :param vms: the daemons that look
     :param member: name of the member
-    :param status: such as ``dead``
+    :param status: such as ``dead``, or ``leaving``
     :param since: time since the epoch in seconds
     """
     found = []
     for vm in vms:
         times = [
             read_time(fields) - since
-            for fields in read_lines(vm, "member_changed")
-            if fields["member"] == member and fields["status"] == status
+            for fields in read_lines(
+                vm, f"member_{'leaving' if status == 'leaving' else 'changed'}"
+            )
+            if fields["member"] == member and fields.get("status", status) == status
         ]
         found += (
             [min(time_s for time_s in times if time_s > 0)] if max(times, default=0) > 0 else []
@@ -181,6 +183,10 @@
     yield {"fault": "wake", **measure_change(own[1:], paused.name, "alive", begun)}
     time.sleep(SETTLE_S)
     begun = time.time()
+    paused.leave()
+    own.remove(paused)
+    yield {"fault": "leave", **measure_change(own, paused.name, "leaving", begun)}
+    begun = time.time()
     killed.kill()
     yield {"fault": "kill", **measure_change(own[:-1], killed.name, "dead", begun)}
     if others:
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -69,6 +69,7 @@
     Mutation("heartbeats", "if domains and self._clock()", "if False and self._clock()", EXCHANGE),
     Mutation("heartbeats", "if not domains or not self.is_gateway():", "if True:", EXCHANGE),
     Mutation("exchange", "return self.pull(name)", "pass", EXCHANGE),
+    Mutation("exchange", "str(error)[:MAX_REASON_CHARS]", "str(error)", EXCHANGE),
     Mutation(
         "dissemination",
         'self.members.is_coordinator("watch", WATCHERS_PER_DOMAIN)',
--- a/tests/balsamtally/test_exchange.py
+++ b/tests/balsamtally/test_exchange.py
@@ -9,6 +9,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from balsamtally.contracts import Pool
+from balsamtally.exchange import MAX_REASON_CHARS
+from balsamtally.facts import MAX_REFUSED
 from balsamtally.tickets import Removed, Ticket
 from tests.balsamtally.fake_network import FakeNetwork, replay_naively
 
@@ -137,3 +139,18 @@
     phases=(Phase.explicit, Phase.generate),
 )
 TestFailingNetwork = FailingNetwork.TestCase
+
+
+def test_notices_of_refused_tickets_are_bounded_and_reach_a_fresh_vm():
+    network = FakeNetwork({"a1": "a", "a2": "a"})
+    for number in range(2 * MAX_REFUSED):
+        objects = [{"kind": "pool", "name": f"no name {number}"}] * 200
+        ticket = {"format": 1, "number": number, "author": "ana", "objects": objects}
+        network.publish(msgspec.json.encode(ticket))
+    network.read_platform("a1", len(network.versions) - 1)
+    network.read_platform("a1", len(network.versions) - 1)
+    network.nodes["a2"].exchange.pull("a1")
+    found = network.nodes["a2"].facts.refused
+    assert found == network.nodes["a1"].facts.refused
+    assert len(found) == MAX_REFUSED
+    assert sum(len(notice.reason) for notice in found.values()) <= MAX_REFUSED * MAX_REASON_CHARS
