--- a/balsamtally/messages.py
+++ b/balsamtally/messages.py
@@ -172,12 +172,14 @@
 
     :ivar incarnation: identity of the replying process
     :ivar number: sequence number of the receipt
+    :ivar digest: digest of the call, since a receipt may be sent with another body
     :ivar answer: the answer, ``None`` where there is an error
     :ivar error: the error, ``None`` where there is an answer
     """
 
     incarnation: str
     number: int
+    digest: bytes
     answer: ServiceAnswer | None = None
     error: ErrorReport | None = None
 
--- a/balsamtally/services.py
+++ b/balsamtally/services.py
@@ -169,6 +169,7 @@
         :return: how it ended
         """
         incarnation = self._book.incarnation
+        digest = digest_call(message.service, message.operation, message.body)
         number = 0
         try:
             receipt = self._book.open(message.receipt)
@@ -182,8 +183,8 @@
             )
             answer = self._run_here(call, receipt)
         except BalsamtallyError as error:
-            return CallResult(incarnation, number, error=error.report())
-        return CallResult(incarnation, number, answer=answer)
+            return CallResult(incarnation, number, digest, error=error.report())
+        return CallResult(incarnation, number, digest, answer=answer)
 
     def _call_once(self, call: Call, receipt_text: str) -> ServiceAnswer:
         receipt = self._book.open(receipt_text)
@@ -222,7 +223,7 @@
                 continue
             except BalsamtallyError as error:
                 raise OutcomeUnknown(f"forwarded, and no result came back: {error}") from error
-            return self._read_result(result, receipt)
+            return self._read_result(result, call, receipt)
         raise OutcomeUnknown("the entry VM that issued the receipt is not in reach")
 
     def _is_gone(self, receipt: Receipt) -> bool:
@@ -230,13 +231,14 @@
         found = self._members.find(receipt.vm)
         return found is not None and found.incarnation not in ("", receipt.incarnation)
 
-    def _read_result(self, result, receipt: Receipt) -> ServiceAnswer:
+    def _read_result(self, result, call: Call, receipt: Receipt) -> ServiceAnswer:
         """Return the answer of a forwarded call; only the issuer itself is believed."""
-        expected = (receipt.incarnation, receipt.number)
+        digest = digest_call(call.service, call.operation, call.body)
+        expected = (receipt.incarnation, receipt.number, digest)
         if not isinstance(result, CallResult):
             raise OutcomeUnknown("the peer's reply is no result of a call")
-        if (result.incarnation, result.number) != expected:
-            raise OutcomeUnknown("the process that issued the receipt is gone")
+        if (result.incarnation, result.number, result.digest) != expected:
+            raise OutcomeUnknown("the result is not the issuer's for this call")
         if result.answer is not None:
             return result.answer
         if result.error is None:
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -99,7 +99,7 @@
     Mutation("limits", "stock.tokens += max(0.0, min(room, ", "stock.tokens += (max(9.0, ", LIMITS),
     Mutation("limits", "return stock.tokens >= cost if cost", "return True if cost", LIMITS),
     Mutation("limits", "self._ask(find_shard(key), [key])", "pass", LIMITS),
-    Mutation("receipts", "entry.state = State.VOID\n        else", "pass\n        else", SERVICES),
+    Mutation("receipts", "entry.state = State.VOID\n        else", "pass\n        else", RECEIPTS),
     Mutation(
         "services",
         "except BalsamtallyError as error:\n                raise OutcomeUnknown(str(error))",
@@ -107,7 +107,8 @@
         "                continue\n                raise OutcomeUnknown(str(error))",
         SERVICES,
     ),
-    Mutation("services", "if (result.incarnation, result.number) != expected:", "if 0:", SERVICES),
+    Mutation("services", "result.number, result.digest) != expected", "0, 0) == 0", SERVICES),
+    Mutation("services", "result.digest) != expected", "digest) != expected", SERVICES),
     Mutation(
         "services", 'OutcomeUnknown("the entry VM that issued', 'NoBackend("the entry VM', SERVICES
     ),
--- a/tests/balsamtally/test_retries.py
+++ b/tests/balsamtally/test_retries.py
@@ -16,6 +16,7 @@
         attempts += 1
         while budget.take("live", "m"):
             attempts += 1
+            assert attempts <= 2 * requests
     allowed = requests * (1 + share) + now[0] * 0.1 + MAX_SAVED
     assert allowed - 2 <= attempts <= allowed
     assert sum(budget.take("summary", "m") for _ in range(100)) == MAX_SAVED
--- a/tests/balsamtally/test_services.py
+++ b/tests/balsamtally/test_services.py
@@ -6,6 +6,7 @@
 
 import gevent
 import hypothesis.strategies as st
+import msgspec
 import pytest
 import structlog
 from gevent import get_hub
@@ -23,8 +24,8 @@
 from balsamtally.contracts import Operation, PlainService
 from balsamtally.facts import Facts
 from balsamtally.machines import BackendServer, EntryVm
-from balsamtally.messages import ServiceAnswer
-from balsamtally.receipts import ReceiptBook
+from balsamtally.messages import CallResult, ServiceAnswer
+from balsamtally.receipts import ReceiptBook, digest_call
 from balsamtally.retries import MAX_SAVED, RetryBudget
 from balsamtally.services import ServiceCalls, qualify_refusal, send_call
 from balsamtally.tickets import Ticket
@@ -215,7 +216,7 @@
 
     def move_reply(self, letter, fault):
         others = [x for x in self.letters if x.kind == "reply" and self.can_arrive(x)]
-        others = [x for x in others if x.content.number != letter.content.number]
+        others = [x for x in others if x.content != letter.content]
         if fault == "other" and others:
             self.tally["swapped"] += 1
             others[0].waiter, letter.waiter = letter.waiter, others[0].waiter
@@ -367,6 +368,26 @@
         process.calls.call("ana", "filing", "lookup", b"x", None)
 
 
+def test_runner_that_leaves_by_ticket_gets_no_calls(process):
+    process.world.reply = lambda to: ServiceAnswer(200, b"")
+    process.accept(2, make_server("r0", leaving=True), make_server("r1", leaving=True))
+    process.calls.call("ana", "filing", "lookup", b"x", None)
+    process.calls.call("ana", "filing", "record", b"x", process.book.issue("ana"))
+    assert process.world.sent == ["r2", "r2"]
+
+
+@pytest.mark.parametrize("other", [{"incarnation": "i8"}, {"number": 2}, {"digest": b""}])
+def test_only_the_issuers_result_of_this_call_is_believed(process, other):
+    receipt = ReceiptBook("b1", "i9", b"key").issue("ana")
+    answer = ServiceAnswer(200, b"own")
+    own = CallResult("i9", 1, digest_call("filing", "record", b"x"), answer)
+    process.world.reply = lambda to: own
+    assert process.calls.call("ana", "filing", "record", b"x", receipt) == answer
+    process.world.reply = lambda to: msgspec.structs.replace(own, **other)
+    with pytest.raises(errors.OutcomeUnknown):
+        process.calls.call("ana", "filing", "record", b"x", receipt)
+
+
 def test_refusal_before_routing_says_unknown_for_a_call_with_a_receipt():
     refused = errors.TooManyRequests()
     assert qualify_refusal(refused, None) is refused
