--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -116,6 +116,16 @@
     return any(place == f".{field}" for place, _ in check_object(changed))
 
 
+def test_promises_page_names_tests_that_exist():
+    rows = [row for row in read_rows(read_page("PROMISES.md")) if len(row) == 5][1:]
+    assert len(rows) == 8
+    for _, _, tests, _, _ in rows:
+        found = re.findall(r"`(tests/[\w/]+\.py)::(\w+)`", tests)
+        assert found or tests == "not proved"
+        for path, name in found:
+            assert re.search(rf"^(def |class )?{name}\b", (ROOT / path).read_text(), re.M), name
+
+
 def test_operators_page_has_every_alarm():
     found = set()
     for path in (ROOT / "balsamtally").glob("*.py"):
