Prove that graceful leaves of a runner and of an entry VM cut off no answer

Change: a process test: eight whole answers run (streamed between daemon and runner), a model runner and their entry VM get SIGTERM. Conclusion: proved for whole model answers and the entry VM; answers streamed to the caller not tried.

--- a/tests/standins/test_coordinators.py
+++ b/tests/standins/test_coordinators.py
@@ -82,3 +82,20 @@
         runner = next(iter(fleet.runners.values()))
         runner.leave()
         assert ask_many(home, "elsewhere", 4) == [True] * 4
+
+
+def test_graceful_leave_cuts_off_no_answer_and_brings_no_new_work(tmp_path):
+    flags = ("--token-ms", "50")
+    with Fleet(tmp_path, domains=1, vms_per_domain=2, slots=4, runner_flags=flags) as fleet:
+        first, second = fleet.vms.values()
+        leaving, staying = fleet.runners.values()
+        asked = [gevent.spawn(ask_whole, first, f"long {number}") for number in range(8)]
+        while not (leaving.counts()["running"] and staying.counts()["running"]):
+            gevent.sleep(0.02)
+        leaving.leave()
+        first.leave()
+        assert [each.get() for each in asked] == [True] * 8
+        generated = staying.counts()["generated"]
+        assert ask_many(second, "after", 4) == [True] * 4
+        assert staying.counts()["generated"] > generated
+        assert '"drained": true' in first.read_log()
