Run the README's call under a receipt as written

Cause: the daemon serves plain services now, and the README's second example was a sketch that nothing tried. Ruled out: one call alone, which would not show what a receipt is for. Change: the README takes a receipt, calls twice under it, and the test checks that both answers are alike and that the service ran the call once. Seen failing: another key in the first of the two calls. Conclusion: both examples of the README run as they stand.

--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -42,6 +42,7 @@
     "`removed`": Removed,
 }
 COMMAND_TIMEOUT_S = 60
+CALL = '{"waiver": 17}'
 QUICK_STOP = {"leave-notice-s": "0"}
 
 
@@ -157,11 +158,16 @@
     )
 
 
-def test_first_request_of_the_readme_runs_as_written(fleet):
+def test_requests_of_the_readme_run_as_written(fleet):
     [vm] = fleet.vms.values()
-    [command] = re.findall(r"```sh\n(.*?)```", (ROOT / "README.md").read_text(), re.DOTALL)
-    ended = run_shell(command.replace("127.0.0.1:8080", vm.caller))
+    text = (ROOT / "README.md").read_text().replace("127.0.0.1:8080", vm.caller)
+    chat, call = re.findall(r"```sh\n(.*?)```", text, re.DOTALL)
+    ended = run_shell(chat)
     assert ended.stdout.rstrip().endswith("data: [DONE]"), ended
+    ended = run_shell(call)
+    half = len(ended.stdout) // 2
+    assert ended.stdout[:half] == ended.stdout[half:] and "error" not in ended.stdout, ended
+    assert sum(each.counts()["bodies"].get(CALL, 0) for each in fleet.services.values()) == 1
 
 
 def test_commands_of_the_operators_page_run_as_written(tmp_path, fleet):
