--- a/balsamtally/node.py
+++ b/balsamtally/node.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 
 import gevent
 from gevent.event import Event
@@ -34,9 +35,10 @@
 from balsamtally.loops import Loop
 from balsamtally.machines import BackendServer, EntryVm
 from balsamtally.members import Members
-from balsamtally.messages import ServiceAnswer
+from balsamtally.messages import Hold, ServiceAnswer
 from balsamtally.metrics import Gauges, Metrics
 from balsamtally.observers import Observed, Observers, make_view
+from balsamtally.orders import Orders
 from balsamtally.receipts import ReceiptBook
 from balsamtally.retries import RetryBudget
 from balsamtally.routes import Routes
@@ -95,14 +97,27 @@
 
     def __enter__(self) -> "Node":
         enter = self._stack.enter_context
+        self.metrics = Metrics(self._read_gauges)
+        self._open_facts(enter)
+        self._open_slots(enter)
+        self._open_calls()
+        self.entry = enter(Entry(self.settings, self.chats, self._make_doors()))
+        self._serve_operators(enter)
+        return self
+
+    def _open_facts(self, enter: Callable) -> None:
+        """Open what is shared between the entry VMs: links, members, tickets and limits."""
         self.facts = Facts()
         self.members = Members(self.own)
-        self.metrics = Metrics(self._read_gauges)
         self.links = enter(Links(self.settings, self._find_address, enter(Loop())))
         self.configuration = enter(Configuration(self.settings))
         self.dissemination = enter(
             Dissemination(self.settings, self.facts, self.members, self.configuration, self.links)
         )
+        self.limits = enter(Limits(self.facts, self.members, self.links))
+
+    def _open_slots(self, enter: Callable) -> None:
+        """Open what grants slots on the model runners, here and elsewhere."""
         self.runners = enter(Runners())
         self.observers = enter(Observers(self.runners))
         self.routes = Routes(self.settings.domain, self.facts, self.members)
@@ -119,11 +134,15 @@
         )
         self.region_bytes = RegionBytes(time.monotonic, lambda: len(self.members.list_all()))
         self.slots = enter(Slots(self.links, self.routes, self._make_domain_choice().choose))
-        self.book = ReceiptBook(
-            self.settings.vm, self.incarnation, bytes.fromhex(self.settings.link_key)
-        )
+        self.links.handle(Hold, self._hold_runners)
+        if self.settings.place_models:
+            enter(Orders(self.facts, self.routes, self.links, self.runners, self._is_placer))
+
+    def _open_calls(self) -> None:
+        """Open what runs chat requests and plain service calls."""
+        key = bytes.fromhex(self.settings.link_key)
+        self.book = ReceiptBook(self.settings.vm, self.incarnation, key)
         self.budget = RetryBudget(lambda: self._find_policy().retry_share)
-        self.limits = enter(Limits(self.facts, self.members, self.links))
         self.services = ServiceCalls(
             self.members,
             self.facts,
@@ -142,9 +161,6 @@
             self._note_decision,
             self._note_traffic,
         )
-        self.entry = enter(Entry(self.settings, self.chats, self._make_doors()))
-        self._serve_operators(enter)
-        return self
 
     def __exit__(self, *exc_info) -> None:
         self._stack.close()
@@ -162,7 +178,7 @@
         :return: whether all ended within the grace period
         """
         self.leaving = True
-        self.members.announce_leaving()
+        self.dissemination.announce_leaving()
         self.book.leave()
         log.info("leaving", in_flight=self.entry.admission.in_flight)
         begun = time.monotonic()
@@ -224,6 +240,13 @@
         found = self.members.find(vm)
         return found.address if found is not None else None
 
+    def _is_placer(self) -> bool:
+        return self.members.is_coordinator("place")
+
+    def _hold_runners(self, sender: str, hold: Hold) -> None:
+        for runner in hold.runners:
+            self.observers.hold(runner, hold.time_s)
+
     def _find_open_runner(self, name: str) -> BackendServer | None:
         server = self.facts.find(BackendServer, name)
         if server is None or server.leaving or self.observers.is_leaving(name):
