--- a/balsamtally/slots.py
+++ b/balsamtally/slots.py
@@ -15,7 +15,8 @@
 from balsamtally.routes import Routes
 
 ASK_TIMEOUT_S = 0.25
-RENEW_EVERY_S = 0.5
+RENEW_EVERY_S = 2.0
+CHECK_EVERY_S = 0.5
 REASK_EVERY_S = 2.0
 VANISHED_CHECK_S = 0.5
 MAX_COORDINATORS_ASKED = 4
@@ -197,9 +198,13 @@
 
     def _renew_grants(self) -> None:
         """Renew the grants in use, and find coordinators that no longer reply."""
+        renewed_at = 0.0
         while True:
-            gevent.sleep(RENEW_EVERY_S)
-            groups = self._group_grants()
+            gevent.sleep(CHECK_EVERY_S)
+            groups: dict[tuple[str, str], list[str]] = {}
+            if time.monotonic() - renewed_at >= RENEW_EVERY_S:
+                groups = self._group_grants()
+                renewed_at = time.monotonic()
             awaited = set(self._asked.values())
             for key in awaited | groups.keys():
                 coordinator, pool = key
