Reply to an ask with its grant, and tick only while requests wait

Ruled out: one hot function (py-spy: asyncio and h2 30%, the hub 44%, handlers 20%). Change: a grant made at once rides on the reply to the ask; messages are encoded as arrays; a queue ticks every 0.5 s while nothing waits in it; the reply tells the asking tier alone.

--- a/balsamtally/coordinator.py
+++ b/balsamtally/coordinator.py
@@ -5,11 +5,21 @@
 
 import gevent
 import msgspec
+from gevent.event import Event
 
 from balsamtally.contracts import Customer, Policy, RequestClass
 from balsamtally.facts import Facts
 from balsamtally.links import Links
-from balsamtally.messages import Ask, QueueQuery, QueueState, Release, Renew, TierState, Withdraw
+from balsamtally.messages import (
+    Ask,
+    Grant,
+    QueueQuery,
+    QueueState,
+    Release,
+    Renew,
+    TierState,
+    Withdraw,
+)
 from balsamtally.queues import PoolQueue, RunnerView
 from balsamtally.spill import view_queue
 
@@ -46,8 +56,11 @@
         self.list_others = list_others
         self.note_refusal = note_refusal
         self.queues: dict[str, PoolQueue] = {}
+        self._asking: tuple[str, int] | None = None
+        self._granted: Grant | None = None
         self._used_at: dict[str, float] = {}
         self._tasks: dict[str, gevent.Greenlet] = {}
+        self._woken: dict[str, Event] = {}
         links.handle(Ask, self._take_ask)
         links.handle(QueueQuery, self._take_query)
         links.handle(Release, self._take_release)
@@ -76,11 +89,12 @@
         """Return the state of a pool's queue here.
 
         :param pool: name of the model
-        :param request_class: class whose answers' length is wanted
+        :param request_class: the only class of interest, empty for all
         """
         queue = self._open_queue(pool)
-        tiers = sorted({known.tier for known in self.facts.list(RequestClass)})
-        views = {tier: view_queue(self.domain, queue, tier) for tier in tiers}
+        known = self.facts.find(RequestClass, request_class)
+        classes = [known] if known is not None else self.facts.list(RequestClass)
+        views = {tier: view_queue(self.domain, queue, tier) for tier in {c.tier for c in classes}}
         return QueueState(
             domain=self.domain,
             runners=sum(1 for view in self.list_views(pool) if not view.leaving),
@@ -100,11 +114,28 @@
     def _take_ask(self, sender: str, ask: Ask) -> QueueState:
         """Queue a request, unless the pool has no runner here; tell how the queue stands."""
         state = self.describe_queue(ask.pool, ask.request_class)
-        if state.runners:
+        others: tuple[QueueState, ...] = ()
+        if not state.runners or self._would_miss(state, ask):
+            others = self.list_others(ask.pool)
+        grant = self._submit(sender, ask) if state.runners else None
+        return msgspec.structs.replace(state, others=others, grant=grant)
+
+    def _submit(self, sender: str, ask: Ask) -> Grant | None:
+        """Queue a request, and return its grant if that was made at once."""
+        self._asking = (ask.request, ask.attempt)
+        try:
             self._open_queue(ask.pool).submit(sender, ask)
-        if state.runners and not self._would_miss(state, ask):
-            return state
-        return msgspec.structs.replace(state, others=self.list_others(ask.pool))
+            if self._granted is None:
+                self._woken[ask.pool].set()
+            return self._granted
+        finally:
+            self._asking, self._granted = None, None
+
+    def _send_grant(self, sender: str, grant: Grant) -> None:
+        if (grant.request, grant.attempt) == self._asking:
+            self._granted = grant
+        else:
+            self.links.cast(sender, grant)
 
     def _would_miss(self, state: QueueState, ask: Ask) -> bool:
         request_class = self.facts.find(RequestClass, ask.request_class)
@@ -145,21 +176,27 @@
             pool,
             find_class=lambda name: self.facts.find(RequestClass, name),
             find_customer=lambda name: self.facts.find(Customer, name),
-            grant=self.links.cast,
+            grant=self._send_grant,
             refuse=self.links.cast,
             revoke=self.links.cast,
             find_policy=lambda: self.facts.find(Policy, "default") or Policy(),
         )
         self.queues[pool] = queue
+        self._woken[pool] = Event()
         queue.set_runners(self.list_views(pool))
         self._tasks[pool] = gevent.spawn(self._run_queue, pool, queue)
         return queue
 
     def _run_queue(self, pool: str, queue: PoolQueue) -> None:
-        """Run one pool's timers until it has been idle for long."""
+        """Run one pool's timers until it has been idle for long; often only while some wait."""
         views_at = time.monotonic()
+        woken = self._woken[pool]
         while time.monotonic() - self._used_at[pool] < IDLE_END_S or queue.count_queued():
-            gevent.sleep(TICK_S)
+            if queue.count_queued():
+                gevent.sleep(TICK_S)
+            else:
+                woken.clear()
+                woken.wait(VIEWS_EVERY_S)
             if time.monotonic() - views_at >= VIEWS_EVERY_S:
                 queue.set_runners(self.list_views(pool))
                 views_at = time.monotonic()
@@ -167,3 +204,4 @@
                 queue.tick()
         del self.queues[pool]
         del self._tasks[pool]
+        del self._woken[pool]
--- a/balsamtally/messages.py
+++ b/balsamtally/messages.py
@@ -5,8 +5,8 @@
 from balsamtally.errors import ErrorReport
 
 
-class Message(msgspec.Struct, frozen=True, tag=True):
-    """Base of all messages."""
+class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Base of all messages; new fields go to the end, with defaults, for older daemons."""
 
 
 class Done(Message, frozen=True):
@@ -51,46 +51,6 @@
     generated: int = 0
 
 
-class TierState(msgspec.Struct, frozen=True, array_like=True):
-    """What a new request of one tier would meet in a queue.
-
-    :ivar tier: the priority tier
-    :ivar wait_s: expected time until it is granted a slot, in seconds
-    :ivar first_token_s: usual time from the grant to the first token, in seconds
-    :ivar free_slots: slots that are free for it
-    """
-
-    tier: int
-    wait_s: float
-    first_token_s: float
-    free_slots: int
-
-
-class QueueState(Message, frozen=True):
-    """The state of a pool's queue at one coordinator.
-
-    :ivar domain: name of its failure domain
-    :ivar runners: number of its runners, 0 if it can't queue for the pool
-    :ivar queued: requests that wait
-    :ivar slots: slots of its runners
-    :ivar used: slots in use by grants
-    :ivar tiers: what a new request would meet, by tier
-    :ivar tokens: expected length of an answer of the asking request's class
-    :ivar age_s: age of this knowledge, in seconds
-    :ivar others: the pool in other failure domains, where this one has no room
-    """
-
-    domain: str
-    runners: int
-    queued: int = 0
-    slots: int = 0
-    used: int = 0
-    tiers: tuple[TierState, ...] = ()
-    tokens: float = 0.0
-    age_s: float = 0.0
-    others: tuple["QueueState", ...] = ()
-
-
 class QueueQuery(Message, frozen=True):
     """A question for the state of a pool's queue; the reply is a :class:`QueueState`.
 
@@ -132,6 +92,48 @@
     expires_s: float
 
 
+class TierState(msgspec.Struct, frozen=True, array_like=True):
+    """What a new request of one tier would meet in a queue.
+
+    :ivar tier: the priority tier
+    :ivar wait_s: expected time until it is granted a slot, in seconds
+    :ivar first_token_s: usual time from the grant to the first token, in seconds
+    :ivar free_slots: slots that are free for it
+    """
+
+    tier: int
+    wait_s: float
+    first_token_s: float
+    free_slots: int
+
+
+class QueueState(Message, frozen=True):
+    """The state of a pool's queue at one coordinator.
+
+    :ivar domain: name of its failure domain
+    :ivar runners: number of its runners, 0 if it can't queue for the pool
+    :ivar queued: requests that wait
+    :ivar slots: slots of its runners
+    :ivar used: slots in use by grants
+    :ivar tiers: what a new request would meet, by tier
+    :ivar tokens: expected length of an answer of the asking request's class
+    :ivar age_s: age of this knowledge, in seconds
+    :ivar others: the pool in other failure domains, where this one has no room
+    :ivar grant: the asking request's grant, where it was made at once
+    """
+
+    domain: str
+    runners: int
+    queued: int = 0
+    slots: int = 0
+    used: int = 0
+    tiers: tuple[TierState, ...] = ()
+    tokens: float = 0.0
+    age_s: float = 0.0
+    others: tuple["QueueState", ...] = ()
+    grant: Grant | None = None
+
+
 class Refuse(Message, frozen=True):
     """A request is shed from the queue: it was not run and no grant was made.
 
--- a/balsamtally/slots.py
+++ b/balsamtally/slots.py
@@ -131,7 +131,7 @@
         :return: the failure domain and the coordinator that have the request now
         """
         coordinator, state = self._ask_domain(ask, domain, previous)
-        if domain != self.routes.domain:
+        if domain != self.routes.domain or state.grant is not None:
             return domain, coordinator
         chosen = self.choose_domain(ask, state)
         if chosen == domain and not state.runners:
@@ -165,6 +165,8 @@
                 )
                 continue
             self.routes.note_state(name, ask.pool, state)
+            if state.grant is not None:
+                self._take_grant(name, state.grant)
             return name, state
         raise NoBackend(str(error))
 
--- a/standins/bench_control.py
+++ b/standins/bench_control.py
@@ -20,7 +20,7 @@
 from standins.callers import make_headers
 from standins.fleet import Fleet
 
-RATES = (40, 40)
+RATES = (0, 10, 20, 40)
 RUN_S = 15.0
 ANSWER_TOKENS = 8
 CUSTOMER = "arenas-del-este"
