Wait for the links' loop in gevent's hub by one descriptor

Cause: gevent's stand-in for the selector sets up a watcher for each socket at each wait. Change: HubSelector waits in the hub for the descriptor of the kernel's own selector.

--- a/balsamtally/loops.py
+++ b/balsamtally/loops.py
@@ -1,17 +1,39 @@
 """The asyncio loop of the process, run in a greenlet."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Coroutine
 
 import gevent
+from gevent import monkey
 from gevent.event import AsyncResult, Event
+from gevent.socket import wait_read
+
+EpollSelector = monkey.get_original("selectors", "EpollSelector")
+
+
+class HubSelector(EpollSelector):
+    """Waits in gevent's hub for one descriptor, that of the kernel's own selector."""
+
+    def select(self, timeout: float | None = None) -> list:
+        """Return the events that are ready, after at most a timeout.
+
+        :param timeout: longest wait in seconds, ``None`` for no bound
+        """
+        ready = super().select(0)
+        if ready or (timeout is not None and timeout <= 0):
+            gevent.sleep(0)
+            return ready
+        with contextlib.suppress(TimeoutError):
+            wait_read(self.fileno(), timeout)
+        return super().select(0)
 
 
 class Loop:
     """An asyncio loop in a greenlet, closed by context; a process has one at a time."""
 
     def __init__(self):
-        self.asyncio = asyncio.new_event_loop()
+        self.asyncio = asyncio.SelectorEventLoop(HubSelector())
         self._started = Event()
         self._greenlet = None
 
