--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,10 @@
 
 bench: setup
 	$(BIN)/python -m standins.bench
+	$(BIN)/python -m standins.bench_links
+	$(BIN)/python -m standins.bench_capacity
+	$(BIN)/python -m standins.bench_control
+	$(BIN)/python -m standins.plots
 
 bench-policy: setup
 	$(BIN)/python -m standins.bench_policy
