Drop a paused coordinator's queue, and end an answer that is whole at its limit

Ruled out: asking the members for the pause in each handler (a gap in the queue's own timer tells). Conclusion: mended.

--- a/balsamtally/chats.py
+++ b/balsamtally/chats.py
@@ -21,6 +21,7 @@
 from balsamtally.messages import Ask, Release
 from balsamtally.slots import CallerVanished, HeldGrant, Slots
 from balsamtally.streams import (
+    Choice,
     Chunk,
     RunnerFailed,
     RunnerLeaving,
@@ -31,6 +32,7 @@
 
 MAX_ATTEMPTS = 8
 CHARACTERS_PER_TOKEN = 4
+TOKEN_LIMITS = ("max_tokens", "max_completion_tokens")
 
 
 class Preempted(Exception):
@@ -126,7 +128,7 @@
         :raises BalsamtallyError: if there is no whole answer
         :raises CallerVanished: if the caller left
         """
-        while True:
+        while not has_reached_limit(chat, progress):
             progress.attempts += 1
             tokens_before = progress.tokens
             held = self._acquire(chat, progress, has_vanished)
@@ -140,6 +142,7 @@
                 progress.excluded.append(held.grant.runner)
                 is_free = progress.tokens > tokens_before or isinstance(failure, RunnerRefused)
                 self._check_retry(chat, progress, failure, is_free)
+        yield Chunk(chat.request, (Choice(finish_reason="length"),))
 
     def _acquire(self, chat: ChatRequest, progress: Progress, has_vanished) -> HeldGrant:
         text = msgspec.json.encode(chat.body["messages"])
@@ -288,6 +291,16 @@
         return RetriesExhausted(f"no retry left: {failure}")
 
 
+def has_reached_limit(chat: ChatRequest, progress: Progress) -> bool:
+    """Tell whether the answer has all the tokens that the caller asked for.
+
+    :param chat: the request
+    :param progress: what the caller has received
+    """
+    limits = [chat.body.get(name) for name in TOKEN_LIMITS]
+    return any(limit is not None and progress.tokens >= limit for limit in limits)
+
+
 def make_runner_body(chat: ChatRequest, progress: Progress) -> dict:
     """Return the body for a runner, which resumes after the text delivered so far.
 
@@ -306,9 +319,9 @@
     body["messages"] = [*chat.body["messages"], partial]
     body["continue_final_message"] = True
     body["add_generation_prompt"] = False
-    for name in ("max_tokens", "max_completion_tokens"):
+    for name in TOKEN_LIMITS:
         if body.get(name) is not None:
-            body[name] = max(1, body[name] - progress.tokens)
+            body[name] -= progress.tokens
     return body
 
 
--- a/balsamtally/coordinator.py
+++ b/balsamtally/coordinator.py
@@ -10,6 +10,7 @@
 from balsamtally.contracts import Customer, Policy, RequestClass
 from balsamtally.facts import Facts
 from balsamtally.links import Links
+from balsamtally.logs import log
 from balsamtally.messages import (
     Ask,
     Grant,
@@ -26,6 +27,7 @@
 TICK_S = 0.05
 VIEWS_EVERY_S = 0.5
 IDLE_END_S = 60.0
+AWAY_S = 3.0
 MEDIAN = 0.5
 
 
@@ -38,6 +40,8 @@
     :param list_views: gives what is known of the runners that this VM may grant for a pool
     :param list_others: gives the state of a pool in the other failure domains
     :param note_refusal: called with the name of a runner that refused work
+    :param list_live: gives the names of the entry VMs that are live
+    :param note_decision_time: called with the seconds that a decision took
     """
 
     def __init__(
@@ -48,6 +52,8 @@
         list_views: Callable[[str], list[RunnerView]],
         list_others: Callable[[str], tuple[QueueState, ...]],
         note_refusal: Callable[[str], None],
+        list_live: Callable[[], set[str]],
+        note_decision_time: Callable[[float], None],
     ):
         self.links = links
         self.facts = facts
@@ -55,10 +61,13 @@
         self.list_views = list_views
         self.list_others = list_others
         self.note_refusal = note_refusal
+        self.list_live = list_live
+        self.note_decision_time = note_decision_time
         self.queues: dict[str, PoolQueue] = {}
         self._asking: tuple[str, int] | None = None
         self._granted: Grant | None = None
         self._used_at: dict[str, float] = {}
+        self._ticked_at: dict[str, float] = {}
         self._tasks: dict[str, gevent.Greenlet] = {}
         self._woken: dict[str, Event] = {}
         links.handle(Ask, self._take_ask)
@@ -77,14 +86,6 @@
         """Return the number of queued requests by pool and class."""
         return {pool: queue.count_queued() for pool, queue in self.queues.items()}
 
-    def drop_sender(self, vm: str) -> None:
-        """Forget the queued requests of an entry VM that is gone.
-
-        :param vm: its name
-        """
-        for queue in self.queues.values():
-            queue.drop_sender(vm)
-
     def describe_queue(self, pool: str, request_class: str = "") -> QueueState:
         """Return the state of a pool's queue here.
 
@@ -123,6 +124,7 @@
     def _submit(self, sender: str, ask: Ask) -> Grant | None:
         """Queue a request, and return its grant if that was made at once."""
         self._asking = (ask.request, ask.attempt)
+        begun = time.perf_counter()
         try:
             self._open_queue(ask.pool).submit(sender, ask)
             if self._granted is None:
@@ -130,6 +132,7 @@
             return self._granted
         finally:
             self._asking, self._granted = None, None
+            self.note_decision_time(time.perf_counter() - begun)
 
     def _send_grant(self, sender: str, grant: Grant) -> None:
         if (grant.request, grant.attempt) == self._asking:
@@ -149,8 +152,8 @@
         )
 
     def _take_release(self, sender: str, release: Release) -> None:
-        queues = [self.queues.get(release.pool)] if release.pool else list(self.queues.values())
-        for queue in queues:
+        for pool in [release.pool] if release.pool else list(self.queues):
+            queue = self._find_queue(pool)
             if queue is None:
                 continue
             held = queue.grants.find(release.grant)
@@ -163,15 +166,23 @@
         self._open_queue(renew.pool).renew(sender, renew)
 
     def _take_withdraw(self, sender: str, withdraw: Withdraw) -> None:
-        queue = self.queues.get(withdraw.pool)
+        queue = self._find_queue(withdraw.pool)
         if queue is not None:
             queue.withdraw(sender, withdraw)
 
     def _open_queue(self, pool: str) -> PoolQueue:
         self._used_at[pool] = time.monotonic()
+        return self._find_queue(pool) or self._make_queue(pool)
+
+    def _find_queue(self, pool: str) -> PoolQueue | None:
+        """Return the queue of a pool, unless its facts are old since this VM was paused."""
         queue = self.queues.get(pool)
-        if queue is not None:
-            return queue
+        if queue is not None and time.monotonic() - self._ticked_at[pool] > AWAY_S:
+            self._forget_queue(pool)
+            return None
+        return queue
+
+    def _make_queue(self, pool: str) -> PoolQueue:
         queue = PoolQueue(
             pool,
             find_class=lambda name: self.facts.find(RequestClass, name),
@@ -183,13 +194,20 @@
         )
         self.queues[pool] = queue
         self._woken[pool] = Event()
+        self._ticked_at[pool] = time.monotonic()
         queue.set_runners(self.list_views(pool))
         self._tasks[pool] = gevent.spawn(self._run_queue, pool, queue)
         return queue
 
+    def _forget_queue(self, pool: str) -> None:
+        """Drop a queue whose facts are old, since this VM was paused; its requests ask anew."""
+        log.warning("queue_forgotten", pool=pool, queued=self.queues[pool].count_queued())
+        del self.queues[pool]
+        self._tasks.pop(pool).kill(block=False)
+
     def _run_queue(self, pool: str, queue: PoolQueue) -> None:
         """Run one pool's timers until it has been idle for long; often only while some wait."""
-        views_at = time.monotonic()
+        viewed_at = time.monotonic()
         woken = self._woken[pool]
         while time.monotonic() - self._used_at[pool] < IDLE_END_S or queue.count_queued():
             if queue.count_queued():
@@ -197,11 +215,26 @@
             else:
                 woken.clear()
                 woken.wait(VIEWS_EVERY_S)
-            if time.monotonic() - views_at >= VIEWS_EVERY_S:
-                queue.set_runners(self.list_views(pool))
-                views_at = time.monotonic()
-            else:
-                queue.tick()
+            now = time.monotonic()
+            if now - self._ticked_at[pool] > AWAY_S:
+                self._forget_queue(pool)
+                return
+            self._ticked_at[pool] = now
+            is_due = now - viewed_at >= VIEWS_EVERY_S
+            viewed_at = now if is_due else viewed_at
+            self._step_queue(queue, is_due)
         del self.queues[pool]
         del self._tasks[pool]
-        del self._woken[pool]
+
+    def _step_queue(self, queue: PoolQueue, is_view_due: bool) -> None:
+        """Do what is due in a queue; a fault in it must not end its timers."""
+        try:
+            if not is_view_due:
+                queue.tick()
+                return
+            live = self.list_live()
+            for sender in {waiting.sender for waiting in queue.queued.values()} - live:
+                queue.drop_sender(sender)
+            queue.set_runners(self.list_views(queue.pool))
+        except Exception:
+            log.exception("step_failed", step="Coordinator.step_queue", pool=queue.pool)
--- a/balsamtally/node.py
+++ b/balsamtally/node.py
@@ -130,6 +130,8 @@
                 lambda pool: self.routes.list_own_views(pool, self.observers.list_views),
                 self.surveys.list_states,
                 self.observers.note_refusal,
+                lambda: {vm.name for vm in self.members.list_all()},
+                self.metrics.observe_decision,
             )
         )
         self.region_bytes = RegionBytes(time.monotonic, lambda: len(self.members.list_all()))
@@ -175,7 +177,7 @@
 
         For a while chat requests are still taken, so that the platform's balancer can notice.
 
-        :return: whether all ended within the grace period
+        :return: whether no request is cut off at the end of the grace period
         """
         self.leaving = True
         self.dissemination.announce_leaving()
@@ -185,7 +187,7 @@
         while not self._has_drained():
             waited_s = time.monotonic() - begun
             if waited_s >= self.settings.grace_s:
-                return False
+                return not (self.entry.admission.in_flight or self.services.in_flight)
             self.refusing = waited_s >= self.settings.leave_notice_s
             gevent.sleep(DRAIN_POLL_S)
         return True
@@ -302,6 +304,7 @@
         log.info("decision", **fields)
         if fields["decision"] == "route":
             self.metrics.observe_queue_wait(fields["request_class"], fields["waited_ms"] / 1000)
+        if fields["decision"] == "route" and fields["attempt"] == 1:
             self.budget.note_request(fields["request_class"], fields["pool"])
         if fields["decision"] == "retry":
             self.metrics.count_retry(fields["request_class"])
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -34,6 +34,11 @@
 DISSEMINATION = "tests/balsamtally/test_dissemination.py"
 ANSWERS = "tests/balsamtally/test_answers.py"
 EXCHANGE = "tests/balsamtally/test_exchange.py"
+ADMISSION = "tests/balsamtally/test_admission.py"
+CHATS = "tests/balsamtally/test_chats.py"
+COORDINATOR = "tests/balsamtally/test_coordinator.py"
+ORDERS = "tests/balsamtally/test_orders.py"
+ROUTES = "tests/balsamtally/test_routes.py"
 FACTS = "tests/balsamtally/test_facts.py"
 LIMITS = "tests/balsamtally/test_limits.py"
 MEMBERS = "tests/balsamtally/test_members.py"
@@ -42,6 +47,28 @@
 RETRIES = "tests/balsamtally/test_retries.py"
 
 MUTATIONS = (
+    Mutation("admission", "if held <= tier", "if True", ADMISSION),
+    Mutation("chats", "while not has_reached_limit(chat, progress):", "while True:", CHATS),
+    Mutation("chats", "body[name] -= progress.tokens", "pass", CHATS),
+    Mutation("chats", "if stream.cancelled:", "if False:", CHATS),
+    Mutation("chats", "progress.touched = True\n        return", "return", CHATS),
+    Mutation("chats", "is_free or self.take_retry", "self.take_retry", CHATS),
+    Mutation("chats", "self.note_refusal(server.name)", "pass", CHATS),
+    Mutation("chats", "refused = True\n", "pass\n", CHATS),
+    Mutation(
+        "coordinator",
+        "self._ticked_at[pool] > AWAY_S:\n            self",
+        "0 > 1:\n            self",
+        COORDINATOR,
+    ),
+    Mutation("coordinator", "queue.drop_sender(sender)", "pass", COORDINATOR),
+    Mutation("coordinator", "except Exception:", "except ZeroDivisionError:", COORDINATOR),
+    Mutation("orders", "allowed=server.pools", "allowed=()", ORDERS),
+    Mutation("placement", "report.name not in self.outstanding", "True", ORDERS),
+    Mutation(
+        "routes", "(self._changes, self.members.version)", "(0, self.members.version)", ROUTES
+    ),
+    Mutation("routes", "(self._changes, self.members.version)", "(self._changes, 0)", ROUTES),
     Mutation("receipts", "receipt.customer != customer", "False", RECEIPTS),
     Mutation("receipts", "entry.digest != digest", "False", RECEIPTS),
     Mutation("receipts", "entry.done.wait()", "pass", RECEIPTS),
--- a/tests/balsamtally/test_orders.py
+++ b/tests/balsamtally/test_orders.py
@@ -24,9 +24,11 @@
         self.state = {"running": 0, "model_list": ["small"], "fence": 3, "adapters": []}
         self.fencing = fencing
         self.orders = []
+        self.posts = 0
         self.deaf = False
 
     def request(self, method, path, body=b"", **_):
+        self.posts += method == "POST"
         if method == "POST" and not self.deaf:
             self.take(json.loads(body))
         return SimpleNamespace(status=200, data=json.dumps(self.state).encode())
@@ -107,7 +109,7 @@
         runner.deaf = True
     orders = world.make_orders()
     run_steps(orders, 8)
-    assert len(orders.placement.outstanding) == 1
+    assert sum(runner.posts for runner in world.runners.values()) == 1
     assert world.list_models() == ["small"] * 3
 
 
