Prove live requests through a flood, and a leaving runner by ticket, with processes

Ruled out: a bound on time (a busy machine breaks it); the flood's answers that overtake are counted: at most twice the slots. The ticket's check taken out of coordinator and entry VM together: failed; either alone: passed, since the other one holds. Conclusion: proved for these faults; splits between processes are not.

--- a/tests/standins/test_coordinators.py
+++ b/tests/standins/test_coordinators.py
@@ -3,10 +3,13 @@
 import json
 
 import gevent
+import msgspec
 import pytest
 import urllib3
 
+from balsamtally.machines import BackendServer
 from balsamtally.shards import list_coordinators
+from balsamtally.tickets import Ticket
 from standins.answers import answer_tokens, join_prompt
 from standins.callers import make_headers
 from standins.fleet import Fleet
@@ -15,13 +18,29 @@
 ANSWER_TOKENS = 40
 TIMEOUT_S = 60.0
 MAX_ROUNDS = 10
+FLOOD = 40
+LIVE = 12
+SLOTS_IN_ALL = 4
+NEWS_S = 3.0
 
 
-def ask_whole(vm, label):
+def make_ticket(item):
+    """Return a ticket above all of the examples that touches one object."""
+    return Ticket(1, 1_000, "ana", (item,))
+
+
+def find_server(fleet, name):
+    """Return a backend server as the fleet's tickets state it."""
+    body = json.loads(next(iter(fleet.vms.values())).read("/state"))
+    rows = (row["item"] for row in body["objects"] if row["kind"] == "backend")
+    return msgspec.convert(next(row for row in rows if row["name"] == name), BackendServer)
+
+
+def ask_whole(vm, label, request_class=CLASS):
     """Send one request for a whole answer and return whether it was the right one."""
     messages = make_messages(label)
     body = {"model": "waivers-8b", "messages": messages, "max_tokens": ANSWER_TOKENS}
-    headers = make_headers(CUSTOMER, **{"X-Request-Class": CLASS})
+    headers = make_headers(CUSTOMER, **{"X-Request-Class": request_class})
     url = f"http://{vm.caller}{CHATS}"
     response = urllib3.request(
         "POST", url, body=json.dumps(body), headers=headers, timeout=TIMEOUT_S, retries=False
@@ -99,3 +118,36 @@
         assert ask_many(second, "after", 4) == [True] * 4
         assert staying.counts()["generated"] > generated
         assert '"drained": true' in first.read_log()
+
+
+def test_live_requests_are_served_through_a_flood_and_a_lost_coordinator(tmp_path):
+    with Fleet(tmp_path, domains=1, vms_per_domain=3, slots=SLOTS_IN_ALL // 2) as fleet:
+        coordinator, other = find_coordinator(fleet)
+        flood = [
+            gevent.spawn(ask_whole, other, f"flood {number}", "archive-batch")
+            for number in range(FLOOD)
+        ]
+        gevent.sleep(0.3)
+        live = [gevent.spawn(ask_whole, other, f"live {number}") for number in range(LIVE)]
+        coordinator.kill()
+        gevent.sleep(1.0)
+        live += [gevent.spawn(ask_whole, other, f"later {number}") for number in range(LIVE)]
+        assert [each.get() for each in live] == [True] * 2 * LIVE
+        assert sum(each.ready() for each in flood) <= 2 * SLOTS_IN_ALL
+        assert [each.get() for each in flood] == [True] * FLOOD
+
+
+def test_runner_that_a_ticket_calls_leaving_gets_no_new_work(tmp_path):
+    with Fleet(tmp_path, domains=1, vms_per_domain=2) as fleet:
+        first, second = fleet.vms.values()
+        leaving, staying = fleet.runners.values()
+        assert ask_many(first, "before", 8) == [True] * 8
+        assert leaving.counts()["generated"] and staying.counts()["generated"]
+        server = find_server(fleet, leaving.name)
+        second.pause()
+        fleet.publish(make_ticket(msgspec.structs.replace(server, leaving=True)))
+        gevent.sleep(NEWS_S)
+        second.resume()
+        generated = leaving.counts()["generated"]
+        assert ask_many(first, "after", 8) + ask_many(second, "woken", 8) == [True] * 16
+        assert leaving.counts()["generated"] == generated
