Mend names, long functions and doubled code found by reading

Ruled out: one module for both sides' grants (an entry VM's slot and a coordinator's grant differ). Conclusion: behaviour as it was.

--- a/balsamtally/admin.py
+++ b/balsamtally/admin.py
@@ -159,42 +159,30 @@
     """
     app = bottle.Bottle()
     app.default_error_handler = _answer_error
-
-    @app.get("/metrics")
-    def get_metrics():
-        body, content_type = render_metrics()
-        bottle.response.content_type = content_type
-        return body
-
-    @app.get("/healthz")
-    def get_health():
-        return _answer({"healthy": True})
-
-    @app.get("/readyz")
-    def get_readiness():
-        reason = read_unready()
-        return _answer({"ready": not reason, "reason": reason}, 503 if reason else 200)
-
-    @app.get("/explain/<request>")
-    def explain(request):
-        lines = decisions.find(request)
-        return _answer({"request": request, "decisions": lines}, 200 if lines else 404)
-
-    _add_readers(
-        app,
-        {
-            "/state": read_state,
-            "/vms": read_vms,
-            "/runners": read_runners,
-            "/queues": read_queues,
-        },
-    )
+    app.get("/metrics", callback=lambda: _answer_metrics(render_metrics))
+    app.get("/healthz", callback=lambda: _answer({"healthy": True}))
+    app.get("/readyz", callback=lambda: _answer_readiness(read_unready()))
+    app.get("/explain/<request>", callback=lambda request: _explain(request, decisions))
+    app.get("/state", callback=lambda: _answer(read_state()))
+    app.get("/vms", callback=lambda: _answer(read_vms()))
+    app.get("/runners", callback=lambda: _answer(read_runners()))
+    app.get("/queues", callback=lambda: _answer(read_queues()))
     return app
 
 
-def _add_readers(app: bottle.Bottle, readers: dict[str, Callable[[], object]]) -> None:
-    for path, read in readers.items():
-        app.get(path, callback=lambda read=read: _answer(read()))
+def _answer_metrics(render_metrics: Callable[[], tuple[bytes, str]]) -> bytes:
+    body, content_type = render_metrics()
+    bottle.response.content_type = content_type
+    return body
+
+
+def _answer_readiness(reason: str) -> bytes:
+    return _answer({"ready": not reason, "reason": reason}, 503 if reason else 200)
+
+
+def _explain(request: str, decisions: Decisions) -> bytes:
+    lines = decisions.find(request)
+    return _answer({"request": request, "decisions": lines}, 200 if lines else 404)
 
 
 def _answer(value: object, status: int = 200) -> bytes:
--- a/balsamtally/chats.py
+++ b/balsamtally/chats.py
@@ -19,7 +19,7 @@
 from balsamtally.logs import log
 from balsamtally.machines import BackendServer
 from balsamtally.messages import Ask, Release
-from balsamtally.slots import CallerVanished, HeldGrant, Slots
+from balsamtally.slots import CallerVanished, Slot, Slots
 from balsamtally.streams import (
     Choice,
     Chunk,
@@ -144,7 +144,7 @@
                 self._check_retry(chat, progress, failure, is_free)
         yield Chunk(chat.request, (Choice(finish_reason="length"),))
 
-    def _acquire(self, chat: ChatRequest, progress: Progress, has_vanished) -> HeldGrant:
+    def _acquire(self, chat: ChatRequest, progress: Progress, has_vanished) -> Slot:
         text = msgspec.json.encode(chat.body["messages"])
         ask = Ask(
             request=chat.request,
@@ -185,7 +185,7 @@
         self,
         chat: ChatRequest,
         progress: Progress,
-        held: HeldGrant,
+        held: Slot,
         has_vanished: Callable[[], bool],
     ) -> Iterator[Chunk]:
         """Stream one attempt; the slot is given back whatever happens.
@@ -220,7 +220,7 @@
             release = Release(name, pool, tokens, first_token_s, failed, refused)
             self.slots.release(held, release)
 
-    def _open_stream(self, chat: ChatRequest, progress: Progress, held: HeldGrant) -> RunnerStream:
+    def _open_stream(self, chat: ChatRequest, progress: Progress, held: Slot) -> RunnerStream:
         if held.revoked:
             raise Preempted
         server = self.find_open(held.grant.runner)
@@ -240,7 +240,7 @@
         return stream
 
     @contextlib.contextmanager
-    def _count(self, chat: ChatRequest, held: HeldGrant, stream: RunnerStream) -> Iterator[None]:
+    def _count(self, chat: ChatRequest, held: Slot, stream: RunnerStream) -> Iterator[None]:
         """Report the bytes exchanged with the runner at the end."""
         try:
             yield
@@ -248,7 +248,7 @@
             self.note_traffic(chat, held.grant.runner, stream.exchanged_bytes)
 
     @staticmethod
-    def _read_checked(stream: RunnerStream, held: HeldGrant) -> Iterator[Chunk]:
+    def _read_checked(stream: RunnerStream, held: Slot) -> Iterator[Chunk]:
         if held.revoked:
             raise Preempted
         try:
--- a/balsamtally/heartbeats.py
+++ b/balsamtally/heartbeats.py
@@ -34,11 +34,14 @@
 class PeerLinks(Protocol):
     """What this module needs of the links."""
 
-    def call(self, vm: str, message: Message, timeout_s: float) -> Message: ...
+    def call(self, vm: str, message: Message, timeout_s: float) -> Message:
+        """Send a message and wait for its reply."""
 
-    def cast(self, vm: str, message: Message) -> None: ...
+    def cast(self, vm: str, message: Message) -> None:
+        """Send a message without a reply; it may be lost."""
 
-    def handle(self, kind: type, handler: Callable[[str, Any], Message | None]) -> None: ...
+    def handle(self, kind: type, handler: Callable[[str, Any], Message | None]) -> None:
+        """Set the handler of a kind of message."""
 
 
 class Heartbeats:
--- a/balsamtally/slots.py
+++ b/balsamtally/slots.py
@@ -27,8 +27,8 @@
 
 
 @dataclass
-class HeldGrant:
-    """A grant in use.
+class Slot:
+    """A slot on a model runner, in use by one attempt under its grant.
 
     :ivar grant: the grant
     :ivar pool: name of the model
@@ -59,7 +59,7 @@
         self.links = links
         self.routes = routes
         self.choose_domain = choose_domain
-        self.held: dict[str, HeldGrant] = {}
+        self.held: dict[str, Slot] = {}
         self._waiting: dict[tuple[str, int], AsyncResult] = {}
         self._asked: dict[tuple[str, int], tuple[str, str]] = {}
         self._lost_at: dict[str, float] = {}
@@ -80,7 +80,7 @@
         """Requests that wait for a slot."""
         return len(self._waiting)
 
-    def acquire(self, ask: Ask, has_vanished: Callable[[], bool]) -> HeldGrant:
+    def acquire(self, ask: Ask, has_vanished: Callable[[], bool]) -> Slot:
         """Wait for a slot.
 
         :param ask: what is needed
@@ -113,7 +113,7 @@
             self._waiting.pop(key, None)
             self._asked.pop(key, None)
 
-    def release(self, held: HeldGrant, release: Release) -> None:
+    def release(self, held: Slot, release: Release) -> None:
         """Give a slot back.
 
         :param held: the grant
@@ -170,11 +170,11 @@
             return name, state
         raise NoBackend(str(error))
 
-    def _accept(self, answer: tuple[str, Grant | Refuse], pool: str) -> HeldGrant:
+    def _accept(self, answer: tuple[str, Grant | Refuse], pool: str) -> Slot:
         sender, message = answer
         if isinstance(message, Refuse):
             raise message.error.restore()
-        held = HeldGrant(message, pool, sender)
+        held = Slot(message, pool, sender)
         self.held[message.grant] = held
         return held
 
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -12,6 +12,8 @@
 from gevent import pywsgi, socket
 from gevent.event import Event
 
+from balsamtally.settings import split_address
+
 T = TypeVar("T")
 BACKLOG = 1024
 SOCKET_KEY = "standins.socket"
@@ -42,16 +44,6 @@
         self.socket.shutdown(socket.SHUT_RDWR)
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return the IP number and the port of an address.
-
-    :param address: such as ``127.0.0.1:8080``
-    :return: IP number and port
-    """
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 def serve(app: Callable, address: str, on_stop: Callable[[], None]) -> None:
     """Serve an application until the process ends, and print a line when it listens.
 
--- a/tests/balsamtally/test_chats.py
+++ b/tests/balsamtally/test_chats.py
@@ -11,7 +11,7 @@
 from balsamtally.errors import AnswerCut, NoAnswer, RetriesExhausted
 from balsamtally.machines import BackendServer
 from balsamtally.messages import Grant
-from balsamtally.slots import HeldGrant
+from balsamtally.slots import Slot
 from balsamtally.streams import Choice, Chunk, Delta, RunnerFailed, RunnerRefused
 
 WHOLE = ["a", "b", "c", "d"]
@@ -62,7 +62,7 @@
     def acquire(ask, has_vanished):
         seen.asks.append(ask)
         grant = Grant(f"g{len(seen.asks)}", ask.request, ask.attempt, "r1", 1, "free", 6.0)
-        return HeldGrant(grant, ask.pool, "vm")
+        return Slot(grant, ask.pool, "vm")
 
     def take_retry(request_class, pool):
         seen.retries += 1
