Pass over messages of kinds that a newer daemon sends

Cause: one message of an unknown kind ended the whole link as malformed, so that two versions could not stand side by side while VMs are upgraded one by one. Ruled out: a version in the greeting alone (it refuses the link). Change: each message of a batch is decoded by itself; an unknown kind is logged and passed over, a known kind may have more fields at its end. Pages link to pages that exist, checked by a test. Measured: the new test in test_links.py fails without the guard and passes with it. Conclusion: mended.

--- a/balsamtally/links.py
+++ b/balsamtally/links.py
@@ -72,7 +72,8 @@
 
 _encoder = msgspec.msgpack.Encoder()
 _hello_decoder = msgspec.msgpack.Decoder(Hello)
-_batch_decoder = msgspec.msgpack.Decoder(list[Envelope])
+_envelope_decoder = msgspec.msgpack.Decoder(Envelope)
+_batch_decoder = msgspec.msgpack.Decoder(list[msgspec.Raw])
 
 
 class BytesCodec:
@@ -353,7 +354,7 @@
                 return
             self.received_bytes += len(data)
             peer.heard_at = time.monotonic()
-            for envelope in _batch_decoder.decode(data):
+            for envelope in decode_batch(data, peer.vm):
                 result = peer.waiting.get(envelope.call)
                 if envelope.reply and result is not None:
                     result.set(envelope.body)
@@ -397,7 +398,7 @@
             if data is None:
                 return
             self.received_bytes += len(data)
-            for envelope in _batch_decoder.decode(data):
+            for envelope in decode_batch(data, vm):
                 if self.serving >= MAX_SERVING:
                     continue
                 self.serving += 1
@@ -444,3 +445,22 @@
         taken.append(outbox.popleft()[1])
         size += len(taken[-1])
     return _encoder.encode([msgspec.Raw(body) for body in taken])
+
+
+def decode_batch(data: bytes, vm: str) -> list[Envelope]:
+    """Decode a batch of messages; those of a kind that is not known here are passed over.
+
+    So daemons of two versions can speak with each other.
+
+    :param data: a MessagePack array of envelopes
+    :param vm: name of the sender
+    :return: the envelopes
+    :raises msgspec.DecodeError: if it isn't such an array
+    """
+    envelopes = []
+    for body in _batch_decoder.decode(data):
+        try:
+            envelopes.append(_envelope_decoder.decode(body))
+        except msgspec.ValidationError as error:
+            log.warning("message_unknown", peer=vm, reason=str(error))
+    return envelopes
--- a/tests/balsamtally/test_links.py
+++ b/tests/balsamtally/test_links.py
@@ -4,6 +4,7 @@
 import socket
 
 import gevent
+import msgspec
 import pytest
 
 from balsamtally.errors import LinkError, PeerRefused, PeerTimeout, PeerUnreachable, QueueFull
@@ -73,3 +74,19 @@
     two.handle(Withdraw, lambda sender, message: gevent.sleep(2))
     with pytest.raises(PeerTimeout):
         one.call("two", Withdraw("a", "p"), 0.5)
+
+
+def test_message_of_a_newer_kind_is_passed_over_and_the_link_goes_on(open_links):
+    one, two = open_links("one"), open_links("two")
+    seen = []
+    two.handle(Withdraw, lambda sender, message: seen.append(message.request))
+    assert one.call("two", Withdraw("before", "p"), 5) == Done()
+    held = one.peers["two"].task
+    newer = msgspec.msgpack.encode([0, False, ["KindOfTheNextVersion", 1]])
+    with_more = msgspec.msgpack.encode([0, False, ["Withdraw", "more", "p", "a new field"]])
+    peer = one._find_peer("two")
+    peer.outbox.extend([(0, newer), (0, with_more)])
+    one.loop.post(one._wake, peer)
+    assert one.call("two", Withdraw("after", "p"), 5) == Done()
+    assert seen == ["before", "more", "after"]
+    assert peer.task is held
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -46,6 +46,9 @@
 QUICK_STOP = {"leave-notice-s": "0"}
 
 
+PAGES = sorted((ROOT / "docs").glob("*.md"))
+
+
 def read_page(name):
     return (ROOT / "docs" / name).read_text()
 
@@ -117,6 +120,13 @@
     return any(place == f".{field}" for place, _ in check_object(changed))
 
 
+@pytest.mark.parametrize("page", ["README.md", *(f"docs/{path.name}" for path in PAGES)])
+def test_links_between_pages_lead_somewhere(page):
+    folder = (ROOT / page).parent
+    links = re.findall(r"\]\(([^)#:]+)(?:#[^)]*)?\)", (ROOT / page).read_text())
+    assert [link for link in links if not (folder / link).exists()] == []
+
+
 def test_promises_page_names_tests_that_exist():
     rows = [row for row in read_rows(read_page("PROMISES.md")) if len(row) == 5][1:]
     assert len(rows) == 8
