Remove what nothing calls, and read a tier's state in one place

Cause: read once more: Entry.stop_listening, Slots.waiting and two constants had no caller; the coordinator looked up a tier's state by a loop of its own beside domains.read_view. Ruled out: taking out estimate_remaining and note_events too (tested, meant for spill of waiting requests and for cache events; noted as not called). Change: the four removed; the coordinator calls read_view. Behaviour is as it was. Conclusion: less code, no change.

--- a/balsamtally/coordinator.py
+++ b/balsamtally/coordinator.py
@@ -8,6 +8,7 @@
 from gevent.event import Event
 
 from balsamtally.contracts import Customer, Policy, RequestClass
+from balsamtally.domains import read_view
 from balsamtally.facts import Facts
 from balsamtally.links import Links
 from balsamtally.logs import log
@@ -145,11 +146,8 @@
         if request_class is None:
             return False
         slack_s = request_class.first_token_ms / 1000 - ask.waited_s
-        return any(
-            tier.wait_s + tier.first_token_s > slack_s
-            for tier in state.tiers
-            if tier.tier == request_class.tier
-        )
+        view = read_view(state, request_class.tier)
+        return view is not None and view.wait_s + view.first_token_s > slack_s
 
     def _take_release(self, sender: str, release: Release) -> None:
         for pool in [release.pool] if release.pool else list(self.queues):
--- a/balsamtally/entry.py
+++ b/balsamtally/entry.py
@@ -107,10 +107,6 @@
     def __exit__(self, *exc_info) -> None:
         self._server.stop(timeout=1)
 
-    def stop_listening(self) -> None:
-        """Accept no more connections; the open ones go on."""
-        self._server.stop_accepting()
-
     def abort_requests(self) -> None:
         """End the requests in flight with an error that says so."""
         for task in list(self._tasks):
--- a/balsamtally/members.py
+++ b/balsamtally/members.py
@@ -17,7 +17,6 @@
 STATUS_NAMES = ("alive", "suspect", "dead", "left")
 
 AWAY_S = 3.0
-ALONE_S = 3.0
 SUSPICION_S = 3.0
 FORGET_S = 7200.0
 LISTED_LEAVING_S = 300.0
--- a/balsamtally/slots.py
+++ b/balsamtally/slots.py
@@ -75,11 +75,6 @@
     def __exit__(self, *exc_info) -> None:
         self._renewing.kill()
 
-    @property
-    def waiting(self) -> int:
-        """Requests that wait for a slot."""
-        return len(self._waiting)
-
     def acquire(self, ask: Ask, has_vanished: Callable[[], bool]) -> Slot:
         """Wait for a slot.
 
--- a/standins/bench_spill.py
+++ b/standins/bench_spill.py
@@ -25,7 +25,6 @@
 }
 FIRST_HOME_SHARE = 0.75
 MEDIAN_BYTES = 60_000
-VIEW_AGE_S = 0.5
 CUT_FOR_S = 30.0
 WEIGHTS = {
     "none": None,
