Tell engines finer ranks, and count prompts by rank

Change: a call has a rank, by tier and there by its route's tier, which engines are told; VMs count and tell prompt tokens by rank; what is less urgent is no backlog.

--- a/balsamtally/backlogs.py
+++ b/balsamtally/backlogs.py
@@ -3,34 +3,54 @@
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from itertools import zip_longest
 
 import msgspec
 
 # What a peer told of its sends counts for so long; it tells several times a second.
 PEER_LOAD_S = 1.5
+# Ranks that are counted apart; engines know ten, calls of lower ranks share the last one.
+URGENCIES = 10
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
     """Work of one entry VM at one backend server.
 
     :ivar running: calls that were sent and have not ended
-    :ivar reading_tokens: prompt tokens of calls whose answer has not begun
+    :ivar reading: prompt tokens of calls whose answer has not begun, by urgency from 0 on
     :ivar memory_tokens: tokens that the calls take in memory
     """
 
     running: int = 0
-    reading_tokens: int = 0
+    reading: tuple[int, ...] = ()
     memory_tokens: int = 0
 
+    @property
+    def reading_tokens(self) -> int:
+        """Prompt tokens of calls whose answer has not begun."""
+        return sum(self.reading)
+
+    def count_before(self, urgency: int) -> int:
+        """Return the prompt tokens that are read before those of a new call.
+
+        :param urgency: rank of the call
+        """
+        return sum(self.reading[: urgency + 1])
+
 
 @dataclass
 class OwnLoad:
     """Own work at one backend server, counted as it changes."""
 
     running: int = 0
-    reading_tokens: int = 0
+    reading: list[int] = field(default_factory=lambda: [0] * URGENCIES)
     memory_tokens: int = 0
 
+    def freeze(self) -> Load:
+        """Return the work as it is now; ranks without prompts at the end are left out."""
+        ranks = max((rank + 1 for rank, tokens in enumerate(self.reading) if tokens), default=0)
+        return Load(self.running, tuple(self.reading[:ranks]), self.memory_tokens)
+
 
 @dataclass(frozen=True)
 class Size:
@@ -38,10 +58,12 @@
 
     :ivar reading_tokens: prompt tokens that are to be read
     :ivar memory_tokens: tokens that it takes in memory
+    :ivar urgency: its rank; prompts of more urgent calls are read first
     """
 
     reading_tokens: int = 0
     memory_tokens: int = 0
+    urgency: int = 0
 
 
 @dataclass(frozen=True)
@@ -96,24 +118,24 @@
 
     def list_own(self) -> dict[str, Load]:
         """Return the own work by backend server, for the peers."""
-        return {
-            name: Load(own.running, own.reading_tokens, own.memory_tokens)
-            for name, own in self._own.items()
-            if own.running
-        }
+        return {name: own.freeze() for name, own in self._own.items() if own.running}
 
     def find(self, backend: str) -> Load:
         """Return the work at a backend server, of this entry VM and its peers."""
-        own = self._own.get(backend, OwnLoad())
-        running, tokens, memory = own.running, own.reading_tokens, own.memory_tokens
+        loads = []
+        own = self._own.get(backend)
+        if own is not None:
+            loads.append(own.freeze())
         oldest = self._clock() - PEER_LOAD_S
         for peer in self._peers.values():
             load = peer.loads.get(backend)
             if load is not None and peer.at_s >= oldest:
-                running += load.running
-                tokens += load.reading_tokens
-                memory += load.memory_tokens
-        return Load(running, tokens, memory)
+                loads.append(load)
+        return Load(
+            sum(load.running for load in loads),
+            tuple(map(sum, zip_longest(*(load.reading for load in loads), fillvalue=0))),
+            sum(load.memory_tokens for load in loads),
+        )
 
     def forget(self, keep) -> None:
         """Forget idle backend servers that are no longer there.
@@ -147,7 +169,8 @@
         self._note_change = note_change
         self._begun = False
         own.running += 1
-        own.reading_tokens += size.reading_tokens
+        self._rank = min(size.urgency, URGENCIES - 1)
+        own.reading[self._rank] += size.reading_tokens
         own.memory_tokens += size.memory_tokens
 
     def __enter__(self) -> "Work":
@@ -162,7 +185,7 @@
 
     def _count_read(self) -> None:
         self._begun = True
-        self._own.reading_tokens -= self._size.reading_tokens
+        self._own.reading[self._rank] -= self._size.reading_tokens
 
     def cancel(self) -> None:
         """Count the call no longer, as it was not sent."""
--- a/balsamtally/calls.py
+++ b/balsamtally/calls.py
@@ -201,7 +201,7 @@
     :ivar call: the call
     :ivar backend: the backend server
     :ivar customer: name of the customer, empty where the route is public
-    :ivar tier: priority tier that the backend server is told
+    :ivar urgency: rank among all calls that the backend server is told, 0 is the first
     :ivar left_s: time that the backend server is given, in seconds
     :ivar last_event: event behind which the answer is to go on, ``None`` from the start
     """
@@ -209,7 +209,7 @@
     call: Call
     backend: Backend
     customer: str
-    tier: int
+    urgency: int
     left_s: float
     last_event: int | None = None
 
--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -101,11 +101,11 @@
     return Waiter(
         id=plan.call.id,
         tier=plan.tier,
+        urgency=plan.urgency,
         target_at_s=plan.call.arrived_s + plan.route.target_s,
         until_s=plan.until_s,
         answer_tokens=find_answer_tokens(plan.call),
         work_s=work_s,
-        route_tier=plan.route.tier,
     )
 
 
@@ -242,7 +242,7 @@
 
         A call isn't given up for the time that less urgent ones take from its answer.
         """
-        reading = candidate.reading_tokens > candidate.tokens_per_s * READING_S
+        reading = candidate.beside_tokens > candidate.tokens_per_s * READING_S
         since_s = self._clock() - TIER_WINDOW_S
         least = max(
             (tier for tier, begun_s in self._begun_s.items() if begun_s >= since_s), default=0
@@ -331,7 +331,8 @@
             backend=backend,
             at_home=self._find_region(backend.domain) == self._region,
             running=load.running,
-            reading_tokens=load.reading_tokens,
+            reading_tokens=load.count_before(plan.urgency),
+            beside_tokens=load.reading_tokens,
             memory_tokens=load.memory_tokens,
             fresh_tokens=max(0, plan.call.prompt_tokens - held),
             tokens_per_s=self._find_speed(plan.service).tokens_per_s,
@@ -392,7 +393,8 @@
             if chosen.at_home and chosen.slow_factor < NORMAL_FACTOR:
                 self._find_speed(plan.service).note_first_event(tokens, took_s)
 
-        size = Size(chosen.fresh_tokens, call.prompt_tokens + find_answer_tokens(call))
+        memory_tokens = call.prompt_tokens + find_answer_tokens(call)
+        size = Size(chosen.fresh_tokens, memory_tokens, plan.urgency)
         work = self._backlogs.begin(backend.name, size, note_begun, lambda: self.pump(plan.service))
         self._find_cache(plan.service, backend).note_read(call.parts)
         shared = tuple((part.name, part.tokens) for part in call.parts[:-1])
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -267,7 +267,7 @@
         call = plan.call
         last_event = trip.last_event if trip.last_event is not None else call.last_event
         left_s = plan.until_s - time.monotonic()
-        attempt = Attempt(call, backend, plan.customer, plan.tier, left_s, last_event)
+        attempt = Attempt(call, backend, plan.customer, plan.urgency, left_s, last_event)
         if not trip.sent:
             trip.waited_s = time.monotonic() - call.arrived_s
         trip.sent += 1
--- a/balsamtally/plans.py
+++ b/balsamtally/plans.py
@@ -8,6 +8,9 @@
 from balsamtally.catalog import Contracts
 from balsamtally.errors import NotReady, UnknownKey, UnknownPath
 
+# Ranks within a tier; the users' routes have tiers 0 to 2.
+ROUTE_RANKS = 3
+
 
 @dataclass(frozen=True)
 class Plan:
@@ -18,6 +21,7 @@
     :ivar service: service that it goes to
     :ivar customer: name of the customer, empty where the route is public
     :ivar tier: priority tier
+    :ivar urgency: rank among all calls, 0 is the first: by tier, and there by the route's tier
     :ivar version: version of the contracts
     :ivar until_s: steady clock at which its caller gets a final answer, in seconds
     """
@@ -27,6 +31,7 @@
     service: str
     customer: str
     tier: int
+    urgency: int
     version: int
     until_s: float
 
@@ -83,6 +88,7 @@
         if account is None:
             raise UnknownKey
     tier = route.tier if account is None or account.tier is None else account.tier
+    rank = min(route.tier, ROUTE_RANKS - 1)
     wait_s = min(call.deadline_s, route.timeout_s)
     return Plan(
         call=call,
@@ -90,6 +96,7 @@
         service=pick_service(call.id, route),
         customer=account.name if account is not None else "",
         tier=tier,
+        urgency=tier * ROUTE_RANKS + rank,
         version=contracts.version,
         until_s=call.arrived_s + wait_s,
     )
--- a/balsamtally/platform/wire.py
+++ b/balsamtally/platform/wire.py
@@ -155,7 +155,7 @@
     headers = list(call.headers)
     headers.append((b"Deadline-Ms", b"%d" % max(1, int(attempt.left_s * 1000))))
     headers.append((b"Expect-Instance", attempt.backend.name.encode("latin-1")))
-    headers.append((b"Request-Priority", b"%d" % min(max(attempt.tier, 0), MAX_URGENCY)))
+    headers.append((b"Request-Priority", b"%d" % min(max(attempt.urgency, 0), MAX_URGENCY)))
     if attempt.customer:
         headers.append((b"Tenant", attempt.customer.encode("latin-1")))
     if attempt.last_event is not None:
--- a/balsamtally/selection.py
+++ b/balsamtally/selection.py
@@ -35,6 +35,7 @@
     :ivar at_home: whether it stands in the own region
     :ivar running: calls that run there
     :ivar reading_tokens: prompt tokens that are read there before this call's
+    :ivar beside_tokens: prompt tokens that are read there at all
     :ivar memory_tokens: tokens of the calls there
     :ivar fresh_tokens: prompt tokens of this call that it doesn't hold
     :ivar tokens_per_s: prompt tokens that it reads in a second
@@ -46,6 +47,7 @@
     at_home: bool
     running: int = 0
     reading_tokens: int = 0
+    beside_tokens: int = 0
     memory_tokens: int = 0
     fresh_tokens: int = 0
     tokens_per_s: float = 32_000.0
--- a/balsamtally/waiting.py
+++ b/balsamtally/waiting.py
@@ -1,11 +1,11 @@
 """How calls wait for a model runner, and which of them are turned away.
 
 Load pattern: a burst of long prompts beyond what the runners can read. An engine reads the prompts
-that it was given in the order in which they came, so that an urgent call sent into a long backlog
-waits behind it, and running answers slow down. So only a short backlog is kept at each runner, and
-calls wait here instead: by tier, within a tier by the tier of their route, and there those first
-that can still be on time, nearest target first. Less urgent calls are sent only into shorter backlogs, so that room is left for urgent
-ones of other entry VMs. A call whose answer can't be whole at its deadline is refused at once.
+of more urgent calls first and those of one rank in the order in which they came, so that a call
+sent into a long backlog of its rank waits there while another runner may have room, and running
+answers slow down. So only a short backlog is kept at each runner, and calls wait here instead: by
+rank, and within a rank those first that can still be on time, nearest target first. A call whose
+answer can't be whole at its deadline is refused at once.
 """
 
 from collections.abc import Iterable
@@ -53,20 +53,20 @@
 
     :ivar id: id of the call
     :ivar tier: its priority tier, 0 is the highest
+    :ivar urgency: its rank, 0 is the first; in the order of tiers, and finer
     :ivar target_at_s: steady clock by which its answer should begin, in seconds
     :ivar until_s: steady clock at its deadline, in seconds
     :ivar answer_tokens: tokens that its answer is expected to have
     :ivar work_s: time that the prompts of its kind take to read, in seconds
-    :ivar route_tier: tier of its route, where its customer's goes before that
     """
 
     id: str
     tier: int
+    urgency: int
     target_at_s: float
     until_s: float
     answer_tokens: int = 0
     work_s: float = 0.0
-    route_tier: int = 0
 
 
 def has_room(room: Room, tier: int, tokens: int) -> bool:
@@ -92,10 +92,10 @@
     :param now_s: steady clock in seconds
     """
 
-    def rank(waiter: Waiter) -> tuple[int, int, bool, float]:
+    def rank(waiter: Waiter) -> tuple[int, bool, float]:
         late = waiter.target_at_s < now_s
         nearness_s = waiter.target_at_s + waiter.work_s * SHORT_FIRST
-        return waiter.tier, waiter.route_tier, late, nearness_s
+        return waiter.urgency, late, nearness_s
 
     return sorted(waiters, key=rank)
 
--- a/tests/balsamtally/platform/test_wire.py
+++ b/tests/balsamtally/platform/test_wire.py
@@ -27,9 +27,9 @@
     return Request(b"POST", b"/lohu930/2f", kept + more, b"body", 7.0)
 
 
-def make_attempt(*more, customer="hule930", tier=1, last_event=12, left_s=4.9876):
+def make_attempt(*more, customer="hule930", urgency=1, last_event=12, left_s=4.9876):
     call = read_call(make_request(*more))
-    return Attempt(call, make_backend("i-7f3a91c2"), customer, tier, left_s, last_event)
+    return Attempt(call, make_backend("i-7f3a91c2"), customer, urgency, left_s, last_event)
 
 
 def test_example_of_the_page_is_read():
--- a/tests/balsamtally/test_backlogs.py
+++ b/tests/balsamtally/test_backlogs.py
@@ -3,16 +3,19 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from balsamtally.backlogs import PEER_LOAD_S, Backlogs, Load, Size
+from balsamtally.backlogs import PEER_LOAD_S, URGENCIES, Backlogs, Load, Size
 
 
-@given(st.lists(st.tuples(st.sampled_from(["begin", "read", "end", "again"]), st.integers(0, 5))))
-def test_counts_equal_a_naive_sum(steps):
+@given(
+    st.lists(st.tuples(st.sampled_from(["begin", "read", "end", "again"]), st.integers(0, 5))),
+    st.integers(0, 12),
+)
+def test_counts_equal_a_naive_sum(steps, urgency):
     backlogs = Backlogs(lambda: 0.0)
     works, state = [], []
     for kind, place in steps:
         if kind == "begin":
-            size = Size(10 * place, 20 * place)
+            size = Size(10 * place, 20 * place, place * 2)
             works.append(backlogs.begin("a", size, lambda: None, lambda: None))
             state.append([size, True, True])
         elif works:
@@ -24,28 +27,30 @@
                 work.cancel()
                 entry[1] = entry[2] = False
     live = [entry for entry in state if entry[2]]
-    expected = Load(
-        len(live),
-        sum(size.reading_tokens for size, unread, _ in live if unread),
-        sum(size.memory_tokens for size, _, _ in live),
+    found = backlogs.find("a")
+    unread = [size for size, unread, _ in live if unread]
+    assert found.running == len(live)
+    assert found.reading_tokens == sum(size.reading_tokens for size in unread)
+    assert found.count_before(urgency) == sum(
+        size.reading_tokens for size in unread if min(size.urgency, URGENCIES - 1) <= urgency
     )
-    assert backlogs.find("a") == expected
-    assert backlogs.list_own() == ({"a": expected} if live else {})
+    assert found.memory_tokens == sum(size.memory_tokens for size, _, _ in live)
+    assert backlogs.list_own() == ({"a": found} if live else {})
 
 
 def test_loads_of_peers_count_for_a_while():
     now = [0.0]
     backlogs = Backlogs(lambda: now[0])
-    backlogs.note_peer("vm2", {"a": Load(2, 100, 300)})
-    backlogs.note_peer("vm3", {"a": Load(1, 50, 100), "b": Load(1, 1, 1)})
-    assert backlogs.find("a") == Load(3, 150, 400)
+    backlogs.note_peer("vm2", {"a": Load(2, (0, 100), 300)})
+    backlogs.note_peer("vm3", {"a": Load(1, (20, 10, 20), 100), "b": Load(1, (1,), 1)})
+    assert backlogs.find("a") == Load(3, (20, 110, 20), 400)
     backlogs.note_peer("vm3", {})
-    assert backlogs.find("a") == Load(2, 100, 300)
+    assert backlogs.find("a") == Load(2, (0, 100), 300)
     backlogs.forget_peer("vm2")
-    assert backlogs.find("a") == Load(0, 0, 0)
-    backlogs.note_peer("vm2", {"a": Load(2, 100, 300)})
+    assert backlogs.find("a") == Load()
+    backlogs.note_peer("vm2", {"a": Load(2, (0, 100), 300)})
     now[0] += PEER_LOAD_S + 0.01
-    assert backlogs.find("a") == Load(0, 0, 0)
+    assert backlogs.find("a") == Load()
 
 
 def test_idle_backend_servers_that_are_gone_are_forgotten():
--- a/tests/balsamtally/test_dispatch.py
+++ b/tests/balsamtally/test_dispatch.py
@@ -154,7 +154,7 @@
 def test_urgent_call_is_let_into_a_backlog_that_is_full_for_others(world):
     world.add("a")
     world.dispatch.note_beat(Beat("vm2", "10.0.0.2", "home", "1", 0, False, {}, ()))
-    world.backlogs.note_peer("vm2", {"a": Load(3, 10_000, 30_000)})
+    world.backlogs.note_peer("vm2", {"a": Load(3, (0, 0, 0, 0, 10_000), 30_000)})
     late = gevent.spawn(world.choose, world.plan(1))
     contracts = world.catalog.contracts
     world.catalog.contracts = make_contracts(
@@ -166,6 +166,20 @@
     late.kill()
 
 
+def test_prompts_of_less_urgent_calls_are_no_backlog_to_an_urgent_one(world):
+    world.add("a")
+    plan = world.plan(1)
+    behind, before = [0] * 10, [0] * 10
+    behind[plan.urgency + 1] = before[plan.urgency] = 30_000
+    world.backlogs.note_peer("vm2", {"a": Load(9, tuple(behind), 30_000)})
+    world.choose(plan).work.cancel()
+    world.backlogs.note_peer("vm2", {"a": Load(9, tuple(before), 30_000)})
+    waiting = gevent.spawn(world.choose, world.plan(2))
+    gevent.sleep(0.05)
+    assert not waiting.ready()
+    waiting.kill()
+
+
 def test_call_without_hope_is_refused_at_once_with_a_time_to_come_back(world):
     world.add("a")
     world.choose(world.plan(1, (PromptPart("x", 150_000),)))
@@ -177,7 +191,7 @@
 def test_call_is_not_given_up_for_the_time_that_less_urgent_ones_take_from_its_answer(world):
     world.add("a")
     urgent = world.plan(1, (), deadline_s=3.0, hinted_tokens=110)
-    world.backlogs.note_peer("vm2", {"a": Load(3, 12_000, 30_000)})
+    world.backlogs.note_peer("vm2", {"a": Load(3, (12_000,), 30_000)})
     with pytest.raises(TargetHopeless):
         world.choose(urgent)
     routes = (make_route(Repeat.RESUME, True, tier=2),)
@@ -185,7 +199,7 @@
     world.backlogs.note_peer("vm2", {})
     world.catalog.contracts = make_contracts(*routes, services=services)
     world.choose(world.plan(2, ())).work.cancel()
-    world.backlogs.note_peer("vm2", {"a": Load(3, 12_000, 30_000)})
+    world.backlogs.note_peer("vm2", {"a": Load(3, (12_000,), 30_000)})
     waiting = gevent.spawn(world.choose, urgent)
     gevent.sleep(0.05)
     assert not waiting.ready()
@@ -202,7 +216,8 @@
     waiting.kill()
     big.work.cancel()
     world.dispatch.pump_all()
-    assert world.backlogs.find("a") == Load(0, 0, 0)
+    left = world.backlogs.find("a")
+    assert (left.running, left.reading_tokens, left.memory_tokens) == (0, 0, 0)
 
 
 def test_plain_service_does_not_wait():
--- /dev/null
+++ b/tests/balsamtally/test_plans.py
@@ -0,0 +1,25 @@
+"""What the contracts say of a call: its tier, and its rank among all calls."""
+
+from itertools import product
+
+from balsamtally.calls import Account, Repeat
+from balsamtally.plans import make_plan
+from tests.balsamtally.scripted import make_call, make_contracts, make_route
+
+
+def plan(customer_tier, route_tier):
+    route = make_route(Repeat.RESUME, True, tier=route_tier)
+    contracts = make_contracts(route, accounts={"": Account("desk", customer_tier)})
+    return make_plan(make_call(key=""), contracts)
+
+
+def test_tier_of_a_customer_goes_before_that_of_the_route():
+    assert plan(1, 2).tier == 1
+    assert plan(None, 2).tier == 2
+
+
+def test_rank_is_by_the_tier_and_there_by_that_of_the_route():
+    pairs = sorted(product(range(3), range(3)))
+    ranks = [plan(*pair).urgency for pair in pairs]
+    assert ranks == sorted(set(ranks))
+    assert plan(1, 7).urgency < plan(2, 0).urgency
--- a/tests/balsamtally/test_waiting.py
+++ b/tests/balsamtally/test_waiting.py
@@ -24,11 +24,11 @@
         Waiter,
         st.uuids().map(str),
         st.integers(0, 3),
+        st.integers(0, 9),
         st.floats(0, 20),
         st.floats(10, 30),
         st.integers(0, 300),
         st.floats(0, 1),
-        st.integers(0, 2),
     ),
     max_size=8,
 )
@@ -36,22 +36,15 @@
 
 @given(WAITERS)
 def test_no_call_goes_before_a_more_urgent_one(waiters):
-    tiers = [waiter.tier for waiter in order(waiters, 10.0)]
-    assert tiers == sorted(tiers)
-
-
-@given(WAITERS)
-def test_calls_of_a_tier_go_by_the_tier_of_their_route(waiters):
-    ranks = [(waiter.tier, waiter.route_tier) for waiter in order(waiters, 10.0)]
+    ranks = [waiter.urgency for waiter in order(waiters, 10.0)]
     assert ranks == sorted(ranks)
 
 
 @given(WAITERS)
-def test_calls_that_can_be_on_time_go_before_those_of_their_tiers_that_cannot(waiters):
-    late: dict[tuple[int, int], list[bool]] = {}
+def test_calls_that_can_be_on_time_go_before_those_of_their_rank_that_cannot(waiters):
+    late: dict[int, list[bool]] = {}
     for waiter in order(waiters, 10.0):
-        rank = (waiter.tier, waiter.route_tier)
-        late.setdefault(rank, []).append(waiter.target_at_s < 10.0)
+        late.setdefault(waiter.urgency, []).append(waiter.target_at_s < 10.0)
     assert all(flags == sorted(flags) for flags in late.values())
 
 
@@ -73,7 +66,7 @@
 
 
 def test_hope_ends_with_the_time_and_is_wider_where_no_prompts_are_read():
-    waiter = Waiter("a", 1, 1.0, 5.0, 150)
+    waiter = Waiter("a", 1, 3, 1.0, 5.0, 150)
     assert not is_hopeless(waiter, 0.2, TOKEN_S, 0.0)
     assert is_hopeless(waiter, 0.2, READING_S, 1.8)
     assert not is_hopeless(waiter, 0.2, TOKEN_S, 1.8)
@@ -100,8 +93,9 @@
         work_s = 0.015 if urgent else random.uniform(0.02, 0.09)
         target_s = 1.2 if urgent else 2.0
         tier = 0 if urgent else 2
-        tiers = (1, tier) if one_customer_tier else (tier, 0)
-        waiter = Waiter(str(number), tiers[0], at + target_s, at + 5.0, route_tier=tiers[1])
+        waiter = Waiter(
+            str(number), 1 if one_customer_tier else tier, tier, at + target_s, at + 5.0
+        )
         calls.append((at, waiter, work_s))
         if urgent:
             urgent_ids.add(waiter.id)
