Count no attempt at a backend server that has ended

The users' rule on attempts leaves out runners that have ended. Change: once its attempts are spent, a call that may be repeated asks whether anything listens at the server that broke off; a refused connection means that it has ended.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -20,6 +20,8 @@
 # A backend server in reach accepts within milliseconds; a lost opening packet is sent again after
 # one second, so that a longer wait would rarely help.
 CONNECT_TIMEOUT_S = 0.9
+# A refusal comes within a round trip, which takes 0.06 s to another region; the users' sheets.
+ENDED_TIMEOUT_S = 0.15
 # Where a backend server doesn't tell how long it keeps an idle connection.
 DEFAULT_IDLE_S = 4.0
 # An idle connection is given up so long before its backend server closes it.
@@ -230,6 +232,19 @@
         self.opened += 1
         return BackendConnection(sock)
 
+    def has_ended(self, backend: Backend) -> bool:
+        """Return whether a backend server that broke off runs no longer: nothing listens there.
+
+        :param backend: the backend server
+        """
+        try:
+            close(connect(backend.address, ENDED_TIMEOUT_S))
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        return False
+
     def give_back(self, backend: Backend, connection: BackendConnection) -> None:
         """Keep a connection after a whole answer, or close it if anything about it is odd.
 
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -211,6 +211,19 @@
             return None, NoBackend()
         return choice.backend, self._try_backend(caller, plan, trip, choice)
 
+    def _has_attempts(self, plan: Plan, trip: Trip, failure: BalsamtallyError) -> bool:
+        """Return whether a call has attempts left; one at a server that has ended isn't counted."""
+        if trip.sent - trip.ended < plan.route.max_attempts:
+            return True
+        backend = trip.backend
+        if not isinstance(failure, AnswerCut) or backend is None:
+            return False
+        if trip.ended >= MAX_UNREACHABLE or not self._connections.has_ended(backend):
+            return False
+        trip.ended += 1
+        log.info("backend_ended", request=plan.call.id, backend=backend.name)
+        return True
+
     def _find_end(self, plan: Plan, trip: Trip, failure: BalsamtallyError) -> str:
         """Return why a call isn't tried again after a failure, empty if it is."""
         if plan.until_s - time.monotonic() < MIN_LEFT_S:
@@ -220,7 +233,7 @@
             return "" if trip.unreachable <= MAX_UNREACHABLE else "too many were unreachable"
         if failure.outcome is not Outcome.NOT_RUN and not may_repeat(plan, trip):
             return "it may have run"
-        if trip.sent >= plan.route.max_attempts:
+        if not self._has_attempts(plan, trip, failure):
             return "its attempts are spent"
         return "" if self._desk.take_retry(plan.service) else "the retry budget is spent"
 
@@ -271,7 +284,7 @@
         if not trip.sent:
             trip.waited_s = time.monotonic() - call.arrived_s
         trip.sent += 1
-        trip.backend = backend.name
+        trip.backend = backend
         headers = self._wire.make_headers(attempt)
         connection.send(call.method, call.target, headers, call.body, plan.until_s)
         return attempt
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -245,7 +245,7 @@
             request=plan.call.id,
             route=plan.route.name,
             customer=plan.customer,
-            backend=trip.backend,
+            backend=trip.backend.name if trip.backend is not None else "",
             status=trip.status,
             code=code,
             why="" if error is None else str(error) or type(error).__name__,
--- a/balsamtally/plans.py
+++ b/balsamtally/plans.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from balsamtally.calls import Account, AnswerHead, Call, Route
+from balsamtally.calls import Account, AnswerHead, Backend, Call, Route
 from balsamtally.catalog import Contracts
 from balsamtally.errors import NotReady, UnknownKey, UnknownPath
 
@@ -41,6 +41,7 @@
     """How far a call has come.
 
     :ivar sent: backend servers that it was sent to
+    :ivar ended: backend servers among these that have ended since
     :ivar unreachable: backend servers that could not be reached
     :ivar waited_s: time that it waited for its first backend server, in seconds
     :ivar avoid: names of backend servers that are not tried again
@@ -51,11 +52,12 @@
     :ivar first_event_s: steady clock when the answer began, 0 before
     :ivar piece_s: steady clock when the last piece of a stream came
     :ivar longest_gap_s: longest pause between two pieces, in seconds
-    :ivar backend: name of the last backend server
+    :ivar backend: the last backend server that it was sent to, ``None`` before
     :ivar status: status that the caller got
     """
 
     sent: int = 0
+    ended: int = 0
     unreachable: int = 0
     waited_s: float = 0.0
     avoid: set[str] = field(default_factory=set)
@@ -66,7 +68,7 @@
     first_event_s: float = 0.0
     piece_s: float = 0.0
     longest_gap_s: float = 0.0
-    backend: str = ""
+    backend: Backend | None = None
     status: int = 0
 
 
--- a/tests/balsamtally/scripted.py
+++ b/tests/balsamtally/scripted.py
@@ -108,6 +108,11 @@
         gevent.killall(self._tasks)
         self._listener.close()
 
+    def stop_listening(self):
+        """Refuse further connections."""
+        self._tasks[0].kill()
+        self._listener.close()
+
     def _accept(self):
         while True:
             sock, _ = self._listener.accept()
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -422,3 +422,36 @@
         with Path(make_route(), one, find_contracts=lambda: contracts) as path:
             assert path.ask()[0] == status
         assert one.requests == []
+
+
+def crash(backend, *pieces):
+    """Return a script that sends pieces and ends like a backend server that crashed."""
+
+    def run(sock, request):
+        backend.stop_listening()
+        return send_raw(*pieces)(sock, request)
+
+    return run
+
+
+@pytest.mark.parametrize("ended", [True, False])
+def test_attempts_at_backend_servers_that_have_ended_are_not_counted(ended):
+    """Two runners end at once; the second is met on a connection that is dead already."""
+    with contextlib.ExitStack() as stack:
+        one = stack.enter_context(ScriptedBackend(send_raw(STREAM, events(1, 2))))
+        two = stack.enter_context(ScriptedBackend(send_raw()))
+        three = stack.enter_context(ScriptedBackend(send_raw(STREAM_AGAIN, events(3, 4), END)))
+        if ended:
+            two._scripts = [crash(two)]
+        with Path(make_route(Repeat.RESUME, True, max_attempts=2), one, two, three) as path:
+            _, _, body, whole = path.ask()
+        assert (whole, len(three.requests)) == ((True, 1) if ended else (False, 0))
+        assert body == b"".join(event(number) for number in range(1, 5 if ended else 3))
+
+
+def test_call_that_may_not_repeat_goes_nowhere_else_after_its_backend_server_has_ended():
+    with ScriptedBackend(reply(200)) as two, ScriptedBackend(send_raw()) as one:
+        one._scripts = [crash(one)]
+        with Path(make_route(Repeat.NEVER, max_attempts=1), one, two) as path:
+            status, *_ = path.ask()
+        assert (status, two.requests) == (502, [])
