Send beats to other regions only with news, or once a second

Ruled out: fewer beats in general (work that is told late leads to herds under load). Change: to other failure domains a beat goes out if work, reads, records or leaving changed, or the last one is a second old; only the latter tells of peers.

--- a/balsamtally/beats.py
+++ b/balsamtally/beats.py
@@ -9,6 +9,8 @@
 
 # Reads told in one beat; more are forgotten, the oldest first.
 MAX_TOLD_READS = 64
+# A beat that says nothing new is sent this often; what a peer told counts for 1.5 s.
+SAME_BEAT_S = 1.0
 
 
 class PromptRead(msgspec.Struct, frozen=True, array_like=True):
@@ -72,6 +74,8 @@
         self._pause_s = pause_s
         self._has = has
         self._due_s = 0.0
+        self._told: Beat | None = None
+        self._told_s = 0.0
         self.reads: list[PromptRead] = []
 
     def is_due(self, now: float, stretch: float = 1.0) -> bool:
@@ -85,6 +89,36 @@
         self._due_s = now + self._pause_s * max(1.0, stretch)
         return True
 
+    def note_sent(self, beat: Beat, now: float) -> None:
+        """Take in that the ring's peers were sent a beat.
+
+        :param beat: the beat
+        :param now: steady clock in seconds
+        """
+        self._told = beat
+        self._told_s = now
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether the ring was told nothing for so long that it is told the same again.
+
+        :param now: steady clock in seconds
+        """
+        return self._told is None or now - self._told_s >= SAME_BEAT_S
+
+    def has_news(self, beat: Beat) -> bool:
+        """Return whether a beat tells the ring anything that the one before did not.
+
+        :param beat: the beat
+        """
+        told = self._told
+        return bool(
+            told is None
+            or beat.reads
+            or beat.loads != told.loads
+            or beat.revision != told.revision
+            or beat.leaving != told.leaving
+        )
+
     def list_ips(self, alive: list[Peer]) -> set[str]:
         """Return the IP numbers of its peers.
 
--- a/balsamtally/peers.py
+++ b/balsamtally/peers.py
@@ -146,17 +146,25 @@
         self._greet(alive)
         self._send(self._make_beat(alive, near.take_reads()), near.list_ips(alive))
         if beside.is_due(now):
-            self._send(self._make_beat(alive, beside.take_reads()), beside.list_ips(alive))
+            self._send_news(beside, alive, beside.list_ips(alive), now)
         far_ips = far.list_ips(alive)
         if far.is_due(now, min(MAX_FAR_STRETCH, len(far_ips) / FAR_PEERS)):
             self._forget_silent(now)
-            targets = self._draw(far_ips, FAR_PEERS)
-            targets |= self._draw(self._list_unheard(alive), UNHEARD_PEERS)
-            self._send(self._make_beat(alive, far.take_reads()), targets)
+            self._send_news(far, alive, self._draw(far_ips, FAR_PEERS), now)
+            unheard = self._draw(self._list_unheard(alive), UNHEARD_PEERS)
+            self._send(self._make_beat(alive, ()), unheard)
         if self._wake.wait(NEAR_BEAT_S * self._random.uniform(0.9, 1.1)):
             gevent.sleep(max(0.0, MIN_BEAT_S - (time.monotonic() - now)))
             self._wake.clear()
 
+    def _send_news(self, ring: Ring, alive: list[Peer], targets: set[str], now: float) -> None:
+        """Send a beat to peers where bytes are billed, if it tells them anything."""
+        silent = ring.is_silent(now)
+        beat = self._make_beat(alive, ring.take_reads(), TOLD_PEERS if silent else 0)
+        if silent or ring.has_news(beat):
+            self._send(beat, targets)
+            ring.note_sent(beat, now)
+
     def note_read(self, read: PromptRead) -> None:
         """Tell the peers soon that a backend server was given a prompt to read.
 
--- a/tests/balsamtally/test_peers.py
+++ b/tests/balsamtally/test_peers.py
@@ -13,7 +13,7 @@
 from structlog.testing import capture_logs
 
 from balsamtally.backlogs import Backlogs, Load, Size
-from balsamtally.beats import Beat, PromptRead
+from balsamtally.beats import SAME_BEAT_S, Beat, PromptRead, Ring
 from balsamtally.callers import CallerServer
 from balsamtally.calls import Limits
 from balsamtally.catalog import Catalog, Decoder
@@ -228,3 +228,36 @@
         hear(vm, "near", "127.9.1.1", "home")
     [back] = [line for line in lines if line["event"] == "peer_back"]
     assert back["peer"] == "near" and back["silent_s"] >= ALIVE_S
+
+
+def test_beats_without_news_are_sent_seldom():
+    ring = Ring(0.2, REGIONS.get)
+    beat = Beat("a", "10.0.0.1", "home", "1", 0, False, {}, ())
+    assert ring.is_silent(100.0) and ring.has_news(beat)
+    ring.note_sent(beat, 100.0)
+    told = msgspec.structs.replace(beat, peers=("10.0.0.9",))
+    assert not ring.has_news(told) and not ring.is_silent(100.0 + SAME_BEAT_S / 2)
+    assert ring.is_silent(100.0 + SAME_BEAT_S)
+    for change in (
+        {"loads": {"runner": Load(1, (5,), 9)}},
+        {"reads": (PromptRead("runner", (("part", 100),)),)},
+        {"revision": 1},
+        {"leaving": True},
+    ):
+        assert ring.has_news(msgspec.structs.replace(beat, **change))
+
+
+def test_idle_vms_of_other_regions_are_told_once_a_second(idle_pair):
+    near, far = idle_pair
+    expect_soon(lambda: far.peers.own.vm in near.names and near.peers.own.vm in far.names)
+    gevent.sleep(SAME_BEAT_S)
+    heard = len(far.heard)
+    gevent.sleep(3 * SAME_BEAT_S)
+    assert 1 <= len(far.heard) - heard <= 4
+
+
+@pytest.fixture
+def idle_pair():
+    with contextlib.ExitStack() as stack:
+        near = stack.enter_context(Vm("a", ()))
+        yield near, stack.enter_context(Vm("b", (near.host,), "elsewhere"))
