Send calls that can't be on time only where hardly anything is read

A call counted as late only once its target had passed, not when it could no longer be met, and then took room like any other. Change: a call is late when less time is left than twice what the prompts of its kind take to read (half of its target at most); late ones are sent into backlogs under 0.1 s, here and so at all VMs.

--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -27,7 +27,16 @@
 from balsamtally.prefixes import PrefixCache
 from balsamtally.selection import Candidate, choose, predict_first_event_s
 from balsamtally.speeds import EngineSpeed
-from balsamtally.waiting import TOKEN_S, Room, Waiter, has_room, is_hopeless, order
+from balsamtally.waiting import (
+    TOKEN_S,
+    Room,
+    Waiter,
+    find_needed_s,
+    has_room,
+    is_hopeless,
+    is_late,
+    order,
+)
 
 # A backend server that refused a call for want of room is passed over for so long.
 FULL_S = 0.3
@@ -106,6 +115,7 @@
         until_s=plan.until_s,
         answer_tokens=find_answer_tokens(plan.call),
         work_s=work_s,
+        needs_s=find_needed_s(work_s, plan.route.target_s),
     )
 
 
@@ -286,12 +296,13 @@
         """Return where a waiting call may go now, and whether there was room anywhere."""
         plan = waiting.plan
         candidates = self._list_candidates(plan, waiting.trip)
+        late = is_late(waiting.waiter, self._clock())
         tokens = plan.call.prompt_tokens + find_answer_tokens(plan.call)
         engine = self._find_engine(plan.service)
         open_now = [
             candidate
             for candidate in candidates
-            if has_room(make_room(candidate, engine), plan.tier, tokens)
+            if has_room(make_room(candidate, engine), plan.tier, tokens, late)
         ]
         best = self._choose_among(plan, candidates)
         if best in open_now:
--- a/balsamtally/waiting.py
+++ b/balsamtally/waiting.py
@@ -4,8 +4,9 @@
 of more urgent calls first and those of one rank in the order in which they came, so that a call
 sent into a long backlog of its rank waits there while another runner may have room, and running
 answers slow down. So only a short backlog is kept at each runner, and calls wait here instead: by
-rank, and within a rank those first that can still be on time, nearest target first. A call whose
-answer can't be whole at its deadline is refused at once.
+rank, and within a rank those first that can still be on time, nearest target first. Those that
+can't are sent only where hardly anything is to be read. A call whose answer can't be whole at its
+deadline is refused at once.
 """
 
 from collections.abc import Iterable
@@ -15,6 +16,12 @@
 # Below the shortest target (1 s in the users' sheets), and above the 0.1 s between two beats of a
 # peer, so that a runner doesn't run out of prompts meanwhile.
 READ_AHEAD_S = (0.5, 0.3, 0.15)
+# The same for a call that can't be on time any more: it takes what is left over.
+LATE_READ_AHEAD_S = 0.1
+# A call must be sent so many times the time that the prompts of its kind take to read before its
+# target, but only a part of its target: others are read before it and beside it.
+NEEDED_WORK = 2.0
+NEEDED_SHARE = 0.5
 # Part of a runner's memory that calls may be expected to take, by tier; the rest is for answers
 # that grow longer than was hinted.
 MEMORY_SHARE = (0.95, 0.9, 0.85)
@@ -58,6 +65,7 @@
     :ivar until_s: steady clock at its deadline, in seconds
     :ivar answer_tokens: tokens that its answer is expected to have
     :ivar work_s: time that the prompts of its kind take to read, in seconds
+    :ivar needs_s: time before its target by which it must be sent to be on time, in seconds
     """
 
     id: str
@@ -67,9 +75,28 @@
     until_s: float
     answer_tokens: int = 0
     work_s: float = 0.0
+    needs_s: float = 0.0
 
 
-def has_room(room: Room, tier: int, tokens: int) -> bool:
+def find_needed_s(work_s: float, target_s: float) -> float:
+    """Return how long before its target a call must be sent to be on time, in seconds.
+
+    :param work_s: time that the prompts of its kind take to read, in seconds
+    :param target_s: time from its arrival to its target, in seconds
+    """
+    return min(work_s * NEEDED_WORK, target_s * NEEDED_SHARE)
+
+
+def is_late(waiter: Waiter, now_s: float) -> bool:
+    """Return whether a call can't be expected to be on time any more.
+
+    :param waiter: the call
+    :param now_s: steady clock in seconds
+    """
+    return waiter.target_at_s < now_s + waiter.needs_s
+
+
+def has_room(room: Room, tier: int, tokens: int, late: bool = False) -> bool:
     """Return whether a runner may be sent a call now.
 
     The call's own prompt isn't counted as backlog, so that large ones don't starve.
@@ -77,9 +104,11 @@
     :param room: the runner
     :param tier: tier of the call
     :param tokens: tokens that it takes in memory
+    :param late: whether it can't be on time any more
     """
     place = min(max(tier, 0), len(READ_AHEAD_S) - 1)
-    if room.reading_s >= READ_AHEAD_S[place] or room.running >= room.slots:
+    ahead_s = LATE_READ_AHEAD_S if late else READ_AHEAD_S[place]
+    if room.reading_s >= ahead_s or room.running >= room.slots:
         return False
     limit = room.memory_limit_tokens * MEMORY_SHARE[place]
     return not limit or not room.running or room.memory_tokens + tokens <= limit
@@ -93,9 +122,8 @@
     """
 
     def rank(waiter: Waiter) -> tuple[int, bool, float]:
-        late = waiter.target_at_s < now_s
         nearness_s = waiter.target_at_s + waiter.work_s * SHORT_FIRST
-        return waiter.urgency, late, nearness_s
+        return waiter.urgency, is_late(waiter, now_s), nearness_s
 
     return sorted(waiters, key=rank)
 
--- a/tests/balsamtally/test_waiting.py
+++ b/tests/balsamtally/test_waiting.py
@@ -2,18 +2,22 @@
 
 from random import Random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from balsamtally.waiting import (
     BURST_S,
+    LATE_READ_AHEAD_S,
     MEMORY_SHARE,
     READ_AHEAD_S,
     TOKEN_S,
     Room,
     Waiter,
+    find_needed_s,
     has_room,
     is_hopeless,
+    is_late,
     order,
     predict_answer_s,
 )
@@ -29,6 +33,7 @@
         st.floats(10, 30),
         st.integers(0, 300),
         st.floats(0, 1),
+        st.floats(0, 1),
     ),
     max_size=8,
 )
@@ -44,7 +49,7 @@
 def test_calls_that_can_be_on_time_go_before_those_of_their_rank_that_cannot(waiters):
     late: dict[int, list[bool]] = {}
     for waiter in order(waiters, 10.0):
-        late.setdefault(waiter.urgency, []).append(waiter.target_at_s < 10.0)
+        late.setdefault(waiter.urgency, []).append(waiter.target_at_s < 10.0 + waiter.needs_s)
     assert all(flags == sorted(flags) for flags in late.values())
 
 
@@ -55,6 +60,25 @@
         assert has_room(room, tier, 5_000)
 
 
+@given(st.floats(0, 2), st.integers(0, 3))
+def test_room_for_a_late_call_is_room_for_one_that_can_be_on_time(reading_s, tier):
+    room = Room(reading_s, 3, 64)
+    if has_room(room, tier, 5_000, late=True):
+        assert has_room(room, tier, 5_000)
+
+
+def test_late_calls_take_what_is_left_over():
+    room = Room(LATE_READ_AHEAD_S, 3, 64)
+    assert has_room(room, 0, 5_000) and not has_room(room, 0, 5_000, late=True)
+    assert has_room(Room(0.0, 3, 64), 0, 5_000, late=True)
+
+
+def test_no_kind_is_late_from_its_arrival():
+    assert find_needed_s(0.3, 2.0) == pytest.approx(0.6)
+    waiter = Waiter("a", 1, 3, 0.5, 5.0, needs_s=find_needed_s(9.0, 0.5))
+    assert not is_late(waiter, 0.0) and is_late(waiter, 0.3)
+
+
 def test_room_by_backlog_slots_and_memory():
     assert has_room(Room(0.0, 0, 64), 9, 10**9)
     assert not has_room(Room(READ_AHEAD_S[2], 0, 64), 2, 1)
