--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -46,12 +46,14 @@
 SERVICES = "tests/balsamtally/test_services.py"
 RETRIES = "tests/balsamtally/test_retries.py"
 BUDGETS = "tests/balsamtally/test_budgets.py"
+BACKLOGS = "tests/balsamtally/test_backlogs.py"
 CALLERS = "tests/balsamtally/test_callers.py"
 CATALOG = "tests/balsamtally/test_catalog.py"
 DISPATCH = "tests/balsamtally/test_dispatch.py"
 FORWARDING = "tests/balsamtally/test_forwarding.py"
 GRID = "tests/standins/test_grid.py"
 PEERS = "tests/balsamtally/test_peers.py"
+PLANS = "tests/balsamtally/test_plans.py"
 RECORDS = "tests/balsamtally/test_records.py"
 WAITING = "tests/balsamtally/test_waiting.py"
 WIRE = "tests/balsamtally/platform/test_wire.py"
@@ -210,14 +212,21 @@
     Mutation("forwarding", "trip.last_event = ids[-1]", "pass", FORWARDING),
     Mutation("forwarding", "if reader.rest:", "if False:", FORWARDING),
     Mutation("forwarding", "if not self._desk.is_open(backend):", "if False:", FORWARDING),
-    Mutation("forwarding", "if trip.sent >= plan.route.max_attempts:", "if False:", FORWARDING),
+    Mutation("forwarding", "if not self._has_attempts(plan, trip, failure):", "if 0:", FORWARDING),
+    Mutation("forwarding", "or not self._connections.has_ended(backend)", "", FORWARDING),
+    Mutation("backends", "except ConnectionRefusedError:", "except ZeroDivisionError:", FORWARDING),
+    Mutation("backlogs", "self.reading[: urgency + 1]", "self.reading", BACKLOGS),
+    Mutation("beats", "now - self._told_s >= SAME_BEAT_S", "True", PEERS),
+    Mutation("beats", "or beat.revision != told.revision", "", PEERS),
+    Mutation("plans", "tier * ROUTE_RANKS + rank", "tier", PLANS),
     Mutation("gateway", "            self._wait_for_contracts()\n", "", GRID),
     Mutation("gateway", "is not None and not self.leaving", "is not None", GRID),
     Mutation("peers", "if peer.beat.vm in self._new:", "if False:", PEERS),
     Mutation("platform/wire", "| CONNECTION_HEADERS | OWN_HEADERS", "| CONNECTION_HEADERS", WIRE),
     Mutation("platform/wire", "if answered_id is not None and answered_id !=", "if None !=", WIRE),
     Mutation("platform/wire", 'if b"_" in name and', "if False and", WIRE),
-    Mutation("waiting", "return waiter.tier, late,", "return 0, late,", WAITING),
+    Mutation("waiting", "return waiter.urgency, is_late", "return 0, is_late", WAITING),
+    Mutation("waiting", "LATE_READ_AHEAD_S if late", "LATE_READ_AHEAD_S if False", WAITING),
 )
 
 
