Let late calls hold back nobody, and tell many far peers without news

Cause: found by reading the change. A late call needs a shorter backlog than others; where it had no room, calls of its tier behind it weren't looked at although they had. And where each far beat goes to eight of many peers, what is no news to the first eight is news to the next; with 55 far peers an idle VM would have been heard every 11 s on average, against 15 s after which it counts as silent. Change: only a call that can be on time ends the look; beats that go to a part of the ring always go. Each has a test that fails without it.

--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -272,7 +272,8 @@
         # Callers choose the ids of their calls, which may be the same.
         held = {id(waiting.waiter): waiting for waiting in line.values() if not waiting.choice}
         full_tier: int | None = None
-        for waiter in order((waiting.waiter for waiting in held.values()), self._clock()):
+        now = self._clock()
+        for waiter in order((waiting.waiter for waiting in held.values()), now):
             if full_tier is not None and waiter.tier >= full_tier:
                 break
             waiting = held[id(waiter)]
@@ -280,7 +281,7 @@
             if chosen is not None:
                 waiting.choice = self._begin(waiting.plan, waiting.trip, chosen)
                 waiting.chosen.set()
-            elif not any_room:
+            elif not any_room and not is_late(waiter, now):
                 full_tier = waiter.tier
 
     def count_waiting(self) -> dict[str, int]:
--- a/balsamtally/peers.py
+++ b/balsamtally/peers.py
@@ -150,18 +150,24 @@
         far_ips = far.list_ips(alive)
         if far.is_due(now, min(MAX_FAR_STRETCH, len(far_ips) / FAR_PEERS)):
             self._forget_silent(now)
-            self._send_news(far, alive, self._draw(far_ips, FAR_PEERS), now)
+            targets = self._draw(far_ips, FAR_PEERS)
+            self._send_news(far, alive, targets, now, always=len(targets) < len(far_ips))
             unheard = self._draw(self._list_unheard(alive), UNHEARD_PEERS)
             self._send(self._make_beat(alive, ()), unheard)
         if self._wake.wait(NEAR_BEAT_S * self._random.uniform(0.9, 1.1)):
             gevent.sleep(max(0.0, MIN_BEAT_S - (time.monotonic() - now)))
             self._wake.clear()
 
-    def _send_news(self, ring: Ring, alive: list[Peer], targets: set[str], now: float) -> None:
-        """Send a beat to peers where bytes are billed, if it tells them anything."""
+    def _send_news(
+        self, ring: Ring, alive: list[Peer], targets: set[str], now: float, always: bool = False
+    ) -> None:
+        """Send a beat to peers where bytes are billed, if it tells them anything.
+
+        It always goes out where each goes to other peers, since what is old to some is new to them.
+        """
         silent = ring.is_silent(now)
         beat = self._make_beat(alive, ring.take_reads(), TOLD_PEERS if silent else 0)
-        if silent or ring.has_news(beat):
+        if always or silent or ring.has_news(beat):
             self._send(beat, targets)
             ring.note_sent(beat, now)
 
--- a/tests/balsamtally/test_dispatch.py
+++ b/tests/balsamtally/test_dispatch.py
@@ -180,6 +180,20 @@
     waiting.kill()
 
 
+def test_late_call_holds_back_no_less_urgent_one_that_can_be_on_time(world):
+    world.add("a")
+    world.backlogs.note_peer("vm2", {"a": Load(1, (6_000,), 6_000)})
+    plan = world.plan(1, ())
+    late = replace(plan, urgency=plan.urgency - 1)
+    late = replace(late, call=replace(late.call, arrived_s=world.now - 1.0))
+    waiting = gevent.spawn(world.choose, late)
+    gevent.sleep(0.05)
+    assert not waiting.ready()
+    assert world.choose(world.plan(2, ())).backend.name == "a"
+    assert not waiting.ready()
+    waiting.kill()
+
+
 def test_call_without_hope_is_refused_at_once_with_a_time_to_come_back(world):
     world.add("a")
     world.choose(world.plan(1, (PromptPart("x", 150_000),)))
--- a/tests/balsamtally/test_peers.py
+++ b/tests/balsamtally/test_peers.py
@@ -247,6 +247,15 @@
         assert ring.has_news(msgspec.structs.replace(beat, **change))
 
 
+def test_where_each_beat_goes_to_other_peers_it_is_sent_without_news():
+    ring = Ring(0.2, REGIONS.get)
+    with Vm("a", ()) as vm, record_sends(vm) as sent:
+        for always, expected in ((False, 1), (True, 3)):
+            for _ in range(2):
+                vm.peers._send_news(ring, [], {"127.9.9.9"}, 100.0, always)
+            assert sum(ip == "127.9.9.9" for ip, _ in sent) == expected
+
+
 def test_idle_vms_of_other_regions_are_told_once_a_second(idle_pair):
     near, far = idle_pair
     expect_soon(lambda: far.peers.own.vm in near.names and near.peers.own.vm in far.names)
