Bound what is read of answers that nobody gets, of pages and of interim answers

Looked for: heads, chunk lines, chunk extensions, trailers and stream events were bounded already. Not bounded: the body of a refusal or of an answer to another request (read until the call's deadline), a page of the store or of a peer (memory), interim answers (time only); and a server that always has bytes ready held the process, since a read that doesn't wait gives no other task its turn.

Change: BackendConnection.drain reads 64 KB or half a second at most, a page has 8 MB at most, eight interim answers are read, and each 64 KB another task gets its turn. A refusal whose body breaks off is still a refusal.

With the turn, the bound of the drain or that of a page taken out a test failed; with the bound of interim answers taken out none did, as the parser refused the flood that the test sends: not proved.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -8,11 +8,13 @@
 from collections import deque
 from collections.abc import Callable, Iterator
 
+import gevent
 import h11
 from gevent import select, socket
 
 from balsamtally.calls import AnswerHead, Backend, Headers
-from balsamtally.errors import AnswerCut, BackendUnreachable, NoAnswer
+from balsamtally.errors import AnswerCut, BackendUnreachable, BalsamtallyError, NoAnswer
+from balsamtally.logs import log
 from balsamtally.sockets import close, connect, is_quiet
 
 READ_BYTES = 65_536
@@ -28,6 +30,14 @@
 IDLE_MARGIN_S = 0.5
 MAX_KEPT = 32
 MAX_HEAD_BYTES = 65_536
+# Interim answers (1xx) before an answer; servers send one at most.
+MAX_INTERIM_ANSWERS = 8
+# Bytes of an answer that nobody gets which are read to keep the connection, and the time for it;
+# a refusal has some hundred bytes.
+MAX_DRAINED_BYTES = 65_536
+DRAIN_S = 0.5
+# A page of the platform has about 1 MB, and a third more as text.
+MAX_FETCHED_BYTES = 8_388_608
 TIME_OVER = "the time was over before the answer's end"
 _NO_BODY = ((b"Host", b"backend"), (b"Content-Length", b"0"))
 
@@ -46,6 +56,7 @@
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
         self._odd = False
+        self._read_bytes = 0
 
     def close(self) -> None:
         """Close the connection."""
@@ -101,10 +112,12 @@
         :raises AnswerCut: if the connection breaks, or what comes is no answer
         :raises NoAnswer: if the time is over
         """
-        while True:
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
             event = self._next_event(until_s)
             if type(event) is h11.Response:
                 break
+        else:
+            raise AnswerCut(f"more than {MAX_INTERIM_ANSWERS} interim answers came")
         headers = tuple((bytes(name), bytes(value)) for name, value in event.headers.raw_items())
         names = [name.lower() for name, _ in headers]
         if names.count(b"content-length") + names.count(b"transfer-encoding") > 1:
@@ -126,6 +139,24 @@
             elif type(event) is h11.EndOfMessage:
                 return
 
+    def drain(self, until_s: float) -> bool:
+        """Read the rest of an answer that nobody gets, within bounds of size and time.
+
+        :param until_s: steady clock by which it must have come, in seconds
+        :return: whether it came to its end
+        """
+        until_s = min(until_s, time.monotonic() + DRAIN_S)
+        drained = 0
+        try:
+            for piece in self.read_body(lambda: until_s):
+                drained += len(piece)
+                if drained > MAX_DRAINED_BYTES:
+                    return False
+        except BalsamtallyError as error:
+            log.info("drain_failed", why=str(error))
+            return False
+        return True
+
     def pass_over(self, until_s: float) -> None:
         """Read the answer to another request to its end and make ready for the next head.
 
@@ -133,10 +164,9 @@
         :raises AnswerCut: if the connection can't be read any further
         """
         self._odd = True
-        for _ in self.read_body(lambda: until_s):
-            pass
+        ended = self.drain(until_s)
         rest, closed = self._http.trailing_data
-        if closed or self._http.their_state is not h11.DONE:
+        if not ended or closed or self._http.their_state is not h11.DONE:
             raise AnswerCut("the connection ended with the answer to another request")
         # The request is on its way already; the parser only has to know its method.
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
@@ -156,6 +186,7 @@
                 data = self._sock.recv(READ_BYTES)
                 ended = not data
                 self._http.receive_data(data)
+                self._yield_after(len(data))
         except TimeoutError as error:
             if time.monotonic() < until_s:
                 raise AnswerCut("the connection to the backend server is dead") from error
@@ -170,6 +201,13 @@
             raise AnswerCut("the connection was closed before the answer")
         return event
 
+    def _yield_after(self, size: int) -> None:
+        """Let others run now and then: data that is there already is read without a wait."""
+        self._read_bytes += size
+        if self._read_bytes >= READ_BYTES:
+            self._read_bytes = 0
+            gevent.sleep(0)
+
     def _note_keep_alive(self, headers: Headers) -> None:
         for name, value in headers:
             if name.lower() == b"keep-alive":
@@ -286,6 +324,11 @@
         headers = ((b"Host", host), (b"Connection", b"close"))
         connection.send(b"GET", target, headers, b"", until_s)
         head = connection.read_head(until_s)
-        return head.status, b"".join(connection.read_body(lambda: until_s))
+        body = bytearray()
+        for piece in connection.read_body(lambda: until_s):
+            body += piece
+            if len(body) > MAX_FETCHED_BYTES:
+                raise AnswerCut(f"the page has more than {MAX_FETCHED_BYTES} bytes")
+        return head.status, bytes(body)
     finally:
         connection.close()
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -314,8 +314,7 @@
             raise WrongAnswer(f"{backend.name} sent an answer that is not valid")
         if verdict is Verdict.ANSWER:
             return
-        for _ in connection.read_body(lambda: plan.until_s):
-            pass
+        connection.drain(plan.until_s)
         if verdict is Verdict.NOT_THERE:
             self._desk.note_leaving(backend, "another backend server has its address")
         raise BackendRefused(f"{backend.name} refused it with {head.status}")
