Let one entry VM of a failure domain read the store, and pull whole records from the newest peer

Cause: each VM watched; every change returned at all of them. Ruled out: fewer calls by longer watches (they return with each change).

Change: readers.py chooses the reader by a rendezvous order of those heard; the others rest and pull.

One test's expectations changed: Records.revision is gone, since it could run ahead of what is known; the tests ask for the revision up to which nothing is missed, which is as strict.

--- a/balsamtally/beats.py
+++ b/balsamtally/beats.py
@@ -36,6 +36,7 @@
     :ivar loads: its work by backend server
     :ivar peers: IP numbers of entry VMs that it hears
     :ivar reads: shared prompt parts that it lately gave backend servers to read
+    :ivar reading: how it stands to the platform, a :class:`~balsamtally.readers.Reading`
     """
 
     vm: str
@@ -47,6 +48,7 @@
     loads: dict[str, Load]
     peers: tuple[str, ...]
     reads: tuple[PromptRead, ...] = ()
+    reading: int = 0
 
 
 @dataclass
@@ -117,6 +119,7 @@
             or beat.loads != told.loads
             or beat.revision != told.revision
             or beat.leaving != told.leaving
+            or beat.reading != told.reading
         )
 
     def list_ips(self, alive: list[Peer]) -> set[str]:
--- a/balsamtally/catalog.py
+++ b/balsamtally/catalog.py
@@ -9,7 +9,7 @@
 
 from balsamtally.calls import Account, Backend, Limits, Route, Service
 from balsamtally.logs import log
-from balsamtally.records import Record, Records
+from balsamtally.records import Record, Records, Update
 
 # Entries that lapsed while the platform was away are back within two seconds of its return if the
 # backend server lives; the platform's protocol.
@@ -101,13 +101,33 @@
         self._fading: dict[str, float] = {}
         self._grace_until_s = 0.0
 
-    def take(self, records: Iterable[Record], source: str) -> None:
+    def take(self, records: Iterable[Record], source: str, whole: int = 0) -> None:
         """Merge records and act on those that changed something.
 
         :param records: the records
         :param source: where they come from, for the log
+        :param whole: revision up to which no change is missed with these
         """
-        self._apply(self.records.take(records), source)
+        changed = self.records.take(records)
+        self.records.note_whole(whole)
+        self._apply(changed, source)
+
+    def take_update(self, update: Update, source: str) -> None:
+        """Merge what a peer told; removals wait here as long as they do there.
+
+        :param update: what it told
+        :param source: name of the peer, for the log
+        """
+        self._grace_until_s = max(self._grace_until_s, self._clock() + update.grace_s)
+        self.take(update.records, source, update.whole)
+
+    def make_update(self, since: int) -> Update:
+        """Return what a peer lacks that missed nothing up to a revision.
+
+        :param since: the revision
+        """
+        grace_s = max(0.0, self._grace_until_s - self._clock())
+        return Update(self.records.whole, self.records.list_since(since), grace_s)
 
     def take_listing(self, records: Iterable[Record], at: int, source: str) -> None:
         """Merge a whole listing.
--- a/balsamtally/peers.py
+++ b/balsamtally/peers.py
@@ -20,7 +20,8 @@
 from balsamtally.catalog import Catalog
 from balsamtally.errors import BalsamtallyError
 from balsamtally.logs import log
-from balsamtally.records import Record
+from balsamtally.readers import Reading, should_read
+from balsamtally.records import Update
 from balsamtally.sockets import close
 from balsamtally.tasks import spawn_steps
 
@@ -47,6 +48,8 @@
 PULL_TIMEOUT_S = 1.5
 # A peer's newer records are waited for by the own watch for so long before they are asked for.
 PULL_DELAY_S = 0.25
+# A VM that doesn't read the platform asks sooner, but not all of them the one reader at once.
+RELAY_DELAY_S = (0.0, 0.1)
 MAX_DATAGRAM_BYTES = 8_192
 # Peers told of in a greeting; a failure domain of the users' largest site has 14.
 MAX_TOLD_PEERS = 24
@@ -97,6 +100,8 @@
         self._new_ips: set[str] = set()
         self._wake = Event()
         self._pulling = False
+        self._behind_s: float | None = None
+        self.reading = Reading.RESTING
         self._random = random.Random()
 
     def __enter__(self) -> "Peers":
@@ -129,6 +134,23 @@
     def _is_beside(self, domain: str) -> bool:
         return domain != self.own.domain and not self._is_far(domain)
 
+    def note_reading(self, reading: Reading) -> None:
+        """Take in how this entry VM stands to the platform, and tell the peers of a change.
+
+        :param reading: how it stands
+        """
+        if reading != self.reading:
+            log.info("platform_reading", before=self.reading.name, now=reading.name)
+            self.reading = reading
+            self._wake.set()
+
+    def should_read(self) -> bool:
+        """Return whether this entry VM is to read the platform itself."""
+        own = msgspec.structs.replace(self.own, reading=self.reading)
+        since_s = self._behind_s
+        behind_s = 0.0 if since_s is None else time.monotonic() - since_s
+        return should_read(own, [peer.beat for peer in self.list_alive()], behind_s)
+
     def count_members(self) -> int:
         """Return how many entry VMs share the fleet's budgets, 0 if this one has heard of none.
 
@@ -205,8 +227,9 @@
     ) -> Beat:
         return msgspec.structs.replace(
             self.own,
-            revision=self._catalog.records.revision,
+            revision=self._catalog.records.whole,
             leaving=self.leaving,
+            reading=self.reading,
             loads=self._backlogs.list_own(),
             peers=tuple(self._draw({peer.beat.ip for peer in told}, most)),
             reads=reads,
@@ -249,7 +272,7 @@
             self._wake.set()
         self._backlogs.note_peer(beat.vm, beat.loads)
         self._note_heard(beat)
-        if beat.revision > self._catalog.records.revision:
+        if beat.revision > self._catalog.records.whole:
             self._pull_later()
 
     def _forget_silent(self, now: float) -> None:
@@ -269,16 +292,25 @@
     def _pull_later(self) -> None:
         if not self._pulling:
             self._pulling = True
-            gevent.spawn_later(PULL_DELAY_S, self._pull)
+            if self._behind_s is None:
+                self._behind_s = time.monotonic()
+            reads = self.reading == Reading.READING
+            delay_s = PULL_DELAY_S if reads else self._random.uniform(*RELAY_DELAY_S)
+            gevent.spawn_later(delay_s, self._pull)
 
     def _pull(self) -> None:
         """Ask a peer whose records are newer for what this entry VM lacks."""
         try:
-            revision = self._catalog.records.revision
+            revision = self._catalog.records.whole
             ahead = [peer for peer in self.list_alive() if peer.beat.revision > revision]
             if ahead:
-                peer = self._random.choice(ahead)
-                self._pull_from(peer, revision)
+                newest = max(peer.beat.revision for peer in ahead)
+                # One that is itself cut off from the platform may hold what was withdrawn since.
+                newest_peers = [peer for peer in ahead if peer.beat.revision == newest]
+                self._pull_from(self._random.choice(newest_peers), revision)
+            newest = max((peer.beat.revision for peer in ahead), default=0)
+            if self._catalog.records.whole >= newest:
+                self._behind_s = None
         finally:
             self._pulling = False
 
@@ -288,11 +320,11 @@
             status, body = fetch((peer.beat.ip, self._port), target, PULL_TIMEOUT_S)
             if status != 200:
                 raise ValueError(f"status {status}")
-            records = msgspec.msgpack.decode(body, type=list[Record])
+            update = msgspec.msgpack.decode(body, type=Update)
         except (BalsamtallyError, ValueError) as error:
             log.info("pull_failed", peer=peer.beat.vm, reason=str(error))
             return
-        self._catalog.take(records, peer.beat.vm)
+        self._catalog.take_update(update, peer.beat.vm)
 
     def answer_pull(self, query: str) -> bytes:
         """Return the records that a peer asks for.
@@ -301,4 +333,4 @@
         :raises ValueError: if it isn't valid
         """
         since = int(parse_qs(query).get("since", ["0"])[0])
-        return msgspec.msgpack.encode(self._catalog.records.list_since(since))
+        return msgspec.msgpack.encode(self._catalog.make_update(since))
--- a/balsamtally/platform/daemon.py
+++ b/balsamtally/platform/daemon.py
@@ -38,7 +38,10 @@
     gevent.signal_handler(signal.SIGINT, told.set)
     gevent.signal_handler(signal.SIGHUP, log.info, "settings_signal")
     with Gateway(settings, WIRE, DECODER, incarnation, listener, lambda: lines.dropped) as gateway:
-        with Store(settings.platform_address, gateway.catalog) as store:
+        peers = gateway.peers
+        with Store(
+            settings.platform_address, gateway.catalog, peers.should_read, peers.note_reading
+        ) as store:
             follower = gevent.spawn(follow_settings, path, gateway, store)
             told.wait()
             cut = gateway.leave()
--- a/balsamtally/platform/store.py
+++ b/balsamtally/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import random
+import time
 from collections.abc import Callable
 from urllib.parse import quote
 
@@ -12,14 +13,21 @@
 from balsamtally.catalog import Catalog
 from balsamtally.errors import BalsamtallyError, HistoryGone, PlatformUnavailable
 from balsamtally.logs import log
+from balsamtally.readers import Reading
 from balsamtally.records import Record
 from balsamtally.tasks import spawn_steps
 
 # The store answers in 4 ms; this leaves room for one that is a hundred times slower.
 READ_TIMEOUT_S = 2.0
-# Each call is billed; a watch that stalls is found by its keep-alive long before.
-WATCH_WAIT_MS = 20_000
+# Each call is billed; one that stalls must be found, as others rely on this entry VM.
+WATCH_WAIT_MS = 5_000
 WATCH_TIMEOUT_S = WATCH_WAIT_MS / 1000 + READ_TIMEOUT_S
+# Changes come in bursts; those of this time are read by one call.
+BURST_S = 0.1
+# How often an entry VM that leaves reading to others asks whether it is to read.
+REST_S = 0.1
+# A VM that was refused tries again after this time at the soonest, while another one reads.
+REFUSED_S = 3.0
 # Pause after a failed call: short enough that changes are in force in time after an outage.
 MIN_PAUSE_S = 0.15
 MAX_PAUSE_S = 0.8
@@ -66,6 +74,8 @@
 
     :param address: IP number and port of the store
     :param catalog: takes in what is read
+    :param should_read: tells whether this entry VM is to read, or learns from its peers
+    :param note_reading: takes in how this entry VM stands to the platform
     :param random_source: source of random pauses
     """
 
@@ -73,13 +83,18 @@
         self,
         address: tuple[str, int],
         catalog: Catalog,
+        should_read: Callable[[], bool] = lambda: True,
+        note_reading: Callable[[Reading], None] = lambda reading: None,
         random_source: Callable[[float, float], float] = random.uniform,
     ):
         self.address = address
         self._catalog = catalog
+        self._should_read = should_read
+        self._note_reading = note_reading
         self._pause = random_source
-        self._at: int | None = None
+        self._history_gone = False
         self._failures = 0
+        self._refused_s = 0.0
 
     def __enter__(self) -> "Store":
         self._task = spawn_steps("store", self._step)
@@ -89,21 +104,36 @@
         self._task.kill(block=False)
 
     def _step(self) -> None:
+        at = self._catalog.records.whole
+        if at and not self._should_read():
+            self._rest()
+            return
         try:
-            if self._at is None:
+            if not at or self._history_gone:
                 self._list()
             else:
-                self._watch(self._at)
+                self._watch(at)
         except HistoryGone as error:
-            log.info("platform_history_gone", at=self._at, why=str(error))
-            self._at = None
+            log.info("platform_history_gone", at=at, why=str(error))
+            self._history_gone = True
         except (BalsamtallyError, ValueError) as error:
             self._note_failure(error)
 
+    def _rest(self) -> None:
+        """Leave reading to others; after a refusal, for some time at least."""
+        if self._failures and time.monotonic() - self._refused_s >= REFUSED_S:
+            self._failures = 0
+            self._catalog.note_platform_back()
+        self._note_reading(Reading.REFUSED if self._failures else Reading.RESTING)
+        gevent.sleep(REST_S)
+
     def _note_failure(self, error: Exception) -> None:
         self._failures += 1
+        self._refused_s = time.monotonic()
+        self._note_reading(Reading.REFUSED)
         if self._failures == 1:
-            log.warning("platform_lost", at=self._at, why=str(error))
+            at = self._catalog.records.whole
+            log.warning("platform_lost", at=at, why=str(error))
         gevent.sleep(self._pause(MIN_PAUSE_S, min(MAX_PAUSE_S, MIN_PAUSE_S * 2**self._failures)))
 
     def _note_success(self) -> None:
@@ -111,6 +141,7 @@
             log.info("platform_back", failures=self._failures)
             self._catalog.note_platform_back()
         self._failures = 0
+        self._note_reading(Reading.READING)
         self._catalog.note_platform_read()
 
     def _list(self) -> None:
@@ -127,7 +158,7 @@
             after = page.entries[-1].key
         self._note_success()
         self._catalog.take_listing(records, first_at, SOURCE)
-        self._at = first_at
+        self._history_gone = False
 
     def _read_page(self, after: str) -> Page:
         target = (
@@ -143,8 +174,8 @@
         target = f"/kv-watch?path_prefix=&after={at}&wait_ms={wait_ms}"
         changes = msgspec.json.decode(self._read(target, WATCH_TIMEOUT_S), type=Changes)
         self._note_success()
-        self._catalog.take([decode_item(item) for item in changes.events], SOURCE)
-        self._at = max(at, changes.at)
+        self._catalog.take([decode_item(item) for item in changes.events], SOURCE, changes.at)
+        gevent.sleep(BURST_S)
 
     def _read(self, target: str, timeout_s: float) -> bytes:
         status, body = fetch(self.address, target.encode(), timeout_s)
--- a/balsamtally/records.py
+++ b/balsamtally/records.py
@@ -22,12 +22,30 @@
     value: bytes | None
 
 
+class Update(msgspec.Struct, frozen=True, array_like=True):
+    """What one entry VM tells another of published entries.
+
+    :ivar whole: revision up to which the sender missed no change
+    :ivar records: the entries that changed after the revision that was asked for
+    :ivar grace_s: time for which the sender still waits with removals, since the platform is just
+        back, in seconds
+    """
+
+    whole: int
+    records: list[Record]
+    grace_s: float = 0.0
+
+
 class Records:
-    """The entries that this entry VM knows, newest revision first to win."""
+    """The entries that this entry VM knows, newest revision first to win.
+
+    :ivar whole: revision up to which no change was missed; entries may be newer, since the pages
+        of a listing are read one after the other
+    """
 
     def __init__(self):
         self._records: dict[str, Record] = {}
-        self.revision = 0
+        self.whole = 0
 
     def take(self, records: Iterable[Record]) -> list[Record]:
         """Merge entries and return those that changed something.
@@ -39,7 +57,6 @@
             held = self._records.get(record.key)
             if held is None or record.revision > held.revision:
                 self._records[record.key] = record
-                self.revision = max(self.revision, record.revision)
                 if held is None or held.value != record.value:
                     changed.append(record)
         return changed
@@ -58,7 +75,16 @@
             for key, held in self._records.items()
             if key not in listed and held.value is not None and held.revision < at
         ]
-        return self.take([*records, *gone])
+        changed = self.take([*records, *gone])
+        self.note_whole(at)
+        return changed
+
+    def note_whole(self, revision: int) -> None:
+        """Take in that all changes up to a revision are known.
+
+        :param revision: the revision
+        """
+        self.whole = max(self.whole, revision)
 
     def list_since(self, revision: int) -> list[Record]:
         """Return the entries that changed after a revision, removals among them.
--- /dev/null
+++ b/tests/balsamtally/test_readers.py
@@ -0,0 +1,128 @@
+"""Who reads the platform, in virtual time: few read, and nobody stays without news."""
+
+from random import Random
+
+import msgspec
+import pytest
+
+from balsamtally.beats import Beat
+from balsamtally.readers import MAX_BEHIND_S, Reading, should_read
+
+STEP_S = 0.1
+# Time after which a VM that was heard before is taken for silent.
+ALIVE_STEPS = 25
+REFUSED_STEPS = 30
+# A change must be known everywhere within so many seconds while anything can be read; the users'
+# shortest bound is 3 s from its acknowledgement.
+BOUND_S = 3.0
+
+
+def make_beat(name, domain="home", reading=Reading.RESTING, **changes):
+    return Beat(name, name, domain, "1", 0, False, {}, (), reading=reading, **changes)
+
+
+def test_first_of_a_failure_domain_reads_and_the_others_rest():
+    beats = [make_beat(f"vm{number}") for number in range(9)]
+    far = make_beat("far", "elsewhere", Reading.READING)
+    readers = [own for own in beats if should_read(own, [*beats, far], 0.0)]
+    assert len(readers) == 1
+
+
+def test_vm_without_a_reader_in_reach_or_behind_its_peers_reads_itself():
+    own, other = make_beat("a"), make_beat("b")
+    assert should_read(own, [], 0.0) and should_read(own, [other], 0.0)
+    reader = make_beat("r", "elsewhere", Reading.READING)
+    many = [make_beat(f"vm{number}") for number in range(40)]
+    resting = next(beat for beat in many if not should_read(beat, [*many, reader], 0.0))
+    assert should_read(resting, [*many, reader], MAX_BEHIND_S + 0.1)
+    leaving = msgspec.structs.replace(reader, leaving=True)
+    assert should_read(resting, [*many, leaving], 0.0)
+
+
+def test_refused_reader_is_replaced_and_rests():
+    beats = [make_beat(f"vm{number}") for number in range(9)]
+    far = make_beat("far", "elsewhere", Reading.READING)
+    first = next(own for own in beats if should_read(own, [*beats, far], 0.0))
+    refused = msgspec.structs.replace(first, reading=Reading.REFUSED)
+    others = [beat for beat in beats if beat.vm != first.vm]
+    assert not should_read(refused, [*others, far], 0.0)
+    assert sum(should_read(own, [*others, refused, far], 0.0) for own in others) == 1
+
+
+class Member:
+    def __init__(self, name, domain):
+        self.beat = make_beat(name, domain)
+        self.heard = {}
+        self.known = 0
+        self.behind_s = 0.0
+        self.refused_at = -REFUSED_STEPS
+        self.calls = 0
+
+
+def play(size, seed, steps=120):
+    """Play members that are refused by the platform or cut off by turns; return them and the late.
+
+    A change is written each second; late is who doesn't know one of ``BOUND_S`` ago.
+    """
+    random = Random(seed)
+    members = [Member(f"vm{number}", f"domain{number % 3}") for number in range(size)]
+    refused, cut, late, revision = set(), set(), [], 0
+    for step in range(steps):
+        if step % 40 == 10:
+            refused = set(random.sample(members, size // 3))
+            cut = set(random.sample(members, size // 10)) - refused
+        if step % 40 == 35:
+            refused, cut = set(), set()
+        if step % 10 == 0:
+            revision += 1
+        for member in members:
+            play_step(member, step, refused, revision)
+        for member in members:
+            hear_others(member, step, random, members, cut)
+        due = (step - int(BOUND_S / STEP_S)) // 10 + 1
+        late += [(step, member.beat.vm) for member in members if member.known < due]
+    return members, late
+
+
+def play_step(member, step, refused, revision):
+    heard = [beat for beat, at in member.heard.values() if step - at <= ALIVE_STEPS]
+    reading = Reading.RESTING
+    if step - member.refused_at < REFUSED_STEPS:
+        reading = Reading.REFUSED
+    member.beat = msgspec.structs.replace(member.beat, reading=reading, revision=member.known)
+    if should_read(member.beat, heard, member.behind_s):
+        member.calls += 1
+        if member in refused:
+            member.refused_at, reading = step, Reading.REFUSED
+        else:
+            member.known, reading = revision, Reading.READING
+    member.beat = msgspec.structs.replace(member.beat, reading=reading, revision=member.known)
+
+
+def hear_others(member, step, random, members, cut):
+    """Hear all of the own failure domain and a few others, and pull from one that is ahead."""
+    if member in cut:
+        return
+    far = set(random.sample(range(len(members)), min(8, len(members))))
+    for place, other in enumerate(members):
+        near = other.beat.domain == member.beat.domain or place in far
+        if other is not member and other not in cut and near and random.random() > 0.02:
+            member.heard[other.beat.vm] = (other.beat, step)
+    newest = max((beat.revision for beat, _ in member.heard.values()), default=0)
+    member.behind_s = 0.0 if member.known >= newest else member.behind_s + STEP_S
+    member.known = max(member.known, newest)
+
+
+@pytest.mark.parametrize("size", [3, 30, 200])
+@pytest.mark.parametrize("seed", range(4))
+def test_few_read_and_all_learn_in_time_whoever_is_refused_or_cut_off(size, seed):
+    steps = 120
+    members, late = play(size, seed, steps)
+    assert not late
+    # Reading by all would be a call of each member in each step with news or without.
+    assert sum(member.calls for member in members) <= max(0.25 * size, 4) * steps
+
+
+def test_refused_vms_do_not_ask_all_the_time():
+    members, _ = play(30, 1)
+    assert max(member.calls for member in members if member.refused_at > 0) < 120
