Let no item of the store that can't be read hold back the others; prove more of other operators' troubles

Looked for among the troubles of similar systems: one malformed message takes more than itself down. It can happen here: an item whose value is no base64 ended the whole watch, which then began at the same revision again, so that no change was taken in until a listing, which ended the same way. test_store.py shows it (failed before). Change: such an item counts as empty, which names nothing to use.

Also shown, with no change needed: slow but sound streams pass whole; stalled ones that trickle end with their route's time; a plain answer cut at any byte, with a length or in chunks, closed or reset, is a failure to its caller.

--- a/balsamtally/platform/store.py
+++ b/balsamtally/platform/store.py
@@ -61,12 +61,18 @@
 def decode_item(item: Item) -> Record:
     """Return the record of an item or event.
 
+    One whose value can't be read counts as empty, which names nothing to use: the others hold.
+
     :param item: the item
-    :raises ValueError: if its value can't be read
     """
     if item.removed or item.value is None:
         return Record(item.key, item.revision, None)
-    return Record(item.key, item.revision, base64.b64decode(item.value, validate=True))
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except ValueError as error:
+        log.warning("record_refused", key=item.key, revision=item.revision, why=str(error))
+        value = b""
+    return Record(item.key, item.revision, value)
 
 
 class Store:
--- a/standins/store.py
+++ b/standins/store.py
@@ -61,6 +61,11 @@
         self._note(item)
         return self._revision
 
+    def spoil(self, key: str, text: str) -> None:
+        """Write an item whose value is this text as it stands."""
+        self.put(key, b"")
+        self._items[key]["value"] = text
+
     def remove(self, key: str) -> int:
         """Remove an item and return the revision."""
         self._revision += 1
--- a/tests/balsamtally/platform/test_store.py
+++ b/tests/balsamtally/platform/test_store.py
@@ -115,3 +115,12 @@
         with Store(address) as store:
             store.put("op/config", CONFIG)
             expect_soon(lambda: catalog.contracts is not None)
+
+
+def test_item_that_cannot_be_read_keeps_back_no_other(store, catalog):
+    store.put("servers/b", SERVER)
+    expect_soon(lambda: list_names(catalog) == ["a", "b"])
+    store.spoil("servers/a", "not base64")
+    store.put("op/config", CONFIG | {"version": 9})
+    expect_soon(lambda: catalog.contracts.version == 9)
+    assert list_names(catalog) == ["b"]
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -455,3 +455,62 @@
         with Path(make_route(Repeat.NEVER, max_attempts=1), one, two) as path:
             status, *_ = path.ask()
         assert (status, two.requests) == (502, [])
+
+
+def drip(head, piece, pause_s, times):
+    """Return a script that sends a head, then a piece over and over, and the end."""
+
+    def run(sock, request):
+        sock.sendall(head)
+        for _ in range(times):
+            gevent.sleep(pause_s)
+            sock.sendall(piece)
+        sock.sendall(END)
+        return False
+
+    return run
+
+
+def test_slow_but_sound_stream_is_passed_on_to_its_end():
+    """Events that come seldom, each far from the one before, within the route's time."""
+    script = drip(STREAM, chunk(b"data: t\n\n"), 0.3, 5)
+    with ScriptedBackend(script) as one, Path(make_route(streams=True, gap_s=0.05), one) as path:
+        status, _, body, whole = path.ask()
+    assert (status, whole, body.count(b"data")) == (200, True, 5)
+
+
+@pytest.mark.parametrize("begun", [b"", chunk(b"data: t\n\n")], ids=["no event", "one event"])
+def test_stalled_stream_that_sends_a_byte_now_and_then_ends_with_its_routes_time(begun):
+    """The bound is the route's time, whatever bytes come; no event is ever ended."""
+    script = drip(STREAM + begun, chunk(b"x"), 0.05, 400)
+    route = make_route(streams=True, timeout_s=0.6)
+    with ScriptedBackend(script) as one, Path(route, one, deadline_s=20.0) as path:
+        begun_s = time.monotonic()
+        status, _, _, whole = path.ask()
+        # Far from the twenty seconds for which the bytes go on.
+        assert time.monotonic() - begun_s < 10
+        expect_soon(lambda: one.closed == 1)
+    assert status == 504 if not begun else not whole
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nId: id1\r\n"
+FRAMINGS = {
+    "length": HEAD + b"Content-Length: 9\r\n\r\nthe whole",
+    "chunks": HEAD + b"Transfer-Encoding: chunked\r\n\r\n4\r\nthe \r\n5\r\nwhole\r\n0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("name", FRAMINGS)
+@pytest.mark.parametrize("reset", [False, True], ids=["closed", "reset"])
+def test_plain_answer_cut_at_any_byte_never_reaches_its_caller_as_whole(name, reset):
+    answer = FRAMINGS[name]
+    scripts = [send_raw(answer[:size], reset=reset) for size in range(1, len(answer))]
+    with ScriptedBackend(*scripts) as one, Path(make_route(), one) as path:
+        for _ in scripts:
+            assert path.ask()[0] in (502, 504)
+
+
+def test_answer_without_a_length_that_ends_in_a_reset_is_not_whole():
+    script = send_raw(HEAD + b"\r\nthe ", reset=True)
+    with ScriptedBackend(script) as one, Path(make_route(), one) as path:
+        assert path.ask()[0] == 502
