--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-COPIED = ("balsamtally", "standins", "tests", "pyproject.toml")
+COPIED = ("balsamtally", "standins", "tests", "pyproject.toml", "KNOWN-RED.txt")
 TESTS_FAILED = 1
 TEST_TIMEOUT_S = 120.0
 
