--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -231,7 +231,7 @@
     Mutation("backends", "if len(body) > MAX_FETCHED_BYTES:", "if False:", BACKENDS),
     Mutation("beats", "while len(self._batches) > turns:", "while self._batches:", PEERS),
     Mutation("beats", "(self._place + self._most) % len(ips)", "0", PEERS),
-    Mutation("dispatch", " + again_s * AGAIN_PATIENCE", "", DISPATCH),
+    Mutation("assessment", " + again_s * AGAIN_PATIENCE", "", DISPATCH),
     Mutation("dispatch", "if not self._pump_due and any", "if any", DISPATCH),
     Mutation("lanes", "if gap_s > least_s * LIKE_FACTOR:", "if False:", LANES),
     Mutation("lanes", "and candidate.running <= fewest + EVEN_STREAMS", "", LANES),
