--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -125,8 +125,6 @@
         self._looks: dict[str, Look] = {}
         self._changes = 0
 
-    # Choice.
-
     def choose(self, plan: Plan, trip: Trip) -> Choice | None:
         """Wait for a backend server and return it with the work that is counted there.
 
@@ -285,7 +283,7 @@
         """Return the open backend servers of a service, looked at a moment ago at most."""
         now = self._clock()
         held = self._looks.get(service)
-        if held is not None and now - held.at_s < LOOK_OLD_S and held.changes == self._changes:
+        if held and now - held.at_s < LOOK_OLD_S and held.changes == self._changes:
             return held.runners
         runners = [
             Runner(
@@ -443,6 +441,7 @@
 
     def _pump_due_calls(self) -> None:
         self._pump_due = False
+        # What peers told meanwhile is not in the last look.
         self._changes += 1
         self.pump_all()
 
