--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -227,6 +227,7 @@
     Mutation("gateway", "            self._wait_for_contracts()\n", "", GRID),
     Mutation("gateway", "is not None and not self.leaving", "is not None", GRID),
     Mutation("backends", "self._yield_after(len(data))", "pass", BACKENDS),
+    Mutation("backends", "range(MAX_INTERIM_ANSWERS + 1)", "iter(int, 1)", BACKENDS),
     Mutation("backends", "if drained > MAX_DRAINED_BYTES:", "if False:", BACKENDS),
     Mutation("backends", "if len(body) > MAX_FETCHED_BYTES:", "if False:", BACKENDS),
     Mutation("beats", "while len(self._batches) > turns:", "while self._batches:", PEERS),
--- a/tests/balsamtally/test_backends.py
+++ b/tests/balsamtally/test_backends.py
@@ -148,11 +148,23 @@
         return data
 
 
-def test_body_without_end_leaves_turns_to_others():
-    """A server that always has bytes ready must not hold the process."""
-    connection = BackendConnection(ReadySocket(OK + b"Content-Length: 99999999999\r\n\r\n", BLOCK))
+def open_ready(beginning, block):
+    """Return a connection whose request is sent and whose server always has bytes ready."""
+    connection = BackendConnection(ReadySocket(beginning, block))
     connection._http.send(h11.Request(method=b"GET", target=b"/", headers=((b"Host", b"h"),)))
     connection._http.send(h11.EndOfMessage())
+    return connection
+
+
+def test_interim_answers_without_end_are_given_up():
+    connection = open_ready(b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 100)
+    with pytest.raises(AnswerCut, match="interim"):
+        connection.read_head(time.monotonic() + 2.0)
+
+
+def test_body_without_end_leaves_turns_to_others():
+    """A server that always has bytes ready must not hold the process."""
+    connection = open_ready(OK + b"Content-Length: 99999999999\r\n\r\n", BLOCK)
     until_s = time.monotonic() + UNTIL_S
     connection.read_head(until_s)
     with count_turns() as turns:
