--- a/balsamtally/lanes.py
+++ b/balsamtally/lanes.py
@@ -18,8 +18,8 @@
 from balsamtally.waiting import TOKEN_S
 
 # A bound on pauses is close if an event beside a long prompt takes this part of it on average: of
-# the longest pauses of streams, most lie within a third of their mean.
-CLOSE_SHARE = 0.7
+# the longest pauses of streams, most lie within a quarter of their mean.
+CLOSE_SHARE = 0.8
 # Of a service's streams only those are kept apart whose bound is within this factor of the closest.
 LIKE_FACTOR = 1.25
 # Slots of a kept runner that streams are given before another one is kept; bursts take the rest.
