Derive from the beats for how long a VM is behind its peers

Cause: the time was set as a pull was asked for and cleared only at the end of a pull that found the VM level. A VM whose pull failed, and whose own watch then brought what its peers had, stayed behind for good and went on reading the store beside its failure domain's reader. Change: one place decides by what is heard now; a pull looks for the newest revision once.

--- a/balsamtally/peers.py
+++ b/balsamtally/peers.py
@@ -103,7 +103,7 @@
         self._new_ips: set[str] = set()
         self._wake = Event()
         self._pulling = False
-        self._behind_s: float | None = None
+        self._behind_since_s: float | None = None
         self.reading = Reading.RESTING
         self._random = random.Random()
 
@@ -150,9 +150,17 @@
     def should_read(self) -> bool:
         """Return whether this entry VM is to read the platform itself."""
         own = msgspec.structs.replace(self.own, reading=self.reading)
-        since_s = self._behind_s
-        behind_s = 0.0 if since_s is None else time.monotonic() - since_s
-        return should_read(own, [peer.beat for peer in self.list_alive()], behind_s)
+        heard = [peer.beat for peer in self.list_alive()]
+        return should_read(own, heard, self._find_behind_s(heard))
+
+    def _find_behind_s(self, heard: Sequence[Beat]) -> float:
+        """Return for how long peers have had newer records, in seconds."""
+        if all(beat.revision <= self._catalog.records.whole for beat in heard):
+            self._behind_since_s = None
+            return 0.0
+        if self._behind_since_s is None:
+            self._behind_since_s = time.monotonic()
+        return time.monotonic() - self._behind_since_s
 
     def count_members(self) -> int:
         """Return how many entry VMs share the fleet's budgets, 0 if this one has heard of none.
@@ -295,8 +303,6 @@
     def _pull_later(self) -> None:
         if not self._pulling:
             self._pulling = True
-            if self._behind_s is None:
-                self._behind_s = time.monotonic()
             reads = self.reading == Reading.READING
             delay_s = PULL_DELAY_S if reads else self._random.uniform(*RELAY_DELAY_S)
             gevent.spawn_later(delay_s, self._pull)
@@ -305,15 +311,12 @@
         """Ask a peer whose records are newer for what this entry VM lacks."""
         try:
             revision = self._catalog.records.whole
-            ahead = [peer for peer in self.list_alive() if peer.beat.revision > revision]
-            if ahead:
-                newest = max(peer.beat.revision for peer in ahead)
+            alive = self.list_alive()
+            newest = max((peer.beat.revision for peer in alive), default=0)
+            if newest > revision:
                 # One that is itself cut off from the platform may hold what was withdrawn since.
-                newest_peers = [peer for peer in ahead if peer.beat.revision == newest]
+                newest_peers = [peer for peer in alive if peer.beat.revision == newest]
                 self._pull_from(self._random.choice(newest_peers), revision)
-            newest = max((peer.beat.revision for peer in ahead), default=0)
-            if self._catalog.records.whole >= newest:
-                self._behind_s = None
         finally:
             self._pulling = False
 
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -240,7 +240,7 @@
     Mutation("readers", "if behind_s > MAX_BEHIND_S:", "if False:", READERS),
     Mutation("readers", "if not readers:", "if False:", READERS),
     Mutation("readers", "if own.reading == Reading.REFUSED:", "if False:", READERS),
-    Mutation("peers", "self._random.choice(newest_peers)", "self._random.choice(ahead)", PEERS),
+    Mutation("peers", "self._random.choice(newest_peers)", "self._random.choice(alive)", PEERS),
     Mutation("peers", "if peer.beat.vm in self._new:", "if False:", PEERS),
     Mutation("platform/wire", "| CONNECTION_HEADERS | OWN_HEADERS", "| CONNECTION_HEADERS", WIRE),
     Mutation("platform/wire", "if answered_id is not None and answered_id !=", "if None !=", WIRE),
--- a/tests/balsamtally/test_peers.py
+++ b/tests/balsamtally/test_peers.py
@@ -27,6 +27,7 @@
     UNHEARD_PEERS,
     Peers,
 )
+from balsamtally.readers import Reading
 from balsamtally.records import Record, Update
 from balsamtally.sockets import listen
 from standins.fleet import draw_host
@@ -274,6 +275,25 @@
         yield near, stack.enter_context(Vm("b", (near.host,), "elsewhere"))
 
 
+def test_vm_that_has_caught_up_by_itself_is_no_longer_behind(monkeypatch):
+    """Its pull failed, then its own watch brought what its peers had."""
+    monkeypatch.setattr("balsamtally.readers.MAX_BEHIND_S", 0.0)
+    with Vm("a", ()) as vm, record_sends(vm):
+        reader = Beat("r", "127.0.0.9", "elsewhere", "1", 5, False, {}, (), (), Reading.READING)
+        names = [f"b{place}" for place in range(40)]
+        near = [Beat(name, name, "home", "1", 0, False, {}, ()) for name in names]
+        vm.peers._pulling = True
+        for beat in (reader, *near):
+            vm.peers._take_beat(beat)
+        vm.peers._pulling = False
+        monkeypatch.setattr(vm.peers, "_pull_from", lambda peer, revision: None)
+        vm.peers._take_beat(reader)
+        expect_soon(vm.peers.should_read)
+        expect_soon(lambda: not vm.peers._pulling)
+        vm.catalog.take([], "platform", 5)
+        assert not vm.peers.should_read()
+
+
 def test_restarted_vm_learns_from_the_newest_of_its_peers():
     """One that is cut off from the platform still holds a key that was withdrawn since."""
     with contextlib.ExitStack() as stack:
