Take a stream without a bound on pauses for none with a close one

Cause: a route that declares no bound has 0, which is below any share of any time, so that its streams would have been given runners of their own. The users' routes all declare one. The test failed first.

--- a/balsamtally/lanes.py
+++ b/balsamtally/lanes.py
@@ -47,12 +47,12 @@
 def is_close(gap_s: float, least_s: float, event_tokens: int, token_reading_s: float) -> bool:
     """Return whether long prompts read beside a stream make its pauses too long.
 
-    :param gap_s: longest pause that is on time, in seconds
+    :param gap_s: longest pause that is on time, in seconds, 0 where there is no bound
     :param least_s: the shortest such bound of the service's streams, in seconds
     :param event_tokens: tokens of an event, 0 where that isn't known
     :param token_reading_s: time for a token of an answer while prompts are read, in seconds
     """
-    if gap_s > least_s * LIKE_FACTOR:
+    if not gap_s or gap_s > least_s * LIKE_FACTOR:
         return False
     return event_tokens * token_reading_s > gap_s * CLOSE_SHARE
 
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -234,7 +234,7 @@
     Mutation("beats", "(self._place + self._most) % len(ips)", "0", PEERS),
     Mutation("assessment", " + again_s * AGAIN_PATIENCE", "", DISPATCH),
     Mutation("dispatch", "if not self._pump_due and any", "if any", DISPATCH),
-    Mutation("lanes", "if gap_s > least_s * LIKE_FACTOR:", "if False:", LANES),
+    Mutation("lanes", " or gap_s > least_s * LIKE_FACTOR:", ":", LANES),
     Mutation("lanes", "and candidate.running <= fewest + EVEN_STREAMS", "", LANES),
     Mutation("lanes", "if runners < MIN_RUNNERS:", "if False:", LANES),
     Mutation("readers", "if behind_s > MAX_BEHIND_S:", "if False:", READERS),
--- a/tests/balsamtally/test_lanes.py
+++ b/tests/balsamtally/test_lanes.py
@@ -39,6 +39,8 @@
     assert not is_close(0.2, 0.2, EVENT_TOKENS, 0.034)
     assert not is_close(0.2, 0.12, 6, 0.034)
     assert not is_close(0.12, 0.12, 0, 0.034)
+    # A stream without a bound has no close one.
+    assert not is_close(0.0, 0.12, EVENT_TOKENS, 0.034)
 
 
 def test_runners_are_kept_by_need_up_to_a_share():
