Read whole answers by one function, and tidy what this work had written twice

A refusal, a page and a plain answer were each read to a bound by a loop of its own: BackendConnection.read_whole serves all three. The work at a runner is looked up once a look. The flood of test_backends.py is a script of the scripted backend server in place of a server of its own. Behaviour is the same, but that an answer too large to drain is logged.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -139,19 +139,29 @@
             elif type(event) is h11.EndOfMessage:
                 return
 
+    def read_whole(self, until_s: float, most_bytes: int) -> bytes:
+        """Return the whole body.
+
+        :param until_s: steady clock by which it must have come, in seconds
+        :param most_bytes: its greatest size
+        :raises AnswerCut: if the connection breaks before the end, or the body is larger
+        :raises NoAnswer: if the time is over
+        """
+        body = bytearray()
+        for piece in self.read_body(lambda: until_s):
+            body += piece
+            if len(body) > most_bytes:
+                raise AnswerCut(f"the answer has more than {most_bytes} bytes")
+        return bytes(body)
+
     def drain(self, until_s: float) -> bool:
         """Read the rest of an answer that nobody gets, within bounds of size and time.
 
         :param until_s: steady clock by which it must have come, in seconds
         :return: whether it came to its end
         """
-        until_s = min(until_s, time.monotonic() + DRAIN_S)
-        drained = 0
         try:
-            for piece in self.read_body(lambda: until_s):
-                drained += len(piece)
-                if drained > MAX_DRAINED_BYTES:
-                    return False
+            self.read_whole(min(until_s, time.monotonic() + DRAIN_S), MAX_DRAINED_BYTES)
         except BalsamtallyError as error:
             log.info("drain_failed", why=str(error))
             return False
@@ -324,11 +334,6 @@
         headers = ((b"Host", host), (b"Connection", b"close"))
         connection.send(b"GET", target, headers, b"", until_s)
         head = connection.read_head(until_s)
-        body = bytearray()
-        for piece in connection.read_body(lambda: until_s):
-            body += piece
-            if len(body) > MAX_FETCHED_BYTES:
-                raise AnswerCut(f"the page has more than {MAX_FETCHED_BYTES} bytes")
-        return head.status, bytes(body)
+        return head.status, connection.read_whole(until_s, MAX_FETCHED_BYTES)
     finally:
         connection.close()
--- a/balsamtally/beats.py
+++ b/balsamtally/beats.py
@@ -149,7 +149,7 @@
         """
         return {peer.beat.ip for peer in alive if self._has(peer.beat.domain)}
 
-    def take_turn(self, alive: list[Peer]) -> "Turn":
+    def take_turn(self, alive: list[Peer]) -> Turn:
         """Return whom to tell now, and which reads; each peer is told again after as many turns.
 
         :param alive: the peers that were heard lately
--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -37,14 +37,7 @@
 from balsamtally.prefixes import PrefixCache
 from balsamtally.selection import Candidate, choose, count_unread, predict_first_event_s
 from balsamtally.speeds import EngineSpeed
-from balsamtally.waiting import (
-    TOKEN_S,
-    Waiter,
-    has_room,
-    is_hopeless,
-    is_late,
-    order,
-)
+from balsamtally.waiting import TOKEN_S, Waiter, has_room, is_hopeless, is_late, order
 
 # A backend server that refused a call for want of room is passed over for so long.
 FULL_S = 0.3
@@ -137,7 +130,7 @@
             chosen = self._choose_among(plan, self._list_candidates(plan, trip))
             return self._begin(plan, trip, chosen) if chosen is not None else None
         if self._is_close(plan):
-            streams = self._streams.setdefault(plan.service, Streams())
+            streams = self._find_streams(plan.service)
             streams.note_call(plan.call.prompt_tokens, find_answer_tokens(plan.call))
         return self._wait(Waiting(plan, trip, make_waiter(plan, self._note_size(plan)), Event()))
 
@@ -152,6 +145,9 @@
     def _find_speed(self, service: str) -> EngineSpeed:
         return self._speeds.setdefault(service, EngineSpeed())
 
+    def _find_streams(self, service: str) -> Streams:
+        return self._streams.setdefault(service, Streams())
+
     def note_longest_gap(self, plan: Plan, gap_s: float) -> None:
         """Take in the longest pause of a stream.
 
@@ -285,24 +281,25 @@
         held = self._looks.get(service)
         if held and now - held.at_s < LOOK_OLD_S and held.changes == self._changes:
             return held.runners
-        runners = [
-            Runner(
-                backend=backend,
-                at_home=self._find_region(backend.domain) == self._region,
-                usable=self._is_usable(backend),
-                load=self._backlogs.find(backend.name),
-                slow_factor=self._paces.find(backend.key),
-                cache=self._find_cache(service, backend),
-            )
-            for backend in self._catalog.list_open(service)
-        ]
+        runners = [self._look_at(service, each) for each in self._catalog.list_open(service)]
         self._looks[service] = Look(runners, now, self._changes)
         return runners
 
+    def _look_at(self, service: str, backend: Backend) -> Runner:
+        load = self._backlogs.find(backend.name)
+        return Runner(
+            backend=backend,
+            at_home=self._find_region(backend.domain) == self._region,
+            usable=self._is_usable(backend, load.running),
+            load=load,
+            slow_factor=self._paces.find(backend.key),
+            cache=self._find_cache(service, backend),
+        )
+
     def _narrow(self, plan: Plan, candidates: list[Candidate]) -> list[Candidate]:
         """Keep long prompts and streams with a close bound on pauses apart."""
         close = self._is_close(plan)
-        streams = self._streams.setdefault(plan.service, Streams())
+        streams = self._find_streams(plan.service)
         pool = find_pool(candidates)
         running = sum(candidate.close for candidate in pool) + close
         streams.note_running(running, self._clock())
@@ -320,14 +317,13 @@
         least_s = self._catalog.contracts.find_least_gap_s(plan.service)
         return is_close(plan.route.gap_s, least_s, engine.event_tokens, token_s)
 
-    def _is_usable(self, backend: Backend) -> bool:
+    def _is_usable(self, backend: Backend, running: int) -> bool:
         now = self._clock()
         if self._full_until_s.get(backend.key, 0.0) > now:
             return False
         health = self._health.get(backend.key)
         if health is None or health.is_whole(now):
             return True
-        running = self._backlogs.find(backend.name).running
         return running < health.limit_slots(max(backend.slots, 1), now)
 
     def _make_candidate(
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -332,17 +332,13 @@
         """Read a whole answer, then pass it on."""
         if trip.begun:
             raise BackendFailed(f"the stream could not be resumed: {head.status}")
-        body = bytearray()
-        for piece in connection.read_body(lambda: plan.until_s):
-            body += piece
-            if len(body) > MAX_WHOLE_BYTES:
-                raise AnswerCut(f"the answer has more than {MAX_WHOLE_BYTES} bytes")
+        body = connection.read_whole(plan.until_s, MAX_WHOLE_BYTES)
         if head.status >= 500:
-            trip.kept = (head, bytes(body))
+            trip.kept = (head, body)
             if head.status == DEADLINE_STATUS:
                 raise NoAnswer(f"the backend server answered {head.status}")
             raise BackendFailed(f"the backend server answered {head.status}")
-        self._answer_whole(caller, trip, head, bytes(body))
+        self._answer_whole(caller, trip, head, body)
 
     def _answer_whole(self, caller: Caller, trip: Trip, head: AnswerHead, body: bytes) -> None:
         trip.first_event_s = time.monotonic()
--- a/tests/balsamtally/test_backends.py
+++ b/tests/balsamtally/test_backends.py
@@ -6,7 +6,6 @@
 import gevent
 import h11
 import pytest
-from gevent import socket
 
 from balsamtally import backends
 from balsamtally.backends import (
@@ -18,7 +17,7 @@
 )
 from balsamtally.errors import AnswerCut, BalsamtallyError
 from balsamtally.sockets import connect
-from standins.fleet import draw_host
+from tests.balsamtally.scripted import ScriptedBackend
 
 OK = b"HTTP/1.1 200 OK\r\nId: id1\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -31,34 +30,27 @@
 
 
 class Flood:
-    """A server that sends a beginning, then one block over and over."""
+    """A script that sends a beginning, then one block over and over."""
 
     def __init__(self, beginning, block):
         self._beginning, self._block = beginning, block
         self.sent = 0
 
-    def __enter__(self):
-        self._listener = socket.socket()
-        self._listener.bind((draw_host(), 0))
-        self._listener.listen(1)
-        self.address = self._listener.getsockname()
-        self._task = gevent.spawn(self._serve)
-        return self
-
-    def __exit__(self, *exc_info):
-        self._task.kill()
-        self._listener.close()
-
-    def _serve(self):
-        with contextlib.suppress(OSError):
-            sock, _ = self._listener.accept()
-            with sock:
-                sock.settimeout(UNTIL_S)
-                sock.recv(65_536)
-                sock.sendall(self._beginning)
-                while self._block:
-                    self.sent += sock.send(self._block)
-                sock.recv(1)
+    def __call__(self, sock, request):
+        sock.sendall(self._beginning)
+        while self._block:
+            self.sent += sock.send(self._block)
+        sock.recv(1)
+        return False
+
+
+@contextlib.contextmanager
+def run_flood(beginning, block):
+    """Run a backend server that floods; yield the flood with its address."""
+    flood = Flood(beginning, block)
+    with ScriptedBackend(flood) as server:
+        flood.address = server.address
+        yield flood
 
 
 @contextlib.contextmanager
@@ -104,7 +96,7 @@
     ids=["header line", "headers", "no answer", "interim", "chunk line", "extension", "trailers"],
 )
 def test_head_or_frame_without_end_is_given_up(beginning, block):
-    with Flood(beginning, block) as flood, open_connection(flood) as (connection, until_s):
+    with run_flood(beginning, block) as flood, open_connection(flood) as (connection, until_s):
         with pytest.raises(AnswerCut):
             connection.read_head(until_s)
             for _ in connection.read_body(lambda: until_s):
@@ -116,7 +108,7 @@
 
 def test_answer_that_nobody_gets_is_drained_within_bounds():
     beginning = OK + b"Content-Length: 99999999999\r\n\r\n"
-    with Flood(beginning, BLOCK) as flood, open_connection(flood) as (connection, until_s):
+    with run_flood(beginning, BLOCK) as flood, open_connection(flood) as (connection, until_s):
         connection.read_head(until_s)
         assert not connection.drain(until_s)
         assert not connection.reset(time.monotonic())
@@ -126,7 +118,7 @@
 
 def test_answer_that_nobody_gets_and_trickles_is_given_up_soon():
     beginning = OK + b"Content-Length: 9999\r\n\r\n"
-    with Flood(beginning, b"") as flood, open_connection(flood) as (connection, until_s):
+    with run_flood(beginning, b"") as flood, open_connection(flood) as (connection, until_s):
         connection.read_head(until_s)
         begun_s = time.monotonic()
         assert not connection.drain(until_s)
@@ -177,6 +169,6 @@
 def test_page_without_end_is_given_up(monkeypatch):
     monkeypatch.setattr(backends, "MAX_FETCHED_BYTES", 200_000)
     beginning = OK + b"Content-Length: 99999999999\r\n\r\n"
-    with Flood(beginning, BLOCK) as flood, pytest.raises(BalsamtallyError):
+    with run_flood(beginning, BLOCK) as flood, pytest.raises(BalsamtallyError):
         fetch(flood.address, b"/", UNTIL_S)
     assert flood.sent <= 200_000 + KERNEL_BYTES
--- a/tests/balsamtally/test_dispatch.py
+++ b/tests/balsamtally/test_dispatch.py
@@ -9,7 +9,7 @@
 from balsamtally.beats import Beat, PromptRead
 from balsamtally.calls import Engine, PromptPart, Repeat, Service
 from balsamtally.catalog import Catalog, Decoder
-from balsamtally.dispatch import LOOK_OLD_S, Dispatch
+from balsamtally.dispatch import LOOK_OLD_S, PUMP_S, Dispatch
 from balsamtally.errors import (
     AnswerCut,
     BackendLeaving,
@@ -323,7 +323,9 @@
     world.tell("vm0", {"a": Load(64, (0, 0, 0, 0, 20_000), 20_000)})
     waiting = gevent.spawn(world.choose, world.plan())
     gevent.sleep(0.01)
-    looks = []
+    looks, pumps = [], []
+    pump_all = world.dispatch.pump_all
+    monkeypatch.setattr(world.dispatch, "pump_all", lambda: pumps.append(1) or pump_all())
     find_room = world.dispatch._find_room
     monkeypatch.setattr(world.dispatch, "_find_room", lambda one: looks.append(1) or find_room(one))
     for number in range(200):
@@ -331,4 +333,6 @@
         world.tell(name, {})
         world.dispatch.note_beat(Beat(name, "10.0.0.2", "home", "1", 0, False, {}, ()))
     assert waiting.get(timeout=WAIT_S).backend is backend
+    gevent.sleep(2 * PUMP_S)
     assert len(looks) <= 2
+    assert 1 <= len(pumps) <= 2
