Log whose told work counts as a call is placed, and measure how late answers begin

The lines of a call told what its VM expected, but not on whose word, nor whether its answer was a stream for which runners are kept; so "work of other VMs isn't counted" and "no runners are kept" looked alike. `routed` now has `told_by` (VMs whose told work counts) and `close`; the metric balsamtally_first_event_lag_seconds has by how much answers began later than expected. No decision changes.

--- a/balsamtally/backlogs.py
+++ b/balsamtally/backlogs.py
@@ -152,6 +152,11 @@
                 return
             self.forget_peer(peer)
 
+    def count_told(self) -> int:
+        """Return how many entry VMs told of their work so lately that it counts."""
+        self._drop_old()
+        return len(self._peers)
+
     def forget_peer(self, peer: str) -> None:
         """Forget what a peer told that is no longer there.
 
--- a/balsamtally/call_metrics.py
+++ b/balsamtally/call_metrics.py
@@ -70,6 +70,11 @@
         self._wait = self._histogram(
             "call_wait_seconds", "Time that a call waited for a backend server", QUEUE_WAIT_BOUNDS_S
         )
+        self._lag = self._histogram(
+            "first_event_lag_seconds",
+            "By how much an answer began later than expected as it was sent",
+            FIRST_TOKEN_BOUNDS_S,
+        )
         self._waiting = self._gauge("calls_waiting", "Calls that wait for a backend server")
         self._running = self._gauge("backend_running", "Calls at each backend server")
         self._reading = self._gauge("backend_reading_tokens", "Prompt tokens before each runner")
@@ -133,6 +138,14 @@
         """
         self._wait.observe({"route": route}, float(time_s))
 
+    def observe_lag(self, route: str, time_s: float) -> None:
+        """Record by how much an answer began later than it was expected to.
+
+        :param route: name of the route
+        :param time_s: time in seconds, negative if it began sooner
+        """
+        self._lag.observe({"route": route}, max(0.0, float(time_s)))
+
     def render(self) -> tuple[bytes, str]:
         """Return all metrics in the text format of Prometheus."""
         gauges = self._read_gauges()
--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -88,6 +88,7 @@
     :param region: own region
     :param tell_read: tells the peers of a prompt that a backend server was given to read
     :param clock: steady clock
+    :param note_lag: takes in by how much an answer began later than expected, by its route
     """
 
     def __init__(
@@ -98,7 +99,9 @@
         region: str,
         tell_read: Callable[[PromptRead], None],
         clock: Callable[[], float] = time.monotonic,
+        note_lag: Callable[[str, float], None] = lambda route, lag_s: None,
     ):
+        self._note_lag = note_lag
         self._catalog = catalog
         self._backlogs = backlogs
         self._find_region = find_region
@@ -390,6 +393,8 @@
             again_tokens=chosen.again_tokens,
             slow=round(chosen.slow_factor, 1),
             at_home=chosen.at_home,
+            close=self._is_close(plan),
+            told_by=self._backlogs.count_told(),
             attempt=trip.sent + 1,
         )
 
@@ -398,6 +403,7 @@
         def note_begun() -> None:
             took_s = self._clock() - begun_s
             self._paces.note(backend.key, took_s, expected_s)
+            self._note_lag(plan.route.name, took_s - first_s)
             if chosen.at_home and chosen.slow_factor < NORMAL_FACTOR:
                 self._find_speed(plan.service).note_first_event(tokens, took_s)
 
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -104,6 +104,7 @@
             settings.find_region,
             settings.find_region(settings.domain),
             lambda read: self.peers.note_read(read),
+            note_lag=self._metrics.observe_lag,
         )
         self.peers = Peers(
             make_first_beat(settings, incarnation),
--- a/tests/balsamtally/test_call_metrics.py
+++ b/tests/balsamtally/test_call_metrics.py
@@ -11,10 +11,14 @@
     metrics.count_failure("a", 3002)
     metrics.observe_first_event("draft", 0.3)
     metrics.observe_wait("draft", 0.02)
+    metrics.observe_lag("draft", 0.9)
+    metrics.observe_lag("draft", -0.1)
     text = metrics.render()[0].decode()
     assert 'balsamtally_calls_total{code="2004",route="draft",status="503"} 1' in text
     assert 'balsamtally_calls_on_time_total{route="draft"} 1' in text
     assert 'balsamtally_backend_running{backend="a"} 3' in text
+    assert 'balsamtally_first_event_lag_seconds_sum{route="draft"} 0.9' in text
+    assert 'balsamtally_first_event_lag_seconds_count{route="draft"} 2' in text
     assert "balsamtally_contracts_version 7" in text
     gauges[0] = CallGauges(running={"a": 1})
     text = metrics.render()[0].decode()
--- a/tests/balsamtally/test_dispatch.py
+++ b/tests/balsamtally/test_dispatch.py
@@ -4,6 +4,7 @@
 
 import gevent
 import pytest
+from structlog.testing import capture_logs
 
 from balsamtally.backlogs import Backlogs, Load
 from balsamtally.beats import Beat, PromptRead
@@ -40,9 +41,10 @@
         )
         self.backlogs = Backlogs(lambda: self.now)
         self.told = []
+        self.lags = []
         self.dispatch = Dispatch(
             self.catalog, self.backlogs, lambda domain: domain, "home", self.told.append,
-            lambda: self.now,
+            lambda: self.now, lambda route, lag_s: self.lags.append((route, lag_s)),
         )  # fmt: skip
 
     def add(self, name, domain="home"):
@@ -141,6 +143,21 @@
     assert chosen == {"a", "b"}
 
 
+def test_log_tells_whose_work_was_counted_and_metrics_how_late_the_answer_began(world):
+    world.add("a")
+    for place in range(3):
+        world.tell(f"vm{place}", {"a": Load(1, (100,), 200)})
+    with capture_logs() as lines:
+        choice = world.choose(world.plan())
+    [line] = [line for line in lines if line["event"] == "routed"]
+    assert (line["told_by"], line["running"], line["close"]) == (3, 3, False)
+    world.now += 2.0
+    choice.work.note_begun()
+    [(route, lag_s)] = world.lags
+    assert route == "route"
+    assert lag_s == pytest.approx(2.0 - line["expected_ms"] / 1000, abs=0.001)
+
+
 def test_nothing_open_is_told_at_once(world):
     assert world.choose(world.plan()) is None
 
