--- a/tests/balsamtally/test_dispatch.py
+++ b/tests/balsamtally/test_dispatch.py
@@ -31,7 +31,7 @@
 
 
 class World:
-    def __init__(self, engine=ENGINE):
+    def __init__(self, engine=ENGINE, region="home"):
         self.now = 100.0
         self.engine = engine
         self.catalog = Catalog(Decoder(None, None, None), lambda: self.now)
@@ -43,7 +43,7 @@
         self.told = []
         self.lags = []
         self.dispatch = Dispatch(
-            self.catalog, self.backlogs, lambda domain: domain, "home", self.told.append,
+            self.catalog, self.backlogs, lambda domain: domain, region, self.told.append,
             lambda: self.now, lambda route, lag_s: self.lags.append((route, lag_s)),
         )  # fmt: skip
 
@@ -298,17 +298,25 @@
 LIVE = (PromptPart("greeting", 300), PromptPart("own live", 800))
 
 
-def test_live_streams_and_long_prompts_go_to_different_runners():
-    world = World(Engine(64, 300_000, event_tokens=5))
+LIVE_FIELDS = {"target": b"/live/x", "hinted_tokens": 280}
+
+
+def make_mixed_world(region="home"):
+    """Return a world with long prompts beside live streams whose pauses are bound closely."""
+    world = World(Engine(64, 300_000, event_tokens=5), region)
     world.catalog.contracts = make_contracts(
         make_route(Repeat.RESUME, True, name="draft", gap_s=0.6),
         make_route(Repeat.RESUME, True, name="live", path_prefix="/live/", gap_s=0.12),
         services={"desk": Service("desk", "/health", 100, world.engine)},
     )
+    return world
+
+
+def test_live_streams_and_long_prompts_go_to_different_runners():
+    world = make_mixed_world()
     for name in "abcdef":
         world.add(name)
-    fields = {"target": b"/live/x", "hinted_tokens": 280}
-    live = [world.choose(world.plan(n, LIVE, **fields)).backend for n in range(10)]
+    live = [world.choose(world.plan(n, LIVE, **LIVE_FIELDS)).backend for n in range(10)]
     parts = [(PromptPart(f"p{n}", 20_000),) for n in range(5)]
     drafts = {world.choose(world.plan(40 + n, parts[n])).backend.name for n in range(5)}
     assert len(set(live)) == 1
@@ -316,6 +324,24 @@
     assert world.backlogs.find(live[0].name).close == 10
 
 
+def test_long_prompts_keep_off_the_runners_that_another_region_keeps_for_its_streams():
+    """Its streams stalled: only VMs of the region itself knew which runners it keeps."""
+    worlds = [make_mixed_world(region) for region in ("home", "far")]
+    home, far = worlds
+    for world in worlds:
+        for domain in ("home", "far"):
+            for number in range(6):
+                world.add(f"{domain}{number}", domain)
+    streams = [far.choose(far.plan(n, LIVE, **LIVE_FIELDS)).backend.name for n in range(10)]
+    home.tell("vm of far", far.backlogs.list_own())
+    busy = {f"home{number}": Load(9, (0, 0, 0, 0, 60_000), 60_000) for number in range(6)}
+    home.tell("vm of home", busy)
+    parts = [(PromptPart(f"p{n}", 9_000),) for n in range(5)]
+    prompts = {home.choose(home.plan(40 + n, parts[n])).backend.name for n in range(5)}
+    assert all(name.startswith("far") for name in [*streams, *prompts])
+    assert not prompts & set(streams)
+
+
 def test_long_prompt_waits_for_the_runner_that_holds_its_beginning():
     """A busy holder is worth more waiting than a runner that would read everything again."""
     world = World(Engine(64, 600_000))
--- a/tests/balsamtally/test_peers.py
+++ b/tests/balsamtally/test_peers.py
@@ -330,3 +330,46 @@
     for counts in heard.values():
         assert counts.keys() == {f"part{number}" for number in range(4 * rounds)}
         assert max(counts.values()) <= 2
+
+
+DOMAIN_SIZE = 8
+STEADY_LOOKS = 10
+
+
+@pytest.fixture
+def large_fleet(monkeypatch):
+    """Two failure domains, whose VMs reach as small a part of each other at a time as hundreds."""
+    monkeypatch.setattr("balsamtally.peers.NEAR_PEERS", 2)
+    monkeypatch.setattr("balsamtally.peers.FAR_PEERS", 2)
+    with contextlib.ExitStack() as stack:
+        seed = stack.enter_context(Vm("home0", ()))
+        fleet = [seed]
+        for domain in ("home", "elsewhere"):
+            for place in range(domain == "home", DOMAIN_SIZE):
+                vm = Vm(f"{domain}{place}", (seed.host,), domain)
+                fleet.append(stack.enter_context(vm))
+        yield fleet[:DOMAIN_SIZE], fleet[DOMAIN_SIZE:]
+
+
+def list_placing(vms):
+    """Return the VMs of a failure domain that place its calls."""
+    return vms
+
+
+def test_calls_are_placed_with_the_work_of_all_vms_of_other_failure_domains(large_fleet):
+    """Each VM knew a part of it, and all sent into backlogs that they took for empty."""
+    home, elsewhere = large_fleet
+    everybody = len(home) + len(elsewhere) - 1
+    expect_soon(lambda: all(len(vm.names) == everybody for vm in (*home, *elsewhere)))
+    for vm in elsewhere:
+        vm.backlogs.begin("runner", Size(100, 200), lambda: None, lambda: None)
+
+    def know_all_steadily():
+        for _ in range(STEADY_LOOKS):
+            gevent.sleep(FAR_BEAT_S)
+            loads = [vm.backlogs.find("runner") for vm in list_placing(home)]
+            if any(load.running != len(elsewhere) for load in loads):
+                return False
+        return True
+
+    expect_soon(know_all_steadily)
