Let calls wait for a runner with all that waits before them

What callers saw: in bursts of drafts each call waited for the runner that holds its beginning for a share of its target, then went to any runner with room and read everything again there, which left less for the others. Cause: the patience of a call looked at its own wait and not at the line before the runner. Change: calls are looked at in their order; one whose best runner has no room waits for it and counts before it for those that follow, so that these see when another runner is better, at once and not after a fixed time.

--- a/balsamtally/assessment.py
+++ b/balsamtally/assessment.py
@@ -7,11 +7,6 @@
 from balsamtally.selection import Candidate, count_unread, predict_first_event_s
 from balsamtally.waiting import Room, Waiter, find_needed_s
 
-# Part of its target for which a call waits for the runner that suits it best.
-AFFINITY_PATIENCE = 0.15
-# How many times the time is waited besides that another runner takes to read what the first holds:
-# a runner's time is lost as well as the call's.
-AGAIN_PATIENCE = 2.0
 # A runner that is slower than this beside its like tells nothing of the speed of the others.
 NORMAL_FACTOR = 1.5
 
@@ -111,13 +106,3 @@
         memory_tokens=candidate.memory_tokens,
         memory_limit_tokens=engine.memory_tokens if engine is not None else 0,
     )
-
-
-def find_patience_s(target_s: float, other: Candidate) -> float:
-    """Return for how long a call waits for the runner that suits it best, in seconds.
-
-    :param target_s: time from its arrival to its target, in seconds
-    :param other: the runner that it would be sent to instead
-    """
-    again_s = other.again_tokens / other.tokens_per_s
-    return target_s * AFFINITY_PATIENCE + again_s * AGAIN_PATIENCE
--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -6,9 +6,10 @@
 from dataclasses import dataclass
 
 import gevent
+import msgspec
 from gevent.event import Event
 
-from balsamtally.assessment import Place, find_patience_s, make_place, make_room, make_waiter
+from balsamtally.assessment import Place, make_place, make_room, make_waiter
 from balsamtally.backlogs import Backlogs, Size, Work
 from balsamtally.beats import Beat, PromptRead
 from balsamtally.calls import Backend, PromptPart
@@ -213,12 +214,13 @@
         # Callers choose the ids of their calls, which may be the same.
         held = {id(waiting.waiter): waiting for waiting in line.values() if not waiting.reservation}
         full_tier: int | None = None
+        claimed: dict[str, int] = {}
         now = self._clock()
         for waiter in order((waiting.waiter for waiting in held.values()), now):
             if full_tier is not None and waiter.tier >= full_tier:
                 break
             waiting = held[id(waiter)]
-            chosen, any_room = self._find_room(waiting)
+            chosen, any_room = self._find_room(waiting, claimed)
             if chosen is not None:
                 waiting.reservation = self._reserve(waiting.demand, chosen)
                 waiting.chosen.set()
@@ -234,10 +236,20 @@
         for service in list(self._waiting):
             self.pump(service)
 
-    def _find_room(self, waiting: Waiting) -> tuple[Candidate | None, bool]:
-        """Return where a waiting call may go now, and whether there was room anywhere."""
+    def _find_room(
+        self, waiting: Waiting, claimed: dict[str, int]
+    ) -> tuple[Candidate | None, bool]:
+        """Return where a waiting call may go now, and whether there was room anywhere.
+
+        A call waits for a runner without room if it suits it best with all that waits for it.
+
+        :param claimed: prompt tokens of calls before this one that wait for a backend server, by
+            its name; those of this call are added
+        """
         demand = waiting.demand
-        candidates = self.runners.list_candidates(demand)
+        candidates = [
+            add_claims(candidate, claimed) for candidate in self.runners.list_candidates(demand)
+        ]
         late = is_late(waiting.waiter, self._clock())
         engine = self.runners.find_engine(demand.service)
         open_now = [
@@ -246,13 +258,11 @@
             if has_room(make_room(candidate, engine), demand.tier, demand.memory_tokens, late)
         ]
         best = self._choose_among(demand, candidates)
-        if best in open_now:
-            return best, True
-        other = self._choose_among(demand, open_now)
-        waited_s = self._clock() - demand.arrived_s
-        if other is not None and waited_s < find_patience_s(demand.target_s, other):
-            return None, True
-        return other, bool(open_now)
+        if best is None or best in open_now:
+            return best, bool(open_now)
+        name = best.backend.name
+        claimed[name] = claimed.get(name, 0) + best.fresh_tokens
+        return None, bool(open_now)
 
     def _choose_among(self, demand: Demand, candidates: list[Candidate]) -> Candidate | None:
         left_s = demand.arrived_s + demand.target_s - self._clock()
@@ -366,6 +376,22 @@
         self.runners.forget_gone()
 
 
+def add_claims(candidate: Candidate, claimed: dict[str, int]) -> Candidate:
+    """Return a candidate with the prompts before it that wait for it.
+
+    :param candidate: the candidate
+    :param claimed: prompt tokens that wait for backend servers, by name
+    """
+    tokens = claimed.get(candidate.backend.name, 0)
+    if not tokens:
+        return candidate
+    return msgspec.structs.replace(
+        candidate,
+        reading_tokens=candidate.reading_tokens + tokens,
+        beside_tokens=candidate.beside_tokens + tokens,
+    )
+
+
 def log_place(demand: Demand, place: Place, now_s: float, placed_by: str = "") -> None:
     """Log where a call goes, and why.
 
--- a/tests/balsamtally/test_dispatch.py
+++ b/tests/balsamtally/test_dispatch.py
@@ -326,6 +326,24 @@
     assert world.backlogs.find(live[0].name).close == 10
 
 
+def test_call_waits_for_a_runner_with_all_that_waits_before_it():
+    """Calls that waited long for one busy holder went to any other, and read its parts there."""
+    world = World(Engine(64, 600_000))
+    world.catalog.contracts = make_contracts(
+        make_route(Repeat.RESUME, True, target_s=2.0, timeout_s=5.0),
+        services=world.catalog.contracts.services,
+    )
+    world.add("a")
+    world.add("b")
+    sheets = [(PromptPart("sheet", 9_300), PromptPart(f"own{n}", 2_900)) for n in range(18)]
+    first = world.choose(world.plan(0, sheets[0]))
+    waiting = [gevent.spawn(world.choose, world.plan(n, sheets[n])) for n in range(1, 18)]
+    gevent.sleep(0.05)
+    went = [one.value.backend for one in waiting if one.ready()]
+    assert 0 < len(went) < len(waiting) / 2 and first.backend not in went
+    gevent.killall(waiting)
+
+
 def test_long_prompts_keep_off_the_runners_that_another_region_keeps_for_its_streams():
     """Its streams stalled: only VMs of the region itself knew which runners it keeps."""
     worlds = [make_mixed_world(region) for region in ("home", "far")]
