Let all entry VMs keep the same runners for live streams

Cause: each VM worked out which runners are kept for streams with a close bound on pauses among the runners of its own region only. Calls of other regions knew nothing of it: of 784 long prompts at the nine runners with most live streams 636 came from there. The class: a division that all must make alike, made from a view that differs by the VM. Ruled out: that the rule didn't hold at this site; it did for 1,182 of 1,185 streams. Change: the runners are divided by their regions, for all regions at each VM; what one call avoids doesn't change it. The test that a small region takes the runners of all others into its pool is replaced: regions with few runners now keep some together, and a large one keeps its own, which all VMs see alike.

--- a/balsamtally/lanes.py
+++ b/balsamtally/lanes.py
@@ -9,8 +9,8 @@
 """
 
 import math
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Container, Sequence
+from dataclasses import dataclass, field
 from functools import lru_cache
 
 from balsamtally.rendezvous import rank_members
@@ -36,6 +36,8 @@
 MIN_RUNNERS = 3
 # Runners of a region from which on some are kept in each region; with fewer, one serves all.
 MIN_REGION_RUNNERS = 5
+# Name of the pool of the runners of regions with fewer.
+REST = ""
 # Runners stay kept for so long after the streams that needed them; pauses between two bursts.
 KEEP_S = 5.0
 # Weight of one call in the mean lengths.
@@ -84,24 +86,26 @@
 class Streams:
     """The streams of a service with a close bound on pauses, as they came lately.
 
-    :ivar peak: the most that ran at a time
     :ivar prompt_tokens: mean length of their prompts
     :ivar answer_tokens: mean length of their answers
     """
 
-    peak: int = 0
     prompt_tokens: float = 0.0
     answer_tokens: float = 0.0
-    _peak_s: float = 0.0
+    _peaks: dict[str, tuple[int, float]] = field(default_factory=dict)
 
-    def note_running(self, count: int, now_s: float) -> None:
-        """Take in how many run now.
+    def note_running(self, pool: str, count: int, now_s: float) -> int:
+        """Take in how many run now, and return the most that ran at a time lately.
 
-        :param count: how many
+        :param pool: name of the pool of runners
+        :param count: how many run there
         :param now_s: steady clock in seconds
         """
-        if count >= self.peak or now_s - self._peak_s > KEEP_S:
-            self.peak, self._peak_s = count, now_s
+        peak, peak_s = self._peaks.get(pool, (0, now_s))
+        if count >= peak or now_s - peak_s > KEEP_S:
+            peak = count
+            self._peaks[pool] = (count, now_s)
+        return peak
 
     def note_call(self, prompt_tokens: int, answer_tokens: int) -> None:
         """Take in the size of one.
@@ -123,13 +127,20 @@
         return find_most_streams(slots, self.answer_tokens * TOKEN_S, read_s)
 
 
-def find_pool(candidates: Sequence[Candidate]) -> Sequence[Candidate]:
-    """Return the runners of which some are kept: those at home where they are enough.
+def find_pools(candidates: Sequence[Candidate]) -> dict[str, list[Candidate]]:
+    """Return the runners of which some are kept each, alike at all entry VMs.
+
+    A call may go to any region, so that each VM has to know which runners the others keep.
 
     :param candidates: all runners
+    :return: the runners by region where there are enough, the others together under no name
     """
-    home = [candidate for candidate in candidates if candidate.at_home]
-    return home if len(home) >= MIN_REGION_RUNNERS else candidates
+    regions: dict[str, list[Candidate]] = {}
+    for candidate in candidates:
+        regions.setdefault(candidate.region, []).append(candidate)
+    pools = {name: pool for name, pool in regions.items() if len(pool) >= MIN_REGION_RUNNERS}
+    rest = [candidate for candidate in candidates if candidate.region not in pools]
+    return pools | {REST: rest} if rest else pools
 
 
 def choose_kept(
@@ -156,20 +167,23 @@
     return rank_members(service, names)
 
 
-def narrow(candidates: list[Candidate], kept: set[str], close: bool) -> list[Candidate]:
+def narrow(
+    candidates: list[Candidate], kept: Container[str], own_kept: Container[str], close: bool
+) -> list[Candidate]:
     """Return the runners that a call may go to.
 
     :param candidates: the runners
     :param kept: names of those that are kept for streams
+    :param own_kept: names of those among them that are kept for streams of the own region
     :param close: whether the call's answer is a stream with a close bound
     """
-    own = [candidate for candidate in candidates if (candidate.backend.name in kept) == close]
-    if close and own:
-        fewest = min(candidate.running for candidate in own)
-        own = [
-            candidate
-            for candidate in own
-            if candidate.running < candidate.backend.slots
-            and candidate.running <= fewest + EVEN_STREAMS
-        ]
+    if not close:
+        return [one for one in candidates if one.backend.name not in kept] or candidates
+    own = [one for one in candidates if one.backend.name in own_kept]
+    fewest = min((one.running for one in own), default=0)
+    own = [
+        one
+        for one in own
+        if one.running < one.backend.slots and one.running <= fewest + EVEN_STREAMS
+    ]
     return own or candidates
--- a/balsamtally/runners.py
+++ b/balsamtally/runners.py
@@ -9,7 +9,7 @@
 from balsamtally.catalog import Catalog
 from balsamtally.demands import Demand
 from balsamtally.health import RunnerHealth, count_ejectable
-from balsamtally.lanes import Streams, choose_kept, find_pool, is_close, narrow
+from balsamtally.lanes import Streams, choose_kept, find_pools, is_close, narrow
 from balsamtally.logs import log
 from balsamtally.paces import Paces
 from balsamtally.prefixes import PrefixCache
@@ -31,7 +31,8 @@
     """A backend server as it was when it was looked at.
 
     :ivar backend: the backend server
-    :ivar at_home: whether it stands in the own region
+    :ivar region: region that it stands in
+    :ivar at_home: whether that is the own region
     :ivar usable: whether it is neither full nor faulty
     :ivar load: its work
     :ivar slow_factor: how much slower than its like it was seen to be
@@ -39,6 +40,7 @@
     """
 
     backend: Backend
+    region: str
     at_home: bool
     usable: bool
     load: Load
@@ -159,19 +161,26 @@
 
         :param demand: what it asks
         """
-        runners = [
-            runner
-            for runner in self._look(demand.service)
-            if runner.backend.name not in demand.avoid
-        ]
+        runners = self._look(demand.service)
         usable = [runner for runner in runners if runner.usable] or runners
-        held = [runner.cache.count_held(demand.parts) for runner in usable]
+        candidates = self._make_candidates(demand, usable)
+        narrowed = self._narrow(demand, candidates)
+        if not demand.avoid:
+            return narrowed
+        # Which runners are kept doesn't depend on what one call avoids.
+        for choices in (narrowed, candidates, self._make_candidates(demand, runners)):
+            left = [one for one in choices if one.backend.name not in demand.avoid]
+            if left:
+                return left
+        return []
+
+    def _make_candidates(self, demand: Demand, runners: list[Runner]) -> list[Candidate]:
+        held = [runner.cache.count_held(demand.parts) for runner in runners]
         most = max(held, default=0)
-        candidates = [
+        return [
             self._make_candidate(demand, runner, tokens, most)
-            for runner, tokens in zip(usable, held, strict=True)
+            for runner, tokens in zip(runners, held, strict=True)
         ]
-        return self._narrow(demand, candidates)
 
     def _look(self, service: str) -> list[Runner]:
         """Return the open backend servers of a service, looked at a moment ago at most."""
@@ -185,9 +194,11 @@
 
     def _look_at(self, service: str, backend: Backend) -> Runner:
         load = self._backlogs.find(backend.name)
+        region = self._find_region(backend.domain)
         return Runner(
             backend=backend,
-            at_home=self._find_region(backend.domain) == self._region,
+            region=region,
+            at_home=region == self._region,
             usable=self._is_usable(backend, load.running),
             load=load,
             slow_factor=self._paces.find(backend.key),
@@ -219,20 +230,26 @@
             tokens_per_s=self.find_habits(demand.service).speed.tokens_per_s,
             slow_factor=runner.slow_factor,
             close=load.close,
+            region=runner.region,
         )
 
     def _narrow(self, demand: Demand, candidates: list[Candidate]) -> list[Candidate]:
         """Keep long prompts and streams with a close bound on pauses apart."""
         close = self.is_close(demand)
         streams = self.find_habits(demand.service).streams
-        pool = find_pool(candidates)
-        running = sum(candidate.close for candidate in pool) + close
-        streams.note_running(running, self._clock())
-        if not streams.peak or not pool:
-            return candidates
-        most = streams.find_most(pool[0].backend.slots, pool[0].tokens_per_s)
-        kept = choose_kept(demand.service, pool, streams.peak, most)
-        return narrow(candidates, kept, close) if kept else candidates
+        now = self._clock()
+        kept: set[str] = set()
+        own_kept: set[str] = set()
+        for name, pool in find_pools(candidates).items():
+            at_home = any(candidate.at_home for candidate in pool)
+            running = sum(candidate.close for candidate in pool) + (close and at_home)
+            peak = streams.note_running(name, running, now)
+            if peak:
+                most = streams.find_most(pool[0].backend.slots, pool[0].tokens_per_s)
+                chosen = choose_kept(demand.service, pool, peak, most)
+                kept |= chosen
+                own_kept |= chosen if at_home else set()
+        return narrow(candidates, kept, own_kept, close)
 
     def is_close(self, demand: Demand) -> bool:
         """Return whether a call's answer is a stream with a close bound on pauses.
--- a/balsamtally/selection.py
+++ b/balsamtally/selection.py
@@ -48,6 +48,7 @@
     :ivar slow_factor: how much slower than its like it was seen to be, 1 or more
     :ivar again_tokens: prompt tokens among the fresh ones that another backend server holds
     :ivar close: streams with a close bound on pauses among the calls that run there
+    :ivar region: region that it stands in
     """
 
     backend: Backend
@@ -62,6 +63,7 @@
     slow_factor: float = 1.0
     again_tokens: int = 0
     close: int = 0
+    region: str = ""
 
 
 def count_unread(candidate: Candidate) -> int:
--- a/tests/balsamtally/test_lanes.py
+++ b/tests/balsamtally/test_lanes.py
@@ -13,7 +13,7 @@
     choose_kept,
     count_kept,
     find_most_streams,
-    find_pool,
+    find_pools,
     is_close,
     narrow,
 )
@@ -71,39 +71,50 @@
     assert len(choose_kept("desk", one, 40, 20)) == 2
 
 
-def test_large_regions_keep_runners_at_home():
-    home = [make_candidate(f"h{number}") for number in range(6)]
-    far = [make_candidate(f"f{number}", at_home=False) for number in range(6)]
-    assert find_pool(home + far) == home
-    assert find_pool(home[:2] + far) == home[:2] + far
+def test_each_large_region_keeps_runners_and_small_ones_keep_them_together():
+    north = [make_candidate(f"n{number}", region="north") for number in range(6)]
+    south = [make_candidate(f"s{number}", False, region="south") for number in range(5)]
+    east = [make_candidate(f"e{number}", False, region="east") for number in range(2)]
+    west = [make_candidate(f"w{number}", False, region="west") for number in range(3)]
+    pools = find_pools([*north, *west, *south, *east])
+    assert pools == {"north": north, "south": south, "": [*west, *east]}
+    assert find_pools(north) == {"north": north}
+    assert find_pools([]) == {}
     assert choose_kept("desk", [], 5, 10) == set()
 
 
 def test_streams_spread_evenly_over_kept_runners():
     runners = [make_candidate("a", running=5), make_candidate("b", running=2)]
-    assert narrow([*runners, make_candidate("c")], {"a", "b"}, True) == [runners[1]]
+    assert narrow([*runners, make_candidate("c")], {"a", "b"}, {"a", "b"}, True) == [runners[1]]
 
 
 @pytest.mark.parametrize("close", [True, False])
 def test_calls_are_kept_apart_unless_no_runner_would_be_left(close):
     candidates = [make_candidate("a", slots=16), make_candidate("b", slots=16)]
-    assert {one.backend.name for one in narrow(candidates, {"a"}, close)} == {"a" if close else "b"}
-    assert narrow(candidates, {"a", "b"}, False) == candidates
+    assert {one.backend.name for one in narrow(candidates, {"a"}, {"a"}, close)} == {
+        "a" if close else "b"
+    }
+    assert narrow(candidates, {"a", "b"}, {"a"}, False) == candidates
+
+
+def test_stream_goes_to_the_runners_kept_in_its_region():
+    candidates = [make_candidate("a"), make_candidate("b"), make_candidate("c")]
+    assert narrow(candidates, {"a", "b"}, {"b"}, True) == [candidates[1]]
+    assert narrow(candidates, {"a", "b"}, {"b"}, False) == [candidates[2]]
 
 
 def test_stream_goes_beyond_kept_runners_without_a_free_slot():
     full = make_candidate("a", slots=16, running=16)
     free = make_candidate("b", slots=16)
-    assert free in narrow([full, free], {"a"}, True)
+    assert free in narrow([full, free], {"a"}, {"a"}, True)
 
 
 def test_peak_lasts_over_a_short_lull():
     streams = Streams()
-    streams.note_running(12, 0.0)
-    streams.note_running(3, 1.0)
-    assert streams.peak == 12
-    streams.note_running(0, KEEP_S + 0.1)
-    assert streams.peak == 0
+    assert streams.note_running("north", 12, 0.0) == 12
+    assert streams.note_running("north", 3, 1.0) == 12
+    assert streams.note_running("south", 3, 1.0) == 3
+    assert streams.note_running("north", 0, KEEP_S + 0.1) == 0
 
 
 def play_streams(keep):
@@ -133,7 +144,7 @@
             running = sum(one.close for one in candidates) + live
             most = find_most_streams(64, 170 * 0.0065, 1_100 / TOKENS_PER_S)
             kept = choose_kept("desk", candidates, running, most)
-            candidates = narrow(candidates, kept, live)
+            candidates = narrow(candidates, kept, kept, live)
         tokens = 1_100 if live else random.choice([3_700, 3_700, 3_700, 17_000, 40_000])
         name = choose(candidates, 0.4 if live else 2.0, 0, str(now)).backend.name
         begin = now if live else max(now, free_at[name])
