Tell other regions how many calls wait for a region's runners

Cause: coordinators told each other the work at the runners and not the lines before them. Change: the prompts that wait for a region's own runners count in what its coordinator tells.

--- a/balsamtally/backlogs.py
+++ b/balsamtally/backlogs.py
@@ -324,3 +324,15 @@
         self._own.memory_tokens -= self._size.memory_tokens
         self._own.close -= self._size.close
         self._note_change()
+
+
+def join(one: Load, other: Load) -> Load:
+    """Return the sum of two parts of the work at a backend server.
+
+    :param one: a part
+    :param other: the other one
+    """
+    tally = Tally()
+    tally.add(one, 1)
+    tally.add(other, 1)
+    return tally.freeze()
--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -10,7 +10,7 @@
 from gevent.event import Event
 
 from balsamtally.assessment import Place, make_place, make_room, make_waiter
-from balsamtally.backlogs import Backlogs, Size, Work
+from balsamtally.backlogs import URGENCIES, Backlogs, Load, Size, Tally, Work
 from balsamtally.beats import Beat, PromptRead
 from balsamtally.calls import Backend, PromptPart
 from balsamtally.catalog import Catalog
@@ -104,6 +104,7 @@
         self._pass_report = pass_report
         self._note_work = note_work
         self._waiting: dict[str, dict[int, Waiting]] = {}
+        self._claimed: dict[str, dict[str, Tally]] = {}
         self._begun_s: dict[int, float] = {}
         self._pump_due = False
 
@@ -210,14 +211,19 @@
         """
         line = self._waiting.get(service)
         if not line:
+            self._claimed.pop(service, None)
             return
         # Callers choose the ids of their calls, which may be the same.
         held = {id(waiting.waiter): waiting for waiting in line.values() if not waiting.reservation}
         full_tier: int | None = None
-        claimed: dict[str, int] = {}
+        claimed: dict[str, Tally] = {}
+        self._claimed[service] = claimed
         now = self._clock()
-        for waiter in order((waiting.waiter for waiting in held.values()), now):
+        ranked = order((waiting.waiter for waiting in held.values()), now)
+        for place, waiter in enumerate(ranked):
             if full_tier is not None and waiter.tier >= full_tier:
+                rest = [held[id(each)].demand for each in ranked[place:]]
+                self._spread_claims(service, rest, claimed)
                 break
             waiting = held[id(waiter)]
             chosen, any_room = self._find_room(waiting, claimed)
@@ -227,6 +233,20 @@
             elif not any_room and not is_late(waiter, now):
                 full_tier = waiter.tier
 
+    def _spread_claims(self, service: str, rest: list[Demand], claimed: dict[str, Tally]) -> None:
+        """Count calls that weren't looked at, as there is no room, at all runners of the region."""
+        homes = self.runners.list_home(service)
+        for demand in rest if homes else ():
+            rank = min(demand.urgency, URGENCIES - 1)
+            for name in homes:
+                reading = claimed.setdefault(name, Tally()).reading
+                reading[rank] += demand.prompt_tokens // len(homes)
+
+    def list_claims(self) -> dict[str, Load]:
+        """Return the prompts of calls that wait for a backend server, by its name."""
+        claimed = {name: held for each in self._claimed.values() for name, held in each.items()}
+        return {name: held.freeze() for name, held in claimed.items()}
+
     def count_waiting(self) -> dict[str, int]:
         """Return how many calls wait for a backend server, by service."""
         return {service: len(line) for service, line in self._waiting.items()}
@@ -237,14 +257,14 @@
             self.pump(service)
 
     def _find_room(
-        self, waiting: Waiting, claimed: dict[str, int]
+        self, waiting: Waiting, claimed: dict[str, Tally]
     ) -> tuple[Candidate | None, bool]:
         """Return where a waiting call may go now, and whether there was room anywhere.
 
         A call waits for a runner without room if it suits it best with all that waits for it.
 
-        :param claimed: prompt tokens of calls before this one that wait for a backend server, by
-            its name; those of this call are added
+        :param claimed: prompts of calls before this one that wait for a backend server, by its
+            name; those of this call are added
         """
         demand = waiting.demand
         candidates = [
@@ -260,8 +280,8 @@
         best = self._choose_among(demand, candidates)
         if best is None or best in open_now:
             return best, bool(open_now)
-        name = best.backend.name
-        claimed[name] = claimed.get(name, 0) + best.fresh_tokens
+        claims = claimed.setdefault(best.backend.name, Tally())
+        claims.reading[min(demand.urgency, URGENCIES - 1)] += best.fresh_tokens
         return None, bool(open_now)
 
     def _choose_among(self, demand: Demand, candidates: list[Candidate]) -> Candidate | None:
@@ -386,15 +406,16 @@
         self.runners.forget_gone()
 
 
-def add_claims(candidate: Candidate, claimed: dict[str, int]) -> Candidate:
+def add_claims(candidate: Candidate, claimed: dict[str, Tally]) -> Candidate:
     """Return a candidate with the prompts before it that wait for it.
 
     :param candidate: the candidate
-    :param claimed: prompt tokens that wait for backend servers, by name
+    :param claimed: prompts that wait for backend servers, by name
     """
-    tokens = claimed.get(candidate.backend.name, 0)
-    if not tokens:
+    claims = claimed.get(candidate.backend.name)
+    if claims is None:
         return candidate
+    tokens = sum(claims.reading)
     return msgspec.structs.replace(
         candidate,
         reading_tokens=candidate.reading_tokens + tokens,
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -137,6 +137,7 @@
         """Let peers ask this entry VM for places, and it ask them."""
         self.peers.describe_asks = lambda: (self._asks.last, self._asks.list_open())
         self.peers.is_asked = self._reservations.is_asked
+        self.peers.list_claims = self._dispatch.list_claims
         self.peers.handlers[Ask] = self._reservations.take_ask
         self.peers.handlers[Withdrawal] = self._reservations.take_withdrawal
         self.peers.handlers[Reply] = self._asks.take_reply
--- a/balsamtally/peers.py
+++ b/balsamtally/peers.py
@@ -16,7 +16,7 @@
 from gevent.event import Event
 
 from balsamtally.backends import fetch
-from balsamtally.backlogs import PEER_LOAD_S, Backlogs, Load
+from balsamtally.backlogs import PEER_LOAD_S, Backlogs, Load, join
 from balsamtally.beats import Beat, Peer, PromptRead, Ring, Turn
 from balsamtally.catalog import Catalog
 from balsamtally.coordination import Ask, Reply, Withdrawal, rank_coordinators
@@ -81,6 +81,7 @@
 
     :ivar handlers: take in other messages than beats, by their type, with the sender's IP number
     :ivar describe_asks: returns the numbers of the last request for a place and of the open ones
+    :ivar list_claims: returns the prompts of calls that wait for backend servers
     :ivar is_asked: tells whether peers asked this entry VM lately for places at a service
 
     :param own: first beat of this entry VM
@@ -124,6 +125,7 @@
         self.handlers: dict[type, Callable[[Any, str], None]] = {}
         self.describe_asks: Callable[[], tuple[int, tuple[int, ...]]] = lambda: (0, ())
         self.is_asked: Callable[[str], bool] = lambda service: False
+        self.list_claims: Callable[[], dict[str, Load]] = dict
         self._new: set[str] = set()
         self._new_ips: set[str] = set()
         self._wake = Event()
@@ -226,13 +228,22 @@
         own = {service for service in self._list_services() if self._coordinates(service)}
         if not own:
             return None
+        work = self._backlogs.list_region()
+        for name, load in self.list_claims().items():
+            # A line in this region goes before calls of others; a line for theirs is no work there.
+            if self._is_at_home(name):
+                work[name] = join(work.get(name, Load()), load)
         backends = self._catalog.backends
         return {
             name: load
-            for name, load in self._backlogs.list_region().items()
+            for name, load in work.items()
             if (backends[name].service if name in backends else UNKNOWN_SERVICE) in own
         }
 
+    def _is_at_home(self, backend: str) -> bool:
+        found = self._catalog.backends.get(backend)
+        return found is not None and not self._is_far(found.domain)
+
     def _list_counterparts(self, alive: list[Peer], now: float) -> set[str]:
         """Return the IP numbers of the coordinators of other regions."""
         regions: dict[str, list[Beat]] = {}
--- a/balsamtally/runners.py
+++ b/balsamtally/runners.py
@@ -183,6 +183,13 @@
                 return left
         return []
 
+    def list_home(self, service: str) -> list[str]:
+        """Return the names of the open backend servers of a service in the own region.
+
+        :param service: name of the service
+        """
+        return [runner.backend.name for runner in self._look(service) if runner.at_home]
+
     def _make_candidates(self, demand: Demand, runners: list[Runner]) -> list[Candidate]:
         held = [runner.cache.count_held(demand.parts) for runner in runners]
         most = max(held, default=0)
--- a/tests/balsamtally/test_dispatch.py
+++ b/tests/balsamtally/test_dispatch.py
@@ -368,7 +368,12 @@
     gevent.sleep(0.05)
     went = [one.value.backend for one in waiting if one.ready()]
     assert 0 < len(went) < len(waiting) / 2 and first.backend not in went
+    # All that waits is told to other regions, whose calls go behind it.
+    told = sum(claims.reading_tokens for claims in world.dispatch.list_claims().values())
+    assert told >= 2_900 * (len(waiting) - len(went))
     gevent.killall(waiting)
+    world.dispatch.pump_all()
+    assert world.dispatch.list_claims() == {}
 
 
 def test_long_prompts_keep_off_the_runners_that_another_region_keeps_for_its_streams():
