See that prompts of another region pass over a kept runner that looks idle

Since calls wait for their runners the test of two regions passed with its guard taken out: its five prompts found better runners than the kept one, whose streams had not begun. Now these have begun, and ten prompts come: seen to fail without the guard.

--- a/tests/balsamtally/test_dispatch.py
+++ b/tests/balsamtally/test_dispatch.py
@@ -384,12 +384,15 @@
         for domain in ("home", "far"):
             for number in range(6):
                 world.add(f"{domain}{number}", domain)
-    streams = [far.choose(far.plan(n, LIVE, **LIVE_FIELDS)).backend.name for n in range(10)]
+    choices = [far.choose(far.plan(n, LIVE, **LIVE_FIELDS)) for n in range(10)]
+    streams = [choice.backend.name for choice in choices]
+    for choice in choices:
+        choice.work.note_begun()
     home.tell("vm of far", far.backlogs.list_own())
     busy = {f"home{number}": Load(9, (0, 0, 0, 0, 60_000), 60_000) for number in range(6)}
     home.tell("vm of home", busy)
-    parts = [(PromptPart(f"p{n}", 9_000),) for n in range(5)]
-    prompts = {home.choose(home.plan(40 + n, parts[n])).backend.name for n in range(5)}
+    parts = [(PromptPart(f"p{n}", 9_000),) for n in range(10)]
+    prompts = {home.choose(home.plan(40 + n, parts[n])).backend.name for n in range(10)}
     assert all(name.startswith("far") for name in [*streams, *prompts])
     assert not prompts & set(streams)
 
