--- a/balsamtally/coordination.py
+++ b/balsamtally/coordination.py
@@ -1,14 +1,18 @@
 """Which entry VM places the calls of a region, and what is said to ask it for a place."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 import msgspec
 
 from balsamtally.assessment import Place
+from balsamtally.backlogs import Load, join
 from balsamtally.beats import Beat
 from balsamtally.demands import Demand
 from balsamtally.rendezvous import rank_members
 
+# VMs that may be the coordinator of another region, as long as none of it was heard.
+GUESSED_COORDINATORS = 2
+
 
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
     """A request for a place; sent again under its number until it is answered.
@@ -62,3 +66,34 @@
     able = {beat.vm: beat for beat in beats if not beat.leaving}
     ranked = [able[name] for name in rank_members(service, able)]
     return sorted(ranked, key=lambda beat: not beat.revision)
+
+
+def find_likely_coordinators(
+    services: Iterable[str], beats: Collection[Beat], claimed: Collection[str]
+) -> list[Beat]:
+    """Return the VMs of another region that are told the work of the own one.
+
+    :param services: the services
+    :param beats: last beats of the VMs of that region
+    :param claimed: names of the VMs that told as coordinators lately
+    :return: the coordinators that were heard, else those that may be
+    """
+    heard = [beat for beat in beats if beat.vm in claimed]
+    if heard:
+        return heard
+    ranks = [rank_coordinators(service, beats)[:GUESSED_COORDINATORS] for service in services]
+    return [beat for likely in ranks for beat in likely]
+
+
+def sum_region(work: Mapping[str, Load], claims: Mapping[str, Load]) -> dict[str, Load]:
+    """Return what a coordinator tells other regions of the load of backend servers.
+
+    The lines before the region's own backend servers count, as they go before calls of others.
+
+    :param work: work that VMs of the region gave to backend servers, by name
+    :param claims: prompts of calls that wait for backend servers of the region, by name
+    """
+    summed = dict(work)
+    for name, load in claims.items():
+        summed[name] = join(summed.get(name, Load()), load)
+    return summed
--- a/balsamtally/peers.py
+++ b/balsamtally/peers.py
@@ -16,10 +16,17 @@
 from gevent.event import Event
 
 from balsamtally.backends import fetch
-from balsamtally.backlogs import PEER_LOAD_S, Backlogs, Load, join
+from balsamtally.backlogs import PEER_LOAD_S, Backlogs, Load
 from balsamtally.beats import Beat, Peer, PromptRead, Ring, Turn
 from balsamtally.catalog import Catalog
-from balsamtally.coordination import Ask, Reply, Withdrawal, rank_coordinators
+from balsamtally.coordination import (
+    Ask,
+    Reply,
+    Withdrawal,
+    find_likely_coordinators,
+    rank_coordinators,
+    sum_region,
+)
 from balsamtally.errors import BalsamtallyError
 from balsamtally.logs import log
 from balsamtally.readers import Reading, should_read
@@ -38,8 +45,6 @@
 # Between coordinators of regions, who tell each other the work of their regions and the prompts
 # that they gave runners to read; calls go to other regions by what is told so often.
 SUMS_BEAT_S = 0.1
-# VMs that may be the coordinator of another region, as long as none of it was heard.
-GUESSED_COORDINATORS = 2
 # Findings told in one beat; more are forgotten, the oldest first.
 MAX_TOLD_REPORTS = 32
 # Most by which a pause between near beats is longer than another, so that VMs don't beat as one.
@@ -228,17 +233,13 @@
         own = {service for service in self._list_services() if self._coordinates(service)}
         if not own:
             return None
-        work = self._backlogs.list_region()
-        for name, load in self.list_claims().items():
-            # A line in this region goes before calls of others; a line for theirs is no work there.
-            if self._is_at_home(name):
-                work[name] = join(work.get(name, Load()), load)
-        backends = self._catalog.backends
-        return {
-            name: load
-            for name, load in work.items()
-            if (backends[name].service if name in backends else UNKNOWN_SERVICE) in own
-        }
+        claims = {name: load for name, load in self.list_claims().items() if self._is_at_home(name)}
+        work = sum_region(self._backlogs.list_region(), claims)
+        return {name: load for name, load in work.items() if self._find_service(name) in own}
+
+    def _find_service(self, backend: str) -> str:
+        found = self._catalog.backends.get(backend)
+        return found.service if found is not None else UNKNOWN_SERVICE
 
     def _is_at_home(self, backend: str) -> bool:
         found = self._catalog.backends.get(backend)
@@ -250,18 +251,13 @@
         for peer in alive:
             if self._is_far(peer.beat.domain):
                 regions.setdefault(self._find_region(peer.beat.domain), []).append(peer.beat)
-        found: set[str] = set()
-        for beats in regions.values():
-            claimed = [
-                beat.ip
-                for beat in beats
-                if now - self._claimed_s.get(beat.vm, -PEER_LOAD_S) < PEER_LOAD_S
-            ]
-            found.update(claimed)
-            for service in self._list_services() if not claimed else ():
-                likely = rank_coordinators(service, beats)[:GUESSED_COORDINATORS]
-                found.update(beat.ip for beat in likely)
-        return found
+        claimed = {vm for vm, at in self._claimed_s.items() if now - at < PEER_LOAD_S}
+        services = self._list_services()
+        return {
+            beat.ip
+            for beats in regions.values()
+            for beat in find_likely_coordinators(services, beats, claimed)
+        }
 
     # Beats.
 
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -58,6 +58,10 @@
 PEERS = "tests/balsamtally/test_peers.py"
 PLANS = "tests/balsamtally/test_plans.py"
 RECORDS = "tests/balsamtally/test_records.py"
+ASKS = "tests/balsamtally/test_asks.py"
+RESERVATIONS = "tests/balsamtally/test_reservations.py"
+COORDINATION = "tests/balsamtally/test_coordination.py"
+PACES = "tests/balsamtally/test_paces.py"
 WAITING = "tests/balsamtally/test_waiting.py"
 WIRE = "tests/balsamtally/platform/test_wire.py"
 
@@ -198,7 +202,7 @@
     Mutation("catalog", "if contracts.version > before:", "if True:", CATALOG),
     Mutation("records", "record.revision > held.revision", "True", RECORDS),
     Mutation("dispatch", "held.key == backend.key and not held.leaving", "True", DISPATCH),
-    Mutation("dispatch", "or plan.tier < least:", "or False:", DISPATCH),
+    Mutation("dispatch", "or demand.tier < least:", "or False:", DISPATCH),
     Mutation("forwarding", "if verdict is not Verdict.FOREIGN:", "if True:", FORWARDING),
     Mutation(
         "forwarding",
@@ -232,10 +236,63 @@
     Mutation("backends", "min(until_s, time.monotonic() + DRAIN_S)", "until_s", BACKENDS),
     Mutation("beats", "while len(self._batches) > turns:", "while self._batches:", PEERS),
     Mutation("beats", "(self._place + self._most) % len(ips)", "0", PEERS),
-    Mutation("assessment", " + again_s * AGAIN_PATIENCE", "", DISPATCH),
+    Mutation("dispatch", "reading[rank] += demand.prompt_tokens // len(homes)", "pass", DISPATCH),
+    Mutation("dispatch", "tokens = sum(claims.reading)", "tokens = 0", DISPATCH),
+    Mutation(
+        "runners",
+        "                kept |= chosen\n",
+        "                kept |= chosen if at_home else set()\n",
+        DISPATCH,
+    ),
+    Mutation("runners", "if beside and is_least(", "if is_least(", DISPATCH),
+    Mutation("asks", "while silent < TRIES and", "while", ASKS),
+    Mutation("asks", "self._missed_s[coordinator.vm] = self._clock()", "pass", ASKS),
+    Mutation("asks", "            if final is None:\n", "            if False:\n", ASKS),
+    Mutation(
+        "asks",
+        "self._find_coordinator(plan.service, self._list_missed())",
+        "self._find_coordinator(plan.service, set())",
+        ASKS,
+    ),
+    Mutation("dispatch", "or backend.born != place.born or backend.leaving", "", ASKS),
+    Mutation(
+        "reservations",
+        "if number <= beat.asked and number not in",
+        "if number not in",
+        RESERVATIONS,
+    ),
+    Mutation("reservations", "and number not in beat.open_asks:", ":", RESERVATIONS),
+    Mutation(
+        "reservations",
+        "                likes[number].shown_s = now\n",
+        "                pass\n",
+        RESERVATIONS,
+    ),
+    Mutation("reservations", "        if held is None:\n", "        if True:\n", RESERVATIONS),
+    Mutation(
+        "reservations", "        held.reservation.work.cancel()", "        pass", RESERVATIONS
+    ),
+    Mutation(
+        "reservations", "        except Exception:\n", "        except KeyError:\n", RESERVATIONS
+    ),
+    Mutation("coordination", "if not beat.leaving", "if True", COORDINATION),
+    Mutation(
+        "coordination",
+        "return sorted(ranked, key=lambda beat: not beat.revision)",
+        "return ranked",
+        COORDINATION,
+    ),
+    Mutation("peers", "if beat.loads is not None:", "if True:", PEERS),
+    Mutation("peers", "        elif beat.sums is not None:\n", "        elif False:\n", PEERS),
+    Mutation(
+        "paces",
+        "return min(MAX_FACTOR, max(1.0, self._find_factor(key)))",
+        "return max(1.0, self._find_factor(key))",
+        PACES,
+    ),
     Mutation("dispatch", "if not self._pump_due and any", "if any", DISPATCH),
-    Mutation("lanes", " or gap_s > least_s * LIKE_FACTOR:", ":", LANES),
-    Mutation("lanes", "and candidate.running <= fewest + EVEN_STREAMS", "", LANES),
+    Mutation("lanes", "return 0.0 < gap_s <= least_s * LIKE_FACTOR", "return 0.0 < gap_s", LANES),
+    Mutation("lanes", "and one.running <= fewest + EVEN_STREAMS", "", LANES),
     Mutation("lanes", "if runners < MIN_RUNNERS:", "if False:", LANES),
     Mutation("readers", "if behind_s > MAX_BEHIND_S:", "if False:", READERS),
     Mutation("readers", "if not readers:", "if False:", READERS),
--- a/tests/balsamtally/test_coordination.py
+++ b/tests/balsamtally/test_coordination.py
@@ -5,8 +5,14 @@
 import msgspec
 import pytest
 
+from balsamtally.backlogs import Load
 from balsamtally.beats import Beat
-from balsamtally.coordination import rank_coordinators
+from balsamtally.coordination import (
+    GUESSED_COORDINATORS,
+    find_likely_coordinators,
+    rank_coordinators,
+    sum_region,
+)
 from balsamtally.selection import Candidate, choose
 from tests.balsamtally.scripted import make_backend
 
@@ -44,6 +50,24 @@
     assert rank_coordinators("desk", [msgspec.structs.replace(first, revision=0)])
 
 
+def test_coordinators_of_another_region_are_guessed_until_one_is_heard():
+    beats = [make_beat(f"vm{number}") for number in range(9)]
+    guessed = find_likely_coordinators(["desk"], beats, {"vm of a third region"})
+    assert guessed == rank_coordinators("desk", beats)[:GUESSED_COORDINATORS]
+    assert find_likely_coordinators(["desk"], beats, {"vm3"}) == [beats[3]]
+
+
+def test_lines_before_runners_count_in_what_other_regions_are_told():
+    work = {"a": Load(2, (0, 100), 300, 1), "b": Load(1)}
+    claims = {"a": Load(0, (0, 50, 7)), "c": Load(0, (9,))}
+    assert sum_region(work, claims) == {
+        "a": Load(2, (0, 150, 7), 300, 1),
+        "b": Load(1),
+        "c": Load(0, (9,)),
+    }
+    assert work["a"] == Load(2, (0, 100), 300, 1)
+
+
 def play_burst(find_decider, hears):
     """Return the part of calls that begin on time.
 
--- a/tests/balsamtally/test_reservations.py
+++ b/tests/balsamtally/test_reservations.py
@@ -62,6 +62,9 @@
     coordinator.ask(1)
     [reply] = coordinator.sent
     assert reply.place.backend == "a" and coordinator.count() == 1
+    # A beat that was sent before the request tells nothing of it.
+    coordinator.hear({}, asked=0)
+    assert coordinator.count() == 1
     coordinator.hear({}, asked=1, open_asks=(1,))
     assert coordinator.count() == 1
     coordinator.hear({"a": Load(1, (5,), 9)}, asked=1)
@@ -90,7 +93,7 @@
     for _ in range(3):
         coordinator.world.now += FORSAKEN_S * 0.9
         coordinator.hear({"a": Load(1, (0, 0, 0, 0, 30_000), 30_000)}, asked=2, open_asks=(2,))
-        coordinator.reservations.tidy()
+        coordinator.pass_time(0.0)
     assert coordinator.world.dispatch.count_waiting() == {"desk": 1}
     coordinator.pass_time(FORSAKEN_S + 0.1)
     assert coordinator.world.dispatch.count_waiting() == {"desk": 0}
