See calls served while the VM that places them is lost or frozen

Three real daemons of a failure domain under traffic of all kinds: the one that places calls of the others is killed, or frozen for half a second. The others say that it is silent, and no call fails. MAX_TOLD_REPORTS stands beside the other bounds on a beat.

--- a/balsamtally/beats.py
+++ b/balsamtally/beats.py
@@ -12,6 +12,8 @@
 
 # Reads told in one beat; more are forgotten, the oldest first.
 MAX_TOLD_READS = 64
+# Findings told in one beat; more are forgotten, the oldest first.
+MAX_TOLD_REPORTS = 32
 # A beat that says nothing new is sent this often; what a peer told counts for 1.5 s.
 SAME_BEAT_S = 1.0
 
--- a/balsamtally/peers.py
+++ b/balsamtally/peers.py
@@ -17,7 +17,7 @@
 
 from balsamtally.backends import fetch
 from balsamtally.backlogs import PEER_LOAD_S, Backlogs, Load
-from balsamtally.beats import Beat, Peer, PromptRead, Ring, Turn
+from balsamtally.beats import MAX_TOLD_REPORTS, Beat, Peer, PromptRead, Ring, Turn
 from balsamtally.catalog import Catalog
 from balsamtally.coordination import (
     Ask,
@@ -45,8 +45,6 @@
 # Between coordinators of regions, who tell each other the work of their regions and the prompts
 # that they gave runners to read; calls go to other regions by what is told so often.
 SUMS_BEAT_S = 0.1
-# Findings told in one beat; more are forgotten, the oldest first.
-MAX_TOLD_REPORTS = 32
 # Most by which a pause between near beats is longer than another, so that VMs don't beat as one.
 NEAR_JITTER = 0.2
 # Peers of a failure domain that hear each beat. Where there are more they take turns, since a beat
--- a/tests/standins/test_grid.py
+++ b/tests/standins/test_grid.py
@@ -263,3 +263,27 @@
     traffic.stop()
     with GridCaller(vm) as caller:
         assert caller.ask("draft").good and caller.ask("lookup").good
+
+
+def find_placing(vms):
+    """Return the names of VMs that placed calls of others, by service, as the log lines tell."""
+    lines = [line for vm in vms for line in vm.list_lines() if line.get("event") == "routed"]
+    return {line["placed_by"] for line in lines if line["placed_by"]}
+
+
+@pytest.mark.parametrize("signals", [[signal.SIGKILL], [signal.SIGSTOP, signal.SIGCONT]])
+def test_calls_are_served_by_the_other_vms_whichever_places_them_is_lost_or_frozen(signals):
+    with Grid(vms=3, domains=1) as grid:
+        traffic = Traffic(grid, grid.vms)
+        expect_soon(lambda: find_placing(grid.vms))
+        traffic.stop()
+        [lost, *_] = [vm for vm in grid.vms if vm.name in find_placing(grid.vms)]
+        others = [vm for vm in grid.vms if vm is not lost]
+        traffic = Traffic(grid, others)
+        for number in signals:
+            gevent.sleep(0.5)
+            lost.signal(number)
+        expect_soon(lambda: sum(vm.count_events("coordinator_silent") for vm in others))
+        gevent.sleep(1.0)
+        assert traffic.stop()[False] == 0
+        assert find_placing(grid.vms) - {lost.name}
