--- a/tests/balsamtally/test_reservations.py
+++ b/tests/balsamtally/test_reservations.py
@@ -1,6 +1,7 @@
 """Places for peers' calls: each is counted once, whatever datagrams are lost or come late."""
 
 import gevent
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -9,7 +10,7 @@
 from balsamtally.beats import Beat
 from balsamtally.calls import PromptPart
 from balsamtally.coordination import Ask, Withdrawal
-from balsamtally.demands import make_demand, shift
+from balsamtally.demands import Demand, make_demand, shift
 from balsamtally.errors import BackendUnreachable
 from balsamtally.plans import Trip
 from balsamtally.reports import Finding, Report
@@ -210,3 +211,40 @@
     beat()
     assert coordinator.count() == len(taken)
     assert coordinator.world.dispatch.count_waiting().get("desk", 0) == 0
+
+
+NUMBERS = st.integers(-5, 2**62)
+MOMENTS = st.floats(allow_nan=True, allow_infinity=True)
+DEMANDS = st.builds(
+    Demand,
+    request=st.text(max_size=5),
+    route=st.text(max_size=5),
+    service=st.sampled_from(["desk", "unknown", ""]),
+    version=NUMBERS,
+    tier=NUMBERS,
+    urgency=NUMBERS,
+    arrived_s=MOMENTS,
+    target_s=MOMENTS,
+    until_s=MOMENTS,
+    gap_s=MOMENTS,
+    parts=st.lists(st.builds(PromptPart, st.text(max_size=3), NUMBERS), max_size=3).map(tuple),
+    prompt_tokens=NUMBERS,
+    answer_tokens=NUMBERS,
+    size_bytes=NUMBERS,
+    avoid=st.lists(st.sampled_from(["a", "x"]), max_size=2).map(tuple),
+)
+
+
+@settings(max_examples=100)
+@given(st.lists(DEMANDS, max_size=4))
+def test_requests_with_any_values_cost_themselves_alone(demands):
+    coordinator = Coordinator()
+    coordinator.world.add("a")
+    for number, demand in enumerate(demands, 1):
+        data = msgspec.msgpack.encode(Ask("i9", number, demand))
+        coordinator.reservations.take_ask(msgspec.msgpack.decode(data, type=Ask), IP)
+    gevent.sleep(0)
+    coordinator.pass_time(UNCONFIRMED_S + FORSAKEN_S)
+    assert coordinator.count() == 0
+    coordinator.ask(1)
+    assert coordinator.sent[-1].place.backend == "a"
