Pass over no coordinator for a call whose time is over

Cause: a call that waited in the coordinator's line until its own deadline ended like one whose coordinator is silent, so that its VM asked another one for 2 s. Found by reading; the new test failed before.

--- a/balsamtally/asks.py
+++ b/balsamtally/asks.py
@@ -94,8 +94,6 @@
             demand = make_demand(plan, trip)
             reply = self._ask(coordinator, demand)
             if reply is None:
-                self._missed_s[coordinator.vm] = self._clock()
-                log.info("coordinator_silent", coordinator=coordinator.vm, request=plan.call.id)
                 continue
             if reply.refused:
                 raise TargetHopeless(reply.refused, retry_after_s=reply.retry_after_s)
@@ -113,7 +111,7 @@
         return set(self._missed_s)
 
     def _ask(self, coordinator: Beat, demand: Demand) -> Reply | None:
-        """Ask until there is a place or a refusal; ``None`` if the coordinator is silent."""
+        """Ask until there is an answer; ``None`` if the coordinator is silent or time is over."""
         self.last += 1
         number = self.last
         ask = self._open[number] = OpenAsk()
@@ -134,6 +132,9 @@
                 if not ask.reply.waits:
                     final = ask.reply
                     return final
+            if silent >= TRIES:
+                self._missed_s[coordinator.vm] = self._clock()
+                log.info("coordinator_silent", coordinator=coordinator.vm, request=demand.request)
             return None
         finally:
             del self._open[number]
--- a/tests/balsamtally/test_asks.py
+++ b/tests/balsamtally/test_asks.py
@@ -123,6 +123,20 @@
     assert [ask.number for ask in asks] == [1, 1, 1]
 
 
+def test_coordinator_of_a_call_whose_time_is_over_is_not_passed_over(asking):
+    def wait_for_ever(ask, ip):
+        asking.world.now += 1.1
+        return Reply(ask.number, waits=True)
+
+    asking.answer = wait_for_ever
+    asking.choose(1)
+    backend = asking.world.catalog.backends["a"]
+    asking.answer = lambda ask, ip: make_reply(backend, ask.number)
+    asked = len(asking.list_asked())
+    asking.choose(2)
+    assert asking.list_asked()[asked:] == ["c1"]
+
+
 def test_call_whose_caller_leaves_is_withdrawn(asking):
     asking.answer = lambda ask, ip: Reply(1, waits=True)
     waiting = gevent.spawn(asking.choose)
