Tell other regions of no line once nobody waits

What callers would see: a region's runners looked busy to other regions after its last waiting call had been refused or had left, until another call waited there, as the lines were kept from the last look and an empty line is not looked at. Cause: state that can be derived was kept. Change: lines are told only of services where calls wait. Found by reading; the test of lines, which looked only after a further look, failed before.

--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -211,7 +211,6 @@
         """
         line = self._waiting.get(service)
         if not line:
-            self._claimed.pop(service, None)
             return
         # Callers choose the ids of their calls, which may be the same.
         held = {id(waiting.waiter): waiting for waiting in line.values() if not waiting.reservation}
@@ -244,8 +243,9 @@
 
     def list_claims(self) -> dict[str, Load]:
         """Return the prompts of calls that wait for a backend server, by its name."""
-        claimed = {name: held for each in self._claimed.values() for name, held in each.items()}
-        return {name: held.freeze() for name, held in claimed.items()}
+        # The last waiting call may have left since the line was looked at.
+        lines = [self._claimed[service] for service, line in self._waiting.items() if line]
+        return {name: held.freeze() for claimed in lines for name, held in claimed.items()}
 
     def count_waiting(self) -> dict[str, int]:
         """Return how many calls wait for a backend server, by service."""
--- a/tests/balsamtally/test_dispatch.py
+++ b/tests/balsamtally/test_dispatch.py
@@ -372,6 +372,8 @@
     told = sum(claims.reading_tokens for claims in world.dispatch.list_claims().values())
     assert told >= 2_900 * (len(waiting) - len(went))
     gevent.killall(waiting)
+    # Nobody waits any more: other regions are told of no line, though nothing else happens.
+    assert world.dispatch.list_claims() == {}
     world.dispatch.pump_all()
     assert world.dispatch.list_claims() == {}
 
