Judge by one function whether a backend server still takes new work

A place that a coordinator gave was checked by a copy of is_open's condition. Behaviour is the same; standins.mutate dispatch: all guards fail a test, this one in both test files.

--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -132,8 +132,8 @@
         :param placed_by: name of that entry VM
         :return: the choice, ``None`` if the backend server isn't known or takes nothing more
         """
-        backend = self._catalog.backends.get(place.backend)
-        if backend is None or backend.born != place.born or backend.leaving:
+        backend = self._find_open(place.key)
+        if backend is None:
             return None
         work = self._count(demand, place)
         self.runners.find_cache(demand.service, place.key).note_read(demand.parts)
@@ -293,8 +293,12 @@
 
         :param backend: the incarnation
         """
-        held = self._catalog.backends.get(backend.name)
-        return held is not None and held.key == backend.key and not held.leaving
+        return self._find_open(backend.key) is not None
+
+    def _find_open(self, key: tuple[str, int]) -> Backend | None:
+        """Return an incarnation that takes new work, ``None`` if it doesn't."""
+        held = self._catalog.backends.get(key[0])
+        return held if held is not None and held.key == key and not held.leaving else None
 
     # Work and outcomes.
 
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -201,7 +201,7 @@
     Mutation("callers", "        self._ended = True\n", "", CALLERS),
     Mutation("catalog", "if contracts.version > before:", "if True:", CATALOG),
     Mutation("records", "record.revision > held.revision", "True", RECORDS),
-    Mutation("dispatch", "held.key == backend.key and not held.leaving", "True", DISPATCH),
+    Mutation("dispatch", "held.key == key and not held.leaving", "True", DISPATCH),
     Mutation("dispatch", "or demand.tier < least:", "or False:", DISPATCH),
     Mutation("forwarding", "if verdict is not Verdict.FOREIGN:", "if True:", FORWARDING),
     Mutation(
@@ -254,7 +254,7 @@
         "self._find_coordinator(plan.service, set())",
         ASKS,
     ),
-    Mutation("dispatch", "or backend.born != place.born or backend.leaving", "", ASKS),
+    Mutation("dispatch", "held.key == key and not held.leaving", "True", ASKS),
     Mutation(
         "reservations",
         "if number <= beat.asked and number not in",
