--- a/balsamtally/calls.py
+++ b/balsamtally/calls.py
@@ -194,6 +194,11 @@
     answer_tokens: int = 0
     hinted_tokens: int = 0
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts of the prompt that other calls may share: all but the last."""
+        return self.parts[:-1]
+
 
 @dataclass(frozen=True)
 class Attempt:
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -195,6 +195,8 @@
                 code=failure.code,
                 why=str(failure),
                 last_event=progress.last_event,
+                answer_begun=progress.attempt_begun,
+                parts=[part.name for part in plan.call.shared_parts],
                 retry=not reason,
                 reason=reason,
             )
@@ -294,6 +296,8 @@
             progress.waited_s = time.monotonic() - call.arrived_s
         progress.sent += 1
         progress.backend = backend
+        progress.attempt_sent_s = time.monotonic()
+        progress.attempt_begun = False
         headers = self._wire.make_headers(attempt)
         connection.send(call.method, call.target, headers, call.body, plan.until_s)
         return attempt
@@ -382,6 +386,7 @@
             if not events:
                 continue
             work.record_answer_start()
+            progress.attempt_begun = True
             now = time.monotonic()
             if not progress.begun:
                 progress.first_event_s = progress.last_piece_s = now
--- a/balsamtally/plans.py
+++ b/balsamtally/plans.py
@@ -49,6 +49,8 @@
     :ivar may_have_run: whether a backend server may have run the call
     :ivar failed_answer: a backend server's error answer, returned if no attempt succeeds
     :ivar begun: whether the head of an answer was sent to the caller
+    :ivar attempt_sent_s: monotonic clock when the last attempt was sent, in seconds
+    :ivar attempt_begun: whether the backend server of the last attempt began to answer it
     :ivar first_event_s: monotonic clock when the answer began, in seconds, 0 before
     :ivar last_piece_s: monotonic clock when the last chunk of a stream arrived, in seconds
     :ivar longest_gap_s: longest time between two chunks of the stream, in seconds
@@ -65,6 +67,8 @@
     may_have_run: bool = False
     failed_answer: tuple[AnswerHead, bytes] | None = None
     begun: bool = False
+    attempt_sent_s: float = 0.0
+    attempt_begun: bool = False
     first_event_s: float = 0.0
     last_piece_s: float = 0.0
     longest_gap_s: float = 0.0
