--- a/standins/grid.py
+++ b/standins/grid.py
@@ -38,6 +38,10 @@
 POLL_S = 0.05
 EVENT_S = 0.02
 SERVICE_TIME_S = 0.03
+PREFILL_S = 0.05
+# Time from a crash caused by a prompt to the server's next start.
+RESTART_S = 1.0
+FIRST_BORN = 1_700_000_000_000
 KEY = "example-key-of-buggy-cabo"
 CUSTOMER = "buggy-cabo"
 HOST = "model.example"
@@ -94,6 +98,9 @@
     :ivar fault: ``""``, ``"full"`` (503, not executed), ``"reset"`` (closes the connection before
         the answer), ``"cut"`` (closes it within a stream) or ``"error"`` (status 500)
     :ivar running: number of requests in progress
+    :ivar deadly_part: the server crashes as it begins to answer a prompt with this part, and starts
+        again after ``RESTART_S``; empty for none
+    :ivar crashes: times of these crashes
     """
 
     def __init__(self, store: Store, name: str, service: str, domain: str):
@@ -103,19 +110,25 @@
         self.arrivals: list[tuple[str, float]] = []
         self.fault = ""
         self.running = 0
+        self.deadly_part = ""
+        self.crashes: list[float] = []
         self._store = store
         self._domain = domain
         self._host = draw_host()
+        self._born = FIRST_BORN
         self._server: CallerServer | None = None
 
     def __enter__(self) -> "Server":
+        self._start()
+        return self
+
+    def _start(self) -> None:
         address = (self._host, SERVER_PORT)
         self._server = CallerServer(
             listen(address), lambda: LIMITS, self._serve, self._refuse, time.monotonic
         )
         self._server.__enter__()
         self.register("ready")
-        return self
 
     def __exit__(self, *exc_info) -> None:
         self._server.__exit__(*exc_info)
@@ -128,7 +141,7 @@
             "zone": self._domain,
             "slots": 8,
             "state": state,
-            "born": 1_700_000_000_000,
+            "born": self._born,
             "seq": 1,
         }
         self._store.put(f"servers/{self.name}", entry)
@@ -137,6 +150,12 @@
         """Stop listening at once and leave the registration in the store."""
         self._server.__exit__(None, None, None)
 
+    def _crash_by_prompt(self) -> None:
+        self.crashes.append(time.monotonic())
+        self._born += 1
+        gevent.spawn_later(RESTART_S, self._start)
+        self.crash()
+
     def _refuse(self, caller: Caller, error: BalsamtallyError) -> None:
         caller.answer(error.status, (), b"")
 
@@ -166,6 +185,10 @@
             gevent.sleep(SERVICE_TIME_S)
             caller.answer(500 if self.fault == "error" else 200, echo, request.body or b"found")
             return
+        gevent.sleep(PREFILL_S)
+        if self.deadly_part and f"{self.deadly_part}:" in headers.get("prompt-prefix", ""):
+            self._crash_by_prompt()
+            return
         first = int(headers.get("last-event-id", "0")) + 1
         last = int(headers.get("token-usage", "0,10").split(",")[1])
         caller.begin(200, [*echo, (b"Content-Type", b"text/event-stream")])
--- /dev/null
+++ b/tests/standins/test_deadly_parts.py
@@ -0,0 +1,94 @@
+"""Prompts with one part crash each model runner that begins to answer them."""
+
+import itertools
+
+import gevent
+import pytest
+
+from standins.grid import Grid
+from standins.grid_callers import GridCaller
+
+# The stability window of the users' data sheets.
+WINDOW_S = 4.0
+# Requests that may reach runners later than the window after the fifth crash.
+MAX_LATE_ARRIVALS = 3
+DEADLY_PART = "dead1"
+SHARED_PARTS = ("a1:20", "b2:10")
+DEADLY_REQUESTS = 40
+DEADLY_INTERVAL_S = 0.3
+SOUND_INTERVAL_S = 0.05
+
+
+@pytest.fixture
+def grid():
+    with Grid(vms=2, servers=4) as grid:
+        for server in grid.list_servers("model"):
+            server.deadly_part = DEADLY_PART
+        yield grid
+
+
+class Prompts:
+    """Sends prompts in turn to all entry VMs, each on a connection of its own, and keeps answers.
+
+    :param grid: the test deployment
+    :param parts: the shared parts of each prompt
+    :param kind: name of the route
+    """
+
+    def __init__(self, grid, parts, kind="draft"):
+        self.answers = []
+        self._vms = itertools.cycle(grid.vms)
+        self._parts = parts
+        self._kind = kind
+        self._tasks = []
+
+    def send(self):
+        self._tasks.append(gevent.spawn(self._ask, next(self._vms), len(self._tasks)))
+
+    def _ask(self, vm, number):
+        prefix = ",".join((*self._parts, f"{number + 1:x}:10"))
+        with GridCaller(vm) as caller:
+            self.answers.append(caller.ask(self._kind, b"", Prompt_Prefix=prefix))
+
+    def send_all(self, count, interval_s):
+        for _ in range(count):
+            self.send()
+            gevent.sleep(interval_s)
+        gevent.joinall(self._tasks, raise_error=True)
+
+    def send_until(self, event, interval_s):
+        while not event.ready():
+            self.send()
+            gevent.sleep(interval_s)
+        gevent.joinall(self._tasks, raise_error=True)
+
+
+def list_arrivals(grid, prompts):
+    """Return the times at which requests reached model runners, in order."""
+    ids = {answer.id for answer in prompts.answers}
+    return sorted(at for s in grid.list_servers("model") for id, at in s.arrivals if id in ids)
+
+
+def list_crashes(grid):
+    return sorted(at for server in grid.list_servers("model") for at in server.crashes)
+
+
+def count_late(grid, prompts):
+    """Return how many requests reached runners later than the window after the fifth crash."""
+    crashes = list_crashes(grid)
+    if len(crashes) < 5:
+        return 0
+    return sum(at > crashes[4] + WINDOW_S for at in list_arrivals(grid, prompts))
+
+
+@pytest.mark.parametrize("position", ["last", "first"])
+def test_requests_of_one_kind_do_not_crash_runner_after_runner(grid, position):
+    deadly_parts = (*SHARED_PARTS, f"{DEADLY_PART}:10")
+    deadly = Prompts(grid, deadly_parts if position == "last" else deadly_parts[::-1])
+    sound = Prompts(grid, SHARED_PARTS)
+    task = gevent.spawn(deadly.send_all, DEADLY_REQUESTS, DEADLY_INTERVAL_S)
+    sound.send_until(task, SOUND_INTERVAL_S)
+    assert count_late(grid, deadly) <= MAX_LATE_ARRIVALS
+    # Sound requests with the same parts are served.
+    late = sorted(sound.answers, key=lambda answer: answer.sent_s)[-50:]
+    assert sum(answer.good for answer in late) >= 45
