Quarantine the parts of prompts that crash backend servers

Each crash took the calls beside it along, and sound requests of the same route were served less than half as often for want of runners.

Cause: nothing connected crashes with prompts. A call cut by the end of its backend server was sent on without being counted, and each new call was placed as if nothing had happened, at each VM for itself.

Change: a VM whose call waits for its answer at a backend server that ends (a refused connection, or another incarnation in the store) tells all peers the shared parts of that call. An answer that begins clears its parts of earlier crashes of that service. The group of parts that three crashes at different times have in common is quarantined: prompts with all of them are refused (503, 2015, Retry-After), those with some of them served, and each answer that begins narrows the group. After 300 s one call probes it and renews the quarantine for the others before it is sent. States merge without order, and a VM that starts hears of them with its first heartbeat. A call ends at most two backend servers before they begin to answer it.

--- a/balsamtally/call_metrics.py
+++ b/balsamtally/call_metrics.py
@@ -29,6 +29,7 @@
     :ivar platform_age_s: time since the platform's store was last read, in seconds
     :ivar opened: connections to backend servers opened since the start
     :ivar dropped_lines: log lines dropped since the start
+    :ivar quarantined: groups of prompt parts in quarantine
     """
 
     waiting: Mapping[str, int] = field(default_factory=dict)
@@ -42,6 +43,7 @@
     platform_age_s: float = 0.0
     opened: int = 0
     dropped_lines: int = 0
+    quarantined: int = 0
 
 
 class CallMetrics(Collectors):
@@ -91,6 +93,9 @@
                 "backend_connections_opened", "Connections to backend servers opened"
             ),
             "dropped_lines": self._gauge("log_lines_dropped", "Log lines dropped"),
+            "quarantined": self._gauge(
+                "quarantined_prompt_parts", "Groups of prompt parts in quarantine"
+            ),
         }
         self._memory = self._gauge("resident_bytes", "Resident memory of the process")
 
--- a/balsamtally/errors.py
+++ b/balsamtally/errors.py
@@ -329,6 +329,13 @@
     default = "the backend server is leaving"
 
 
+class PartQuarantined(CapacityError):
+    """A part of the prompt crashes backend servers, so that the call isn't sent to any."""
+
+    code = 2015
+    default = "a part of the prompt is quarantined, since it crashes backend servers"
+
+
 class ResultError(BalsamtallyError):
     """A request was sent to a backend server and has no complete answer."""
 
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -30,16 +30,20 @@
     NoBackend,
     Outcome,
     OutcomeUnknown,
+    PartQuarantined,
     QueueTimeout,
     WrongAnswer,
 )
 from balsamtally.events import EventReader
 from balsamtally.logs import log
 from balsamtally.plans import CallProgress, Plan, make_plan
+from balsamtally.terminations import Terminations
 
 # Connection failures that a call survives; also the limit on attempts that aren't counted because
 # their backend server terminated.
 MAX_UNREACHABLE = 4
+# Backend servers that may end, one after the other, before they begin to answer a call.
+MAX_CRASHES = 2
 # A call needs at least a round trip to another region and some processing time.
 MIN_LEFT_S = 0.02
 # Largest answer that isn't streamed: it is buffered whole before it is passed on.
@@ -87,6 +91,11 @@
     """The functions of the entry VM that a forwarder calls.
 
     :ivar find_contracts: returns the contracts in force, ``None`` where none are known
+    :ivar admit: raises :class:`PartQuarantined` if the call's prompt may not be sent now
+    :ivar is_suspect: returns whether crashes of backend servers have the call's prompt in common
+    :ivar record_begun: records that a backend server began to answer a call
+    :ivar record_crash: records that a backend server ended before it began to answer a call, with
+        the times on the monotonic clock at which the call was sent and its connection broke
     :ivar choose: waits for a backend server and counts the call there; returns ``None`` if no
         backend server takes new work
     :ivar is_open: returns whether a backend server still takes new work
@@ -98,6 +107,10 @@
     """
 
     find_contracts: Callable[[], Contracts | None]
+    admit: Callable[[Plan, CallProgress], None]
+    is_suspect: Callable[[Plan], bool]
+    record_begun: Callable[[Plan], None]
+    record_crash: Callable[[Plan, Backend, float, float], None]
     choose: Callable[[Plan, CallProgress], Choice | None]
     is_open: Callable[[Backend], bool]
     record_request: Callable[[str], None]
@@ -113,12 +126,20 @@
     :param hooks: functions of the other parts of the entry VM
     :param wire: the header conventions
     :param connections: connections to backend servers
+    :param terminations: tells which backend servers have ended
     """
 
-    def __init__(self, hooks: ForwardingHooks, wire: Wire, connections: Connections):
+    def __init__(
+        self,
+        hooks: ForwardingHooks,
+        wire: Wire,
+        connections: Connections,
+        terminations: Terminations,
+    ):
         self._hooks = hooks
         self._wire = wire
         self._connections = connections
+        self._terminations = terminations
 
     def serve(self, caller: Caller, request: Request) -> None:
         """Answer one request of a caller.
@@ -182,11 +203,14 @@
             backend, failure = self._try_next(caller, plan, progress)
             if failure is None:
                 return
-            if backend is None:
+            if isinstance(failure, PartQuarantined):
+                reason = "a part of the prompt is quarantined"
+            elif backend is None:
                 reason = "no backend server became available in time"
             else:
                 progress.avoid.add(backend.name)
                 progress.may_have_run |= failure.outcome is not Outcome.NOT_RUN
+                self._report_crash(plan, progress, failure)
                 reason = self._find_stop_reason(plan, progress, failure)
             log.info(
                 "attempt_failed",
@@ -211,6 +235,7 @@
     ) -> tuple[Backend | None, BalsamtallyError | None]:
         """Try the next backend server; return the server, if one was found, and the failure."""
         try:
+            self._hooks.admit(plan, progress)
             choice = self._hooks.choose(plan, progress)
         except CapacityError as error:
             return None, error
@@ -218,6 +243,22 @@
             return None, NoBackend()
         return choice.backend, self._try_backend(caller, plan, progress, choice)
 
+    def _report_crash(self, plan: Plan, progress: CallProgress, failure: BalsamtallyError) -> None:
+        """Report the end of a backend server that hadn't begun to answer the call."""
+        if not isinstance(failure, AnswerCut) or progress.attempt_begun:
+            return
+        if not plan.call.shared_parts:
+            return
+        backend, sent_s = progress.backend, progress.attempt_sent_s
+        cut_s = time.monotonic()
+        crashed = self._terminations.report(
+            backend, lambda: self._hooks.record_crash(plan, backend, sent_s, cut_s)
+        )
+        progress.crashes += crashed
+
+    def _is_suspect(self, plan: Plan, progress: CallProgress) -> bool:
+        return progress.crashes > 0 and self._hooks.is_suspect(plan)
+
     def _has_attempts(self, plan: Plan, progress: CallProgress, failure: BalsamtallyError) -> bool:
         """Return whether a call has attempts left.
 
@@ -227,7 +268,7 @@
             return True
         if not isinstance(failure, AnswerCut) or progress.terminated >= MAX_UNREACHABLE:
             return False
-        if not self._connections.refuses_connections(progress.backend):
+        if not self._terminations.has_terminated(progress.backend):
             return False
         progress.terminated += 1
         log.info("backend_ended", request=plan.call.id, backend=progress.backend.name)
@@ -244,6 +285,8 @@
             return "" if progress.unreachable <= MAX_UNREACHABLE else "too many failed connections"
         if failure.outcome is not Outcome.NOT_RUN and not may_repeat(plan, progress):
             return "the call may have run and is not repeatable"
+        if progress.crashes >= MAX_CRASHES or self._is_suspect(plan, progress):
+            return "the prompt is suspected of crashing backend servers"
         if not self._has_attempts(plan, progress, failure):
             return "no attempts are left"
         return "" if self._hooks.take_retry(plan.service) else "the retry budget is exhausted"
@@ -275,6 +318,7 @@
             # The backend server may have started to drain while the connection was opened.
             if not self._hooks.is_open(backend):
                 raise BackendLeaving(f"{backend.name} is draining")
+            self._hooks.admit(plan, progress)
             attempt = self._send(plan, progress, backend, connection)
             head, verdict = self._read_head(plan, attempt, connection)
             self._check_verdict(plan, backend, head, verdict, connection)
@@ -282,6 +326,7 @@
                 self._pass_stream(caller, plan, progress, head, connection, work)
             else:
                 self._pass_whole(caller, plan, progress, head, connection)
+                self._record_begun(plan, progress)
         finally:
             self._connections.release(backend, connection)
 
@@ -298,6 +343,7 @@
         progress.backend = backend
         progress.attempt_sent_s = time.monotonic()
         progress.attempt_begun = False
+        progress.probed_parts.clear()
         headers = self._wire.make_headers(attempt)
         connection.send(call.method, call.target, headers, call.body, plan.until_s)
         return attempt
@@ -386,7 +432,7 @@
             if not events:
                 continue
             work.record_answer_start()
-            progress.attempt_begun = True
+            self._record_begun(plan, progress)
             now = time.monotonic()
             if not progress.begun:
                 progress.first_event_s = progress.last_piece_s = now
@@ -403,6 +449,11 @@
             self._begin_stream(caller, progress, head)
         caller.end()
 
+    def _record_begun(self, plan: Plan, progress: CallProgress) -> None:
+        if not progress.attempt_begun:
+            progress.attempt_begun = True
+            self._hooks.record_begun(plan)
+
     def _begin_stream(self, caller: Caller, progress: CallProgress, head: AnswerHead) -> None:
         progress.begun = True
         progress.status = head.status
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -6,8 +6,10 @@
 import contextlib
 import time
 from collections.abc import Callable
+from urllib.parse import parse_qs
 
 import gevent
+import msgspec
 from gevent import socket
 
 from balsamtally.asks import PlacementClient
@@ -20,6 +22,7 @@
 from balsamtally.calls import Backend, Limits
 from balsamtally.catalog import Catalog, Decoder
 from balsamtally.coordination import Ask, Reply, Withdrawal
+from balsamtally.crash_evidence import list_keys
 from balsamtally.dispatch import Dispatch
 from balsamtally.errors import BalsamtallyError, CallerLeft
 from balsamtally.forwarding import Forwarder, ForwardingHooks, Wire
@@ -27,12 +30,17 @@
 from balsamtally.logs import log
 from balsamtally.peers import RECORDS_PATH, Peers
 from balsamtally.plans import CallProgress, Plan
+from balsamtally.quarantine import Quarantine, QuarantineUpdate
+from balsamtally.quarantine_exchange import QuarantineExchange
 from balsamtally.reports import Report
 from balsamtally.reservations import Reservations
 from balsamtally.sockets import listen
 from balsamtally.tasks import spawn_repeating
+from balsamtally.terminations import Terminations
 
 METRICS_PATH = "/metrics"
+QUARANTINE_PATH = "/quarantine"
+RELEASE_PATH = "/quarantine/release"
 HOUSEKEEPING_INTERVAL_S = 0.5
 # Requests that arrive before the contracts are known wait until this time after the start. Reading
 # the store over the longest network path takes 0.15 s, fetching from a peer instead 0.4 s.
@@ -130,9 +138,13 @@
         )
         self._reservations = Reservations(self._dispatch, send)
         self._connect_placement()
+        self._quarantine = Quarantine(settings.vm, lambda: self._quarantine_exchange.announce())
+        self._quarantine_exchange = QuarantineExchange(self._quarantine, self._list_peer_ips, send)
+        self.peers.handlers[QuarantineUpdate] = self._quarantine_exchange.handle_update
         self._budget = FleetBudget(settings.budget, self.peers.count_members)
         self._connections = Connections()
-        self._forwarder = Forwarder(self._make_hooks(), wire, self._connections)
+        self._terminations = Terminations(self._connections.refuses_connections)
+        self._forwarder = Forwarder(self._make_hooks(), wire, self._connections, self._terminations)
         self._callers = CallerServer(
             listener, self._find_limits, self._serve_call, self._forwarder.refuse, time.monotonic
         )
@@ -154,6 +166,10 @@
         """Process a peer's heartbeat, after the backlog it reports was recorded."""
         self._reservations.release_confirmed(beat)
         self._dispatch.record_beat(beat)
+        self._quarantine_exchange.greet(beat)
+
+    def _list_peer_ips(self) -> list[str]:
+        return [peer.beat.ip for peer in self.peers.list_alive()]
 
     def _announce_work(self, service: str) -> None:
         """Schedule a heartbeat to the coordinator of a service after the local load changed."""
@@ -176,6 +192,10 @@
     def _make_hooks(self) -> ForwardingHooks:
         return ForwardingHooks(
             find_contracts=lambda: self.catalog.contracts,
+            admit=self._admit,
+            is_suspect=lambda plan: self._quarantine.is_suspect(list_keys(plan.call.shared_parts)),
+            record_begun=self._record_begun,
+            record_crash=self._record_crash,
             choose=self._placement_client.choose,
             is_open=self._dispatch.is_open,
             record_request=self._budget.record_request,
@@ -185,10 +205,23 @@
             record_end=self._record_end,
         )
 
+    def _admit(self, plan: Plan, progress: CallProgress) -> None:
+        parts = list_keys(plan.call.shared_parts)
+        self._quarantine.admit(plan.service, parts, progress.probed_parts)
+
+    def _record_begun(self, plan: Plan) -> None:
+        self._quarantine.record_begun(plan.service, list_keys(plan.call.shared_parts))
+
+    def _record_crash(self, plan: Plan, backend: Backend, sent_s: float, cut_s: float) -> None:
+        parts = list_keys(plan.call.shared_parts)
+        log.info("backend_crashed", backend=backend.name, request=plan.call.id, parts=list(parts))
+        self._quarantine.record_crash(backend, parts, sent_s, cut_s)
+
     def __enter__(self) -> "Gateway":
         enter = self._stack.enter_context
         enter(self._connections)
         enter(self.peers)
+        enter(self._quarantine_exchange)
         enter(self._reservations)
         enter(self._serve_pages(self.settings.ready_address))
         enter(self._serve_pages(self.settings.peer_address))
@@ -226,7 +259,7 @@
             self.catalog.known.wait(left_s)
 
     def _serve_page(self, caller: Caller, request: Request) -> None:
-        """Answer the balancer's health check, a peer's request for records or a metrics scrape."""
+        """Answer the balancer's health check, or a request of a peer or an operator."""
         path, _, query = request.target.decode("latin-1").partition("?")
         if path == METRICS_PATH:
             body, content_type = self._metrics.render()
@@ -236,14 +269,28 @@
                 caller.answer(200, (), self.peers.answer_pull(query))
             except ValueError:
                 caller.answer(400, (), b"")
+        elif path == QUARANTINE_PATH:
+            body = msgspec.json.encode(self._quarantine.list_entries())
+            caller.answer(200, ((b"Content-Type", b"application/json"),), body)
+        elif path == RELEASE_PATH:
+            caller.answer(self._release(request, query), (), b"")
         else:
             caller.answer(200 if self.ready else 503, (), b"")
 
+    def _release(self, request: Request, query: str) -> int:
+        """Release a quarantined group of prompt parts; return the HTTP status of the answer."""
+        if request.method != b"POST":
+            return 405
+        parts = tuple(parse_qs(query).get("part", ()))
+        released = self._quarantine.release(tuple(sorted(parts)), "an operator released it")
+        return 200 if released else 404
+
     def _run_housekeeping(self) -> None:
         gevent.sleep(HOUSEKEEPING_INTERVAL_S)
         self.catalog.remove_lapsed()
         self._connections.keep_only(self.catalog.backends.values())
         self._dispatch.forget_removed()
+        self._terminations.check_pending(self.catalog.backends)
 
     def _read_gauges(self) -> CallGauges:
         contracts = self.catalog.contracts
@@ -262,6 +309,7 @@
             platform_age_s=time.monotonic() - self.catalog.platform_read_s,
             opened=self._connections.opened,
             dropped_lines=self._count_dropped(),
+            quarantined=len(self._quarantine.list_entries()),
         )
 
     def _record_outcome(
--- a/balsamtally/peers.py
+++ b/balsamtally/peers.py
@@ -29,6 +29,7 @@
 )
 from balsamtally.errors import BalsamtallyError
 from balsamtally.logs import log
+from balsamtally.quarantine import QuarantineUpdate
 from balsamtally.readers import PlatformReadState, should_read
 from balsamtally.records import Update
 from balsamtally.reports import Report
@@ -78,7 +79,7 @@
 RECORDS_PATH = b"/records"
 # Stands for the service of unknown backend servers.
 UNKNOWN_SERVICE = ""
-Message = Ask | Withdrawal | Reply
+Message = Ask | Withdrawal | Reply | QuarantineUpdate
 
 
 class Peers:
--- a/balsamtally/plans.py
+++ b/balsamtally/plans.py
@@ -42,6 +42,7 @@
 
     :ivar sent: number of attempts that were sent to a backend server
     :ivar terminated: number of attempts whose backend server has terminated since
+    :ivar crashes: number of attempts whose backend server ended before it began to answer
     :ivar unreachable: number of attempts whose backend server could not be reached
     :ivar waited_s: time from the call's arrival to its first attempt, in seconds
     :ivar avoid: names of backend servers that are not tried again
@@ -51,6 +52,7 @@
     :ivar begun: whether the head of an answer was sent to the caller
     :ivar attempt_sent_s: monotonic clock when the last attempt was sent, in seconds
     :ivar attempt_begun: whether the backend server of the last attempt began to answer it
+    :ivar probed_parts: quarantined groups of prompt parts that the next attempt probes
     :ivar first_event_s: monotonic clock when the answer began, in seconds, 0 before
     :ivar last_piece_s: monotonic clock when the last chunk of a stream arrived, in seconds
     :ivar longest_gap_s: longest time between two chunks of the stream, in seconds
@@ -60,6 +62,7 @@
 
     sent: int = 0
     terminated: int = 0
+    crashes: int = 0
     unreachable: int = 0
     waited_s: float = 0.0
     avoid: set[str] = field(default_factory=set)
@@ -69,6 +72,7 @@
     begun: bool = False
     attempt_sent_s: float = 0.0
     attempt_begun: bool = False
+    probed_parts: set[tuple[str, ...]] = field(default_factory=set)
     first_event_s: float = 0.0
     last_piece_s: float = 0.0
     longest_gap_s: float = 0.0
--- a/balsamtally/reports.py
+++ b/balsamtally/reports.py
@@ -11,6 +11,7 @@
     BackendUnreachable,
     BalsamtallyError,
     NoAnswer,
+    PartQuarantined,
 )
 from balsamtally.plans import Plan
 
@@ -110,6 +111,6 @@
     :param plan: the call's plan
     :param took_s: duration of the attempt, in seconds
     """
-    if isinstance(failure, BackendLeaving):
+    if isinstance(failure, (BackendLeaving, PartQuarantined)):
         return False
     return not isinstance(failure, NoAnswer) or took_s >= plan.route.target_s * MIN_SILENCE_TARGETS
--- a/tests/balsamtally/scripted.py
+++ b/tests/balsamtally/scripted.py
@@ -239,6 +239,10 @@
 
     fields = {
         "find_contracts": lambda: contracts,
+        "admit": lambda plan, progress: None,
+        "is_suspect": lambda plan: False,
+        "record_begun": lambda *fields: recorded.append(("begun", *fields)),
+        "record_crash": lambda *fields: recorded.append(("crash", *fields)),
         "choose": choose,
         "is_open": lambda backend: True,
         "record_request": lambda service: None,
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -11,10 +11,12 @@
 
 from balsamtally.backends import Connections
 from balsamtally.callers import CallerServer
-from balsamtally.calls import Account, Branch, Limits, Repeat
+from balsamtally.calls import Account, Branch, Limits, PromptPart, Repeat
+from balsamtally.errors import PartQuarantined
 from balsamtally.forwarding import Forwarder
 from balsamtally.plans import make_plan, pick_service
 from balsamtally.sockets import listen
+from balsamtally.terminations import Terminations
 from tests.balsamtally.scripted import (
     ScriptedBackend,
     hang,
@@ -32,6 +34,7 @@
 STREAM = b"HTTP/1.1 200 OK\r\nId: id1\r\nSigned: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 STREAM_AGAIN = STREAM.replace(b"Signed: a", b"Signed: b")
 END = b"0\r\n\r\n"
+OWN_PART = (PromptPart("o", 5),)
 
 
 def chunk(data):
@@ -49,11 +52,12 @@
 class ForwarderHarness:
     """Runs a forwarder between callers and scripted backend servers."""
 
-    def __init__(self, route, *backends, deadline_s=2.0, names=None, **hooks):
+    def __init__(self, route, *backends, deadline_s=2.0, parts=OWN_PART, **hooks):
         self.servers = [make_backend(f"b{i}", b.address) for i, b in enumerate(backends)]
         found = make_contracts(route)
         self.hooks, self.recorded, self.backlogs = make_hooks(found, self.servers, **hooks)
         self._deadline_s = deadline_s
+        self._parts = parts
 
     def __enter__(self):
         self._stack = contextlib.ExitStack()
@@ -65,9 +69,11 @@
                 body=request.body,
                 method=request.method,
                 target=request.target,
+                parts=self._parts,
             )
         )
-        forwarder = Forwarder(self.hooks, wire, self.connections)
+        terminations = Terminations(self.connections.refuses_connections)
+        forwarder = Forwarder(self.hooks, wire, self.connections, terminations)
         server = CallerServer(
             listen(("127.0.0.1", 0)), Limits, forwarder.serve, forwarder.refuse, time.monotonic
         )
@@ -527,3 +533,97 @@
     script = send_raw(HEAD + b"\r\nthe ", reset=True)
     with ScriptedBackend(script) as one, ForwarderHarness(make_route(), one) as harness:
         assert harness.send()[0] == 502
+
+
+SHARED_PARTS = (PromptPart("s", 10), PromptPart("o", 5))
+
+
+class CrashingBackend(ScriptedBackend):
+    """A backend server that stops listening and breaks off as it begins to answer."""
+
+    def __init__(self, *before):
+        super().__init__(self._crash)
+        self._before = before
+
+    def _crash(self, sock, request):
+        for piece in self._before:
+            sock.sendall(piece)
+        self.stop_listening()
+        return False
+
+
+def test_call_ends_at_most_two_backend_servers_that_had_not_begun_to_answer():
+    route = make_route(Repeat.RESUME, streams=True, max_attempts=5)
+    with CrashingBackend() as one, CrashingBackend() as two, CrashingBackend() as three:
+        with ForwarderHarness(route, one, two, three, parts=SHARED_PARTS) as harness:
+            assert harness.send()[0] == 502
+        assert [len(each.requests) for each in (one, two, three)] == [1, 1, 0]
+    assert [backend.name for _, backend, *_ in harness.list_recorded("crash")] == ["b0", "b1"]
+
+
+def test_call_whose_answer_had_begun_survives_the_end_of_its_backend_servers():
+    route = make_route(Repeat.RESUME, streams=True, max_attempts=1)
+    begun = [CrashingBackend(STREAM + events(n, n)) for n in (1, 2, 3)]
+    last = ScriptedBackend(send_raw(STREAM + events(4, 4) + END))
+    with contextlib.ExitStack() as stack:
+        for backend in (*begun, last):
+            stack.enter_context(backend)
+        harness = ForwarderHarness(route, *begun, last, parts=SHARED_PARTS)
+        with harness:
+            status, _, body, whole = harness.send()
+    assert (status, whole) == (200, True)
+    assert body == b"".join(map(event, (1, 2, 3, 4)))
+    assert not harness.list_recorded("crash")
+
+
+def test_call_with_suspected_parts_is_not_retried_after_a_crash():
+    route = make_route(Repeat.RESUME, streams=True)
+    with CrashingBackend() as one, ScriptedBackend(send_raw(STREAM + END)) as two:
+        with ForwarderHarness(
+            route, one, two, parts=SHARED_PARTS, is_suspect=lambda plan: True
+        ) as harness:
+            assert harness.send()[0] == 502
+        assert len(one.requests) == 1 and not two.requests
+
+
+def test_cut_connection_to_a_running_backend_server_is_no_crash():
+    route = make_route(Repeat.RESUME, streams=True)
+    with (
+        ScriptedBackend(send_raw(reset=True)) as one,
+        ScriptedBackend(send_raw(STREAM + END)) as two,
+    ):
+        with ForwarderHarness(
+            route, one, two, parts=SHARED_PARTS, is_suspect=lambda plan: True
+        ) as harness:
+            assert harness.send()[0] == 200
+        assert not harness.list_recorded("crash")
+
+
+def test_part_that_is_quarantined_while_a_call_waits_is_not_sent():
+    refusals = iter((None, PartQuarantined("held", retry_after_s=7.0)))
+
+    def admit(plan, progress):
+        error = next(refusals)
+        if error is not None:
+            raise error
+
+    with ScriptedBackend(reply()) as one:
+        with ForwarderHarness(make_route(), one, parts=SHARED_PARTS, admit=admit) as harness:
+            status, headers, *_ = harness.send()
+        assert (status, headers[b"code"]) == (503, b"2015")
+        assert not one.requests
+
+
+def test_part_that_is_quarantined_after_an_attempt_is_not_reported_as_not_run():
+    refusals = iter((None, None, PartQuarantined()))
+
+    def admit(plan, progress):
+        error = next(refusals)
+        if error is not None:
+            raise error
+
+    route = make_route(Repeat.RESUME, streams=True)
+    with CrashingBackend() as one, ScriptedBackend(send_raw(STREAM + END)) as two:
+        with ForwarderHarness(route, one, two, parts=SHARED_PARTS, admit=admit) as harness:
+            assert harness.send()[0] == 502
+        assert not two.requests
