Write no stored error answer into a stream that has begun

Cause: a 500 is stored as the answer to fall back on; when the next backend server's stream began and broke off and no attempt was left, the stored answer was sent without asking whether the caller's answer had begun.

Evidence: test_stored_error_answer_is_not_written_into_a_begun_stream failed for both kinds of routes: the chunked stream went on with b"HTTP/1.1 500 ".

Change: the stored answer is used only before the head of an answer was sent; else the connection is closed, so that the stream is seen as cut. The test passes.

--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -224,7 +224,7 @@
                 retry=not reason,
                 reason=reason,
             )
-            if reason and progress.failed_answer is not None:
+            if reason and progress.failed_answer is not None and not progress.begun:
                 self._answer_whole(caller, progress, *progress.failed_answer)
                 return
             if reason:
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -627,3 +627,14 @@
         with ForwarderHarness(route, one, two, parts=SHARED_PARTS, admit=admit) as harness:
             assert harness.send()[0] == 502
         assert not two.requests
+
+
+@pytest.mark.parametrize("repeat", [Repeat.ALWAYS, Repeat.RESUME])
+def test_stored_error_answer_is_not_written_into_a_begun_stream(repeat):
+    route = make_route(repeat, streams=True)
+    error = reply(500, b"broken", b"Id: id1\r\nSigned: e\r\n")
+    with ScriptedBackend(error) as one, ScriptedBackend(send_raw(STREAM + events(1, 2))) as two:
+        with ForwarderHarness(route, one, two) as harness:
+            status, _, body, whole = harness.send()
+    assert (status, whole) == (200, False)
+    assert body == event(1) + event(2)
