Refuse a second answer to a request whose answer has begun

What callers could see: a head within the body of a begun answer, from any path that answers with an error after the answer's head.

Cause: Caller.answer opened a new parser state where the old one couldn't send a head, so that nothing kept a whole answer out of a begun one.

Evidence: test_second_answer_is_not_written_into_a_begun_answer failed: the error text was sent.

Change: the method raises AnswerBegun (3009), and the connection ends as cut.

--- a/balsamtally/callers.py
+++ b/balsamtally/callers.py
@@ -16,6 +16,7 @@
 
 from balsamtally.calls import Headers, Limits
 from balsamtally.errors import (
+    AnswerBegun,
     BalsamtallyError,
     BodyTooLarge,
     CallerLeft,
@@ -295,7 +296,10 @@
         :param status: HTTP status
         :param headers: headers without the length
         :param body: the body
+        :raises AnswerBegun: if an answer to the request has begun
         """
+        if self.began_answer:
+            raise AnswerBegun
         size = (b"Content-Length", b"%d" % len(body))
         head = h11.Response(status_code=status, headers=[*headers, size, *self._begin_answer()])
         if self._http is None or self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
--- a/balsamtally/errors.py
+++ b/balsamtally/errors.py
@@ -407,6 +407,13 @@
     default = "the caller closed its side of the connection; its work was cancelled"
 
 
+class AnswerBegun(ResultError):
+    """Another answer was to be written into one that had begun; only a fault of balsamtally."""
+
+    code = 3009
+    default = "the answer has begun already"
+
+
 class OperatorError(BalsamtallyError):
     """An operator's input isn't valid."""
 
--- a/tests/balsamtally/test_callers.py
+++ b/tests/balsamtally/test_callers.py
@@ -13,7 +13,7 @@
 
 from balsamtally.callers import CallerServer
 from balsamtally.calls import Limits
-from balsamtally.errors import CallerLeft, MalformedRequest
+from balsamtally.errors import AnswerBegun, BalsamtallyError, CallerLeft, MalformedRequest
 from balsamtally.sockets import listen
 
 LIMITS = Limits(1000, 5000, 0.3, 0.4)
@@ -338,3 +338,22 @@
             gevent.sleep(0.05)
             assert not server.callers
     assert answers.count(b"HTTP/1.1 200") == 1 and len(seen) == 1
+
+
+def test_second_answer_is_not_written_into_a_begun_answer():
+    failures = []
+
+    def handle(caller, request):
+        caller.begin(200, ())
+        caller.send(b"first")
+        try:
+            caller.answer(500, (), b"error text")
+        except BalsamtallyError as error:
+            failures.append(error.code)
+
+    with serve(handle) as (connect, _, _):
+        with contextlib.closing(connect()) as sock:
+            sock.sendall(HEAD + b"Content-Length: 0\r\n\r\n")
+            data = read_all(sock)
+    assert failures == [AnswerBegun.code]
+    assert data.endswith(b"\r\n5\r\nfirst\r\n") and b"error" not in data
