Let a chat fail at most two runners before their first token

What callers saw: on the chat interface, a prompt that crashes runners ended up to eight of them, within the retry budget; the same cause as on the platform (an attempt cut by the end of its runner tells nothing about the prompt).

Change: attempts whose runner failed before it sent a token are counted, and after two the chat isn't retried. Attempts that delivered tokens go on as before.

Not done: chats name no prompt parts, so that a later chat with the same prompt is sent again.

--- a/balsamtally/chats.py
+++ b/balsamtally/chats.py
@@ -31,6 +31,9 @@
 )
 
 MAX_ATTEMPTS = 8
+# Runners that may fail before they send the first token of their attempt. A prompt that crashes
+# runners would otherwise crash one with each attempt.
+MAX_FAILED_STARTS = 2
 CHARACTERS_PER_TOKEN = 4
 TOKEN_LIMITS = ("max_tokens", "max_completion_tokens")
 
@@ -67,6 +70,7 @@
     :ivar tokens: number of tokens delivered
     :ivar attempts: number of attempts started
     :ivar preemptions: number of times the request was preempted
+    :ivar failed_starts: number of attempts whose runner failed before it sent a token
     :ivar reached_runner: whether a runner may have started to process an attempt
     :ivar first_token_s: time from arrival to the first token in seconds, negative before it
     :ivar last_token_s: time from arrival to the latest token in seconds
@@ -78,6 +82,7 @@
     tokens: int = 0
     attempts: int = 0
     preemptions: int = 0
+    failed_starts: int = 0
     reached_runner: bool = False
     first_token_s: float = -1.0
     last_token_s: float = -1.0
@@ -141,9 +146,9 @@
                 log.info("preempted", request=chat.request, tokens=progress.tokens)
             except (RunnerRefused, RunnerFailed, WrongAnswer) as failure:
                 progress.excluded.append(slot.grant.runner)
-                is_budget_exempt = progress.tokens > tokens_before or isinstance(
-                    failure, RunnerRefused
-                )
+                is_refused = isinstance(failure, RunnerRefused)
+                progress.failed_starts += progress.tokens == tokens_before and not is_refused
+                is_budget_exempt = progress.tokens > tokens_before or is_refused
                 self._require_retry(chat, progress, failure, is_budget_exempt)
         yield Chunk(chat.request, (Choice(finish_reason="length"),))
 
@@ -272,8 +277,10 @@
         A retry after an attempt that delivered tokens or was refused by the runner doesn't count
         against the retry budget: no token is generated twice, so it adds hardly any load.
         """
-        allowed = progress.attempts < MAX_ATTEMPTS and (
-            is_budget_exempt or self.take_retry(chat.request_class.name, chat.pool.name)
+        allowed = (
+            progress.attempts < MAX_ATTEMPTS
+            and progress.failed_starts < MAX_FAILED_STARTS
+            and (is_budget_exempt or self.take_retry(chat.request_class.name, chat.pool.name))
         )
         self.record_decision(
             decision="retry" if allowed else "give_up",
--- a/tests/balsamtally/test_chats.py
+++ b/tests/balsamtally/test_chats.py
@@ -134,3 +134,15 @@
     with pytest.raises(error):
         run(world, script)
     assert len(world.releases) == len(world.asks) == len(script)
+
+
+def test_chat_that_fails_runners_before_its_first_token_reaches_at_most_two(world):
+    world.budget = module.MAX_ATTEMPTS
+    with pytest.raises(NoAnswer):
+        run(world, [("cut", 0)] * module.MAX_ATTEMPTS)
+    assert len(world.asks) == 2
+
+
+def test_chat_whose_attempts_deliver_tokens_survives_many_runners(world):
+    text, _, progress = run(world, [("cut", 1), ("cut", 0), ("cut", 1), ("cut", 1)])
+    assert (text, progress.attempts) == ("abcd", 5)
