Ask peers for answers that began before parts are quarantined

Cause: every VM told all others of each answer that began with a part at a crashed runner, popular parts too. 83 VMs times 82 datagrams a crash kept the small VMs busy and delayed the quarantine itself.

Change: only VMs whose own calls met a crash decide. They propose the parts to all, and those that saw an answer begin since then reply to the one that asked. Evidence is repeated for 2 s, not 5.

--- a/balsamtally/crash_evidence.py
+++ b/balsamtally/crash_evidence.py
@@ -6,7 +6,7 @@
 """
 
 import time
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
@@ -128,7 +128,7 @@
         :param service: name of the service
         :param parts: keys of the shared parts of the prompt
         :param age_s: time since the answer began, in seconds
-        :return: the parts that more than one crash had implicated until now
+        :return: the parts that a crash had implicated until now
         """
         begun_s = self._clock() - max(0.0, age_s)
         for part in parts:
@@ -139,26 +139,25 @@
         return self._clear(service, parts, begun_s) if self._crashes else ()
 
     def _clear(self, service: str, parts: PartGroup, begun_s: float) -> PartGroup:
-        cleared = Counter()
+        cleared = set()
         for crash in self._crashes.values():
             if crash.service != service:
                 continue
             for part in parts:
                 if crash.sent_s.get(part, begun_s) < begun_s:
                     del crash.sent_s[part]
-                    cleared[part] += 1
-        return tuple(part for part, crashes in cleared.items() if crashes > 1)
+                    cleared.add(part)
+        return tuple(cleared)
 
-    def find_begun(self, service: str, parts: Iterable[str], since_s: float) -> list[BegunPart]:
-        """Return the parts of which an answer began here after a time.
+    def list_begun(self, service: str, parts: Iterable[str]) -> list[BegunPart]:
+        """Return the parts of which an answer is known to have begun, with the last time.
 
         :param service: name of the service
         :param parts: keys of the parts
-        :param since_s: the time on the clock, in seconds
         """
         now = self._clock()
-        known = ((part, self._begun_s.get((service, part), since_s)) for part in parts)
-        return [BegunPart(service, part, now - at_s) for part, at_s in known if at_s > since_s]
+        known = ((part, self._begun_s.get((service, part))) for part in parts)
+        return [BegunPart(service, part, now - at_s) for part, at_s in known if at_s is not None]
 
     def has_begun(self, service: str, parts: Iterable[str]) -> bool:
         """Return whether answers to prompts with each of these parts are known to have begun.
@@ -168,23 +167,19 @@
         """
         return all((service, part) in self._begun_s for part in parts)
 
-    def list_suspects(
-        self, min_crashes: int, min_age_s: float = 0.0
-    ) -> Iterator[tuple[PartGroup, str, list[str]]]:
+    def list_suspects(self, min_crashes: int) -> Iterator[tuple[PartGroup, str, list[str]]]:
         """Yield the groups of parts that several crashes have in common.
 
         A group holds all parts that were at each of the crashes of one of them, since these can't
         be told apart.
 
         :param min_crashes: crashes at different times that a group needs
-        :param min_age_s: crashes count from this age on, in seconds
         :return: for each group its parts, the service of the last crash, and the names of the
             backend servers that crashed
         """
-        until_s = self._clock() - min_age_s
         crashes: dict[str, list[tuple[str, Crash]]] = {}
         for (backend, _), crash in self._crashes.items():
-            for part in crash.sent_s if crash.at_s <= until_s else ():
+            for part in crash.sent_s:
                 crashes.setdefault(part, []).append((backend, crash))
         found = set()
         for implicating in crashes.values():
--- a/balsamtally/quarantine.py
+++ b/balsamtally/quarantine.py
@@ -18,19 +18,32 @@
 # Crashes after which a group of parts is quarantined, and after which calls with it aren't retried.
 CRASHES_TO_QUARANTINE = 3
 CRASHES_TO_SUSPECT = 2
-# Entry VMs wait this long for answers of others that clear a part. It exceeds the delay between
-# regions.
-SETTLE_S = 0.5
+# An entry VM that is about to quarantine parts asks all others, and waits this long for those that
+# saw an answer begin. It exceeds the round trip between regions.
+SETTLE_S = 0.4
+# An entry VM decides for this time after a crash that one of its own calls met.
+DECIDING_S = 10.0
 # Duration of the first quarantine; it doubles with each probe up to the maximum. A probe may cost a
 # backend server and all calls at it.
 FIRST_HOLD_S = 300.0
 MAX_HOLD_S = 3600.0
 MAX_ENTRIES = 256
 # Time for which own findings are repeated to the peers, since datagrams may be lost.
-REPEAT_S = 5.0
+REPEAT_S = 2.0
 MAX_FINDINGS = 64
 
 
+class Candidate(msgspec.Struct, frozen=True, array_like=True):
+    """Parts that an entry VM is about to quarantine.
+
+    :ivar service: service whose backend servers crashed
+    :ivar parts: keys of the parts
+    """
+
+    service: str
+    parts: PartGroup
+
+
 class QuarantineState(msgspec.Struct, frozen=True, array_like=True):
     """A quarantine as entry VMs tell it to each other.
 
@@ -55,14 +68,30 @@
 
     :ivar vm: name of the sender
     :ivar implications: calls of the sender that were at backend servers as these crashed
-    :ivar begun: suspected parts of which the sender saw an answer begin
+    :ivar begun: parts that the receiver suspects and of which the sender saw an answer begin
     :ivar states: the quarantines that the sender knows
+    :ivar candidates: parts that the sender is about to quarantine
     """
 
     vm: str
     implications: tuple[Implication, ...] = ()
     begun: tuple[BegunPart, ...] = ()
     states: tuple[QuarantineState, ...] = ()
+    candidates: tuple[Candidate, ...] = ()
+
+
+@dataclass(frozen=True)
+class Proposal:
+    """A candidate of this entry VM.
+
+    :ivar service: service whose backend servers crashed
+    :ivar since_s: clock when the peers were asked first, in seconds
+    :ivar repeated: whether the peers were asked a second time, since datagrams may be lost
+    """
+
+    service: str
+    since_s: float
+    repeated: bool = False
 
 
 @dataclass(frozen=True)
@@ -127,8 +156,8 @@
         self._evidence = CrashEvidence(clock)
         self._entries: dict[PartGroup, Entry] = {}
         self._own: list[OwnImplication] = []
-        # Suspected parts of peers, by service and part, with the time until which they are checked.
-        self._watched_s: dict[tuple[str, str], float] = {}
+        self._own_crash_s = -DECIDING_S
+        self._proposals: dict[PartGroup, Proposal] = {}
 
     # Calls.
 
@@ -173,12 +202,8 @@
         :param service: name of the service
         :param parts: keys of the shared parts of the prompt
         """
-        cleared = self._evidence.record_begun(service, parts)
-        watched = any((service, part) in self._watched_s for part in parts)
-        released = self._release_begun(service, parts) if self._entries else False
-        if cleared or watched or released:
-            for part in parts:
-                self._watched_s[service, part] = self._clock() + REPEAT_S
+        self._evidence.record_begun(service, parts)
+        if self._entries and self._release_begun(service, parts):
             self._on_change()
 
     def record_crash(
@@ -199,6 +224,7 @@
         )
         self._evidence.add(implication)
         self._own = [*self._own[1 - MAX_FINDINGS :], OwnImplication(implication, now)]
+        self._own_crash_s = now
         self._on_change()
 
     def is_suspect(self, parts: PartGroup) -> bool:
@@ -211,17 +237,29 @@
     # Decisions.
 
     def decide(self) -> None:
-        """Quarantine the groups of parts for which there is enough evidence."""
-        for group, service, backends in self._evidence.list_suspects(
-            CRASHES_TO_QUARANTINE, SETTLE_S
-        ):
+        """Propose and quarantine the groups of parts for which there is enough evidence."""
+        now = self._clock()
+        if now - self._own_crash_s > DECIDING_S:
+            return
+        before, self._proposals = self._proposals, {}
+        for group, service, backends in self._evidence.list_suspects(CRASHES_TO_QUARANTINE):
             held = set(group)
-            if any(
-                not entry.released and held.issuperset(known)
-                for known, entry in self._entries.items()
-            ):
+            if self._is_covered(held):
                 continue
-            self._hold(group, service, self._entries.get(group), "crashes", backends)
+            proposal = find_proposal(held, before) or Proposal(service, now)
+            waited_s = now - proposal.since_s
+            if waited_s >= SETTLE_S:
+                self._hold(group, service, self._entries.get(group), "crashes", backends)
+                continue
+            repeated = waited_s >= SETTLE_S / 2
+            if waited_s == 0.0 or repeated > proposal.repeated:
+                self._on_change()
+            self._proposals[group] = replace(proposal, repeated=repeated)
+
+    def _is_covered(self, held: set[str]) -> bool:
+        return any(
+            not entry.released and held.issuperset(group) for group, entry in self._entries.items()
+        )
 
     def _hold(
         self,
@@ -293,8 +331,6 @@
         now = self._clock()
         self._evidence.prune()
         self._own = [own for own in self._own if now - own.at_s <= REPEAT_S]
-        for key in [key for key, until_s in self._watched_s.items() if now > until_s]:
-            del self._watched_s[key]
         for group, entry in list(self._entries.items()):
             if now > entry.until_s + entry.hold_s:
                 del self._entries[group]
@@ -304,22 +340,35 @@
     def make_update(self) -> QuarantineUpdate | None:
         """Return what the peers should know, ``None`` if there is nothing."""
         now = self._clock()
-        begun = [
-            found
-            for service, part in self._watched_s
-            for found in self._evidence.find_begun(service, (part,), now - REPEAT_S)
-        ]
         own = [own.make_current(now) for own in self._own if now - own.at_s <= REPEAT_S]
         states = self._list_states(now)
-        if not (begun or own or states):
+        candidates = [
+            Candidate(proposal.service, group) for group, proposal in self._proposals.items()
+        ]
+        if not (own or states or candidates):
             return None
         return QuarantineUpdate(
-            self._vm, tuple(own[-MAX_FINDINGS:]), tuple(begun[-MAX_FINDINGS:]), tuple(states)
+            self._vm,
+            tuple(own),
+            states=tuple(states),
+            candidates=tuple(candidates[:MAX_FINDINGS]),
         )
 
     def has_findings(self) -> bool:
         """Return whether there is own evidence that is repeated to the peers."""
-        return bool(self._own or self._watched_s)
+        return bool(self._own)
+
+    def make_objection(self, update: QuarantineUpdate) -> QuarantineUpdate | None:
+        """Return the answers that began here to candidates of a peer, ``None`` if there were none.
+
+        :param update: the peer's update
+        """
+        begun = [
+            found
+            for candidate in update.candidates[:MAX_FINDINGS]
+            for found in self._evidence.list_begun(candidate.service, candidate.parts)
+        ]
+        return QuarantineUpdate(self._vm, begun=tuple(begun)) if begun else None
 
     def _list_states(self, now: float) -> list[QuarantineState]:
         newest = sorted(self._entries.items(), key=lambda item: item[1].until_s)[-MAX_FINDINGS:]
@@ -340,15 +389,12 @@
 
         :param update: the peer's update
         """
-        now = self._clock()
-        for begun in update.begun[:MAX_FINDINGS]:
-            self._evidence.record_begun(begun.service, (begun.part,), begun.age_s)
+        for begun in update.begun:
+            cleared = self._evidence.record_begun(begun.service, (begun.part,), begun.age_s)
+            if cleared and self._release_begun(begun.service, cleared):
+                self._on_change()
         for implication in update.implications[:MAX_FINDINGS]:
             self._evidence.add(implication)
-            # Own answers since then clear the parts at the peers too.
-            since_s = now - implication.sent_age_s
-            for begun in self._evidence.find_begun(implication.service, implication.parts, since_s):
-                self._watched_s[begun.service, begun.part] = now + REPEAT_S
         for state in update.states[:MAX_FINDINGS]:
             self._merge_state(state, update.vm)
 
@@ -389,3 +435,13 @@
         """Return the quarantines in force with all their fields, for operators."""
         states = self._list_states(self._clock())
         return [msgspec.structs.asdict(state) for state in states if not state.released]
+
+
+def find_proposal(held: set[str], proposals: dict[PartGroup, Proposal]) -> Proposal | None:
+    """Return the earliest proposal that asked for all parts of a group, ``None`` if there is none.
+
+    :param held: the parts of the group
+    :param proposals: proposals by group
+    """
+    asked = [proposal for group, proposal in proposals.items() if held.issubset(group)]
+    return min(asked, key=lambda proposal: proposal.since_s, default=None)
--- a/balsamtally/quarantine_exchange.py
+++ b/balsamtally/quarantine_exchange.py
@@ -64,6 +64,9 @@
         :param update: the update
         :param sender: IP number of the peer
         """
+        objection = self._quarantine.make_objection(update)
+        if objection is not None:
+            self._send_parts(objection, [sender])
         self._quarantine.merge_update(update)
         if update.implications:
             self._decide_soon()
@@ -102,7 +105,11 @@
 
     def _send_update(self, ips: list[str]) -> None:
         update = self._quarantine.make_update()
-        for part in split_update(update) if update is not None else ():
+        if update is not None:
+            self._send_parts(update, ips)
+
+    def _send_parts(self, update: QuarantineUpdate, ips: list[str]) -> None:
+        for part in split_update(update):
             for ip in ips:
                 self._send(part, ip)
 
@@ -115,7 +122,7 @@
     if len(msgspec.msgpack.encode(update)) <= MAX_UPDATE_BYTES:
         yield update
         return
-    names = ("implications", "begun", "states")
+    names = ("implications", "begun", "states", "candidates")
     if all(len(getattr(update, name)) <= 1 for name in names):
         if sum(len(getattr(update, name)) for name in names) <= 1:
             log.warning("quarantine_update_too_large", vm=update.vm)
--- a/tests/balsamtally/test_quarantine_exchange.py
+++ b/tests/balsamtally/test_quarantine_exchange.py
@@ -3,6 +3,7 @@
 import contextlib
 import time
 
+import gevent
 import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
@@ -109,3 +110,17 @@
     assert all(len(msgspec.msgpack.encode(part)) <= MAX_UPDATE_BYTES for part in parts)
     kept = [found for part in parts for found in part.implications]
     assert kept == implications
+
+
+def test_answers_that_begin_after_a_crash_are_not_told_to_all_peers():
+    with Fleet(4) as fleet:
+        crash_everywhere(fleet, "popular", "dead")
+        expect_soon(lambda: fleet.refuses("popular", "dead"))
+        fleet.quarantines["vm-0"].record_begun("model", ("popular",))
+        expect_soon(lambda: fleet.refuses("dead"))
+        sent = fleet.sent
+        for quarantine in fleet.quarantines.values():
+            for _ in range(50):
+                quarantine.record_begun("model", ("popular", "other"))
+        gevent.sleep(0.2)
+        assert fleet.sent - sent < 20
