Take a refusal without an attempt id as no answer to the call

Cause: 421 and Not-Executed were believed without an Attempt-Id. With the id of another call they were skipped; without any they were taken for this call.

Change: an answer without the id is invalid whatever its status: the outcome is unknown, the connection is closed, and only calls that may be repeated are sent again.

Left: a caller that sends one id twice could still get the earlier refusal's verdict; ids are unique by the protocol.

--- a/balsamtally/platform/wire.py
+++ b/balsamtally/platform/wire.py
@@ -181,11 +181,14 @@
     answered_id = headers.get(ATTEMPT_ID)
     if answered_id is not None and answered_id != attempt.call.id.encode("latin-1"):
         return Verdict.FOREIGN
+    # A refusal without an id may be an earlier one that is sent again, while this call runs.
+    if answered_id is None:
+        return Verdict.INVALID
     if head.status == 421:
         return Verdict.NOT_THERE
     if NOT_EXECUTED in headers and head.status >= 400:
         return Verdict.NOT_RUN
-    if answered_id is None or b"content-encoding" in headers:
+    if b"content-encoding" in headers:
         return Verdict.INVALID
     if SIGNATURE not in headers and (head.status < 400 or head.status in (408, 429, 503)):
         return Verdict.INVALID
