Treat an endless event of a stream as a failed attempt

What callers saw: 500 with code 9000 for a stream whose runner sent bytes without an end and without a boundary between events; the call wasn't tried elsewhere and the runner wasn't held to blame.

Cause: the reader of events raised ValueError past the retries and the record of outcomes.

Evidence: test_bytes_without_end_end_the_attempt_and_the_next_backend_server_answers failed for bodies of streams; for heads, header lines, interim answers and whole bodies it passed before. Heads that break off were sound too (test_answer_that_ends_within_its_head_is_not_passed_on).

Change: it raises AnswerCut; the call goes on by its retry rules.

--- a/balsamtally/events.py
+++ b/balsamtally/events.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from balsamtally.errors import AnswerCut
+
 # Model engines put a few tokens into an event, well under 1 KB.
 MAX_EVENT_BYTES = 262_144
 _END = b"\n\n"
@@ -29,12 +31,12 @@
         """Return the events that a piece completes.
 
         :param piece: the next bytes of the stream
-        :raises ValueError: if the incomplete event is larger than ``MAX_EVENT_BYTES``
+        :raises AnswerCut: if the incomplete event is larger than ``MAX_EVENT_BYTES``
         """
         self._buffer += piece
         *whole, self._buffer = self._buffer.split(_END)
         if len(self._buffer) > MAX_EVENT_BYTES:
-            raise ValueError(f"an event has more than {MAX_EVENT_BYTES} bytes")
+            raise AnswerCut(f"an event has more than {MAX_EVENT_BYTES} bytes")
         return [Event(find_id(text), text + _END) for text in whole]
 
     @property
--- a/tests/balsamtally/test_events.py
+++ b/tests/balsamtally/test_events.py
@@ -4,6 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from balsamtally.errors import AnswerCut
 from balsamtally.events import MAX_EVENT_BYTES, EventReader, find_id
 
 LINES = st.sampled_from([b"id: 3", b"id:12", b"data: x", b"data", b"weight-versions: 2", b"id: x"])
@@ -29,5 +30,5 @@
 
 
 def test_endless_event_is_refused():
-    with pytest.raises(ValueError):
+    with pytest.raises(AnswerCut):
         EventReader().read(b"x" * (MAX_EVENT_BYTES + 1))
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -638,3 +638,61 @@
             status, _, body, whole = harness.send()
     assert (status, whole) == (200, False)
     assert body == event(1) + event(2)
+
+
+HEAD_PIECES = (
+    b"HTTP/1.1 200",
+    b"HTTP/1.1 200 OK\r\nId: id1\r\nSig",
+    b"HTTP/1.1 200 OK\r\nId: id1\r\nSigned: a\r\n",
+    b"HTTP/1.1 200 OK\r\nId: id1\r\nContent-Length: 0\r\n",
+)
+
+
+@pytest.mark.parametrize("streams", [False, True])
+@pytest.mark.parametrize("head", HEAD_PIECES)
+def test_answer_that_ends_within_its_head_is_not_passed_on(head, streams):
+    route = make_route(Repeat.NEVER, streams=streams)
+    with ScriptedBackend(send_raw(head)) as one:
+        with ForwarderHarness(route, one) as harness:
+            assert harness.send()[0] == 502
+
+
+UNFRAMED = b"HTTP/1.1 200 OK\r\nId: id1\r\nSigned: a\r\n\r\n"
+
+
+def send_without_end(*pieces):
+    """Return a script that sends its pieces and then repeats the last one until the close."""
+
+    def run(sock, request):
+        for piece in pieces[:-1]:
+            sock.sendall(piece)
+        with contextlib.suppress(OSError):
+            while True:
+                sock.sendall(pieces[-1])
+        return False
+
+    return run
+
+
+ENDLESS = {
+    "head": send_without_end(b"HTTP/1.1 200 OK\r\n", b"x" * 4096),
+    "header lines": send_without_end(b"HTTP/1.1 200 OK\r\n", b"X: y\r\n" * 512),
+    "interim answers": send_without_end(b"HTTP/1.1 102 Processing\r\n\r\n" * 64),
+    "body": send_without_end(STREAM, chunk(b"x" * 4096)),
+    "unframed body": send_without_end(UNFRAMED, b"x" * 4096),
+}
+
+
+@pytest.mark.parametrize("streams", [False, True])
+@pytest.mark.parametrize("name", ENDLESS)
+def test_bytes_without_end_end_the_attempt_and_the_next_backend_server_answers(name, streams):
+    route = make_route(Repeat.RESUME if streams else Repeat.ALWAYS, streams=streams)
+    last = send_raw(STREAM + events(1, 2) + END)
+    with ScriptedBackend(ENDLESS[name]) as one, ScriptedBackend(last) as two:
+        with ForwarderHarness(route, one, two) as harness:
+            begun_s = time.monotonic()
+            status, _, body, whole = harness.send()
+            assert (status, whole) == (200, True)
+            assert body == event(1) + event(2)
+            assert time.monotonic() - begun_s < route.timeout_s
+            expect_soon(lambda: one.closed == 1)
