Don't pass on an answer as whole because its backend server's process ended

Cause: such an answer ends with its connection, and the kernel closes the connections of a process that ends in the same way. An empty stream was taken for a whole one, too.

Evidence: test_answer_without_a_length_is_cut_if_its_backend_server_ended (whole and stream) and test_stream_without_chunks_and_events_is_cut failed: 200, whole.

Change: an answer that ended with its connection is whole only if the backend server still accepts connections, and a stream only if it had an event; otherwise the attempt was cut, and a stream that may be resumed goes on elsewhere.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -50,6 +50,8 @@
     :param sock: the connected socket
     :ivar idle_since_s: monotonic clock when the last exchange ended, in seconds
     :ivar idle_limit_s: longest idle time after which the connection is reused, in seconds
+    :ivar ends_by_close: whether the last answer has neither a length nor chunks, so that it ends
+        with the connection
     """
 
     def __init__(self, sock: socket.socket):
@@ -59,6 +61,7 @@
         self._whole_request = False
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
+        self.ends_by_close = False
         self._irregular = False
         self._read_bytes = 0
 
@@ -126,6 +129,7 @@
         names = [name.lower() for name, _ in headers]
         if names.count(b"content-length") + names.count(b"transfer-encoding") > 1:
             raise AnswerCut("the answer has more than one length or transfer encoding header")
+        self.ends_by_close = not {b"content-length", b"transfer-encoding"}.intersection(names)
         self._read_keep_alive(headers)
         return AnswerHead(event.status_code, headers)
 
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -399,6 +399,7 @@
         if progress.begun:
             raise BackendFailed(f"the stream could not be resumed: {head.status}")
         body = connection.read_whole(plan.until_s, MAX_WHOLE_BYTES)
+        self._check_end(progress, connection)
         if head.status >= 500:
             progress.failed_answer = (head, body)
             if head.status == DEADLINE_STATUS:
@@ -445,10 +446,21 @@
                 progress.last_event = ids[-1]
         if reader.rest:
             raise AnswerCut("the stream ended in the middle of an event")
+        if connection.ends_by_close and not progress.attempt_begun:
+            raise AnswerCut("the connection ended before the first event")
+        self._check_end(progress, connection)
         if not progress.begun:
             self._begin_stream(caller, progress, head)
         caller.end()
 
+    def _check_end(self, progress: CallProgress, connection: BackendConnection) -> None:
+        """Check an answer that ended with its connection.
+
+        The connection ends in the same way if the backend server's process ends within the answer.
+        """
+        if connection.ends_by_close and self._terminations.has_terminated(progress.backend):
+            raise AnswerCut("the backend server ended, and the answer has no length")
+
     def _record_begun(self, plan: Plan, progress: CallProgress) -> None:
         if not progress.attempt_begun:
             progress.attempt_begun = True
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -660,6 +660,43 @@
 UNFRAMED = b"HTTP/1.1 200 OK\r\nId: id1\r\nSigned: a\r\n\r\n"
 
 
+@pytest.mark.parametrize("reset", [False, True])
+def test_answer_without_a_length_is_whole_if_its_connection_is_closed_in_order(reset):
+    with ScriptedBackend(send_raw(UNFRAMED, b"whole", pause_s=0.02, reset=reset)) as one:
+        with ForwarderHarness(make_route(), one) as harness:
+            status, _, body, whole = harness.send()
+    assert (status, whole) == ((502, True) if reset else (200, True))
+    assert reset or body == b"whole"
+
+
+@pytest.mark.parametrize("text", [event(1) + event(2), event(1) + b"id: 2\nda"])
+def test_stream_without_chunks_is_whole_if_it_ends_between_two_events(text):
+    route = make_route(Repeat.NEVER, streams=True)
+    with ScriptedBackend(send_raw(UNFRAMED, text)) as one:
+        with ForwarderHarness(route, one) as harness:
+            status, _, body, whole = harness.send()
+    is_cut = text.endswith(b"da")
+    assert (status, whole) == (200, not is_cut)
+    assert body == (event(1) if is_cut else text)
+
+
+@pytest.mark.parametrize("streams", [False, True])
+def test_answer_without_a_length_is_cut_if_its_backend_server_ended(streams):
+    text = event(1) if streams else b"short"
+    route = make_route(Repeat.NEVER, streams=streams)
+    with CrashingBackend(UNFRAMED, text) as one:
+        with ForwarderHarness(route, one) as harness:
+            status, _, body, whole = harness.send()
+    assert (status, whole) == ((200, False) if streams else (502, True))
+
+
+def test_stream_without_chunks_and_events_is_cut():
+    route = make_route(Repeat.NEVER, streams=True)
+    with ScriptedBackend(send_raw(UNFRAMED)) as one:
+        with ForwarderHarness(route, one) as harness:
+            assert harness.send()[0] == 502
+
+
 def send_without_end(*pieces):
     """Return a script that sends its pieces and then repeats the last one until the close."""
 
