Read numbers from outside with a bound on their digits

What callers saw: no answer at all to a request whose Prompt-Prefix had a token count of more than 4,300 digits, and 500 with code 9000, without a retry, where a runner sent an event id or a Keep-Alive time-out of that length. Token-Usage took signs and underscores.

Cause: int() raises ValueError for such text, past the errors that the callers of these parsers handle.

Evidence: test_numbers_of_many_digits_are_malformed, test_usage_must_be_plain_whole_numbers and test_number_of_many_digits_from_a_backend_server_costs_only_the_attempt failed.

Change: one reader of whole numbers for headers of callers, at most 15 digits, else 1007; a longer event id is a wrong answer and the call goes on by its retry rules; a longer time-out is ignored. The readers of published documents weren't looked at.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -29,6 +29,7 @@
 DEFAULT_IDLE_S = 4.0
 # An idle connection is no longer used this long before its backend server would close it.
 IDLE_MARGIN_S = 0.5
+MAX_TIMEOUT_DIGITS = 9
 # Idle connections for each backend server.
 MAX_IDLE_CONNECTIONS = 32
 MAX_HEAD_BYTES = 65_536
@@ -236,7 +237,8 @@
             if name.lower() == b"keep-alive":
                 for word in value.split(b","):
                     key, _, number = word.strip().partition(b"=")
-                    if key.lower() == b"timeout" and number.isdigit():
+                    is_number = number.isdigit() and len(number) <= MAX_TIMEOUT_DIGITS
+                    if key.lower() == b"timeout" and is_number:
                         self.idle_limit_s = max(0.0, int(number) - IDLE_MARGIN_S)
 
     def reset(self, now_s: float) -> bool:
--- a/balsamtally/events.py
+++ b/balsamtally/events.py
@@ -2,10 +2,11 @@
 
 from dataclasses import dataclass
 
-from balsamtally.errors import AnswerCut
+from balsamtally.errors import AnswerCut, WrongAnswer
 
 # Model engines put a few tokens into an event, well under 1 KB.
 MAX_EVENT_BYTES = 262_144
+MAX_ID_DIGITS = 15
 _END = b"\n\n"
 
 
@@ -49,9 +50,12 @@
     """Return the number in the ``id`` field of an event, ``None`` if there is none.
 
     :param text: the event
+    :raises WrongAnswer: if the number has more than ``MAX_ID_DIGITS`` digits
     """
     for line in text.split(b"\n"):
         if line.startswith(b"id:"):
             value = line[3:].strip()
+            if value.isdigit() and len(value) > MAX_ID_DIGITS:
+                raise WrongAnswer(f"the id of an event has {len(value)} digits")
             return int(value) if value.isdigit() else None
     return None
--- a/balsamtally/platform/wire.py
+++ b/balsamtally/platform/wire.py
@@ -14,6 +14,7 @@
 NO_DEADLINE_S = 60.0
 MAX_ID_BYTES = 128
 MAX_PARTS = 256
+MAX_DIGITS = 15
 MAX_URGENCY = 9
 # Hop-by-hop headers, and headers that the router sets itself.
 CONNECTION_HEADERS = frozenset(
@@ -66,11 +67,19 @@
     :return: the number, ``None`` if the header is missing
     :raises MalformedHeader: if the value isn't a non-negative integer of at most 15 digits
     """
-    if value is None:
-        return None
-    if not value.isdigit() or len(value) > 15:
+    return None if value is None else parse_number(value, name)
+
+
+def parse_number(text: bytes, name: str) -> int:
+    """Return a non-negative integer.
+
+    :param text: the digits
+    :param name: what the number is, for the error
+    :raises MalformedHeader: if the text isn't a non-negative integer of at most 15 digits
+    """
+    if not text.isdigit() or len(text) > MAX_DIGITS:
         raise MalformedHeader(f"{name} is not a whole number")
-    return int(value)
+    return int(text)
 
 
 def read_deadline_s(value: bytes | None) -> float:
@@ -108,10 +117,8 @@
     if value is None:
         return 0, 0
     prompt, _, answer = value.partition(b",")
-    try:
-        return max(0, int(prompt)), max(0, int(answer or b"0"))
-    except ValueError as error:
-        raise MalformedHeader("Token-Usage is not two whole numbers") from error
+    name = "a token count of Token-Usage"
+    return parse_number(prompt.strip(), name), parse_number(answer.strip() or b"0", name)
 
 
 def read_parts(value: bytes | None) -> tuple[PromptPart, ...]:
@@ -125,9 +132,10 @@
     parts = []
     for entry in value.split(b",")[:MAX_PARTS]:
         name, _, tokens = entry.strip().partition(b":")
-        if not name or not tokens.isdigit():
-            raise MalformedHeader("Prompt-Prefix has an entry that is not ID:TOKENS")
-        parts.append(PromptPart(name.decode("latin-1"), int(tokens)))
+        if not name:
+            raise MalformedHeader("Prompt-Prefix has an entry without an ID")
+        count = parse_number(tokens, "a token count of Prompt-Prefix")
+        parts.append(PromptPart(name.decode("latin-1"), count))
     return tuple(parts)
 
 
--- a/tests/balsamtally/platform/test_wire.py
+++ b/tests/balsamtally/platform/test_wire.py
@@ -6,8 +6,15 @@
 
 from balsamtally.callers import Request
 from balsamtally.calls import AnswerHead, Attempt, PromptPart, Verdict
-from balsamtally.errors import BackendFailed, NoBackend, RequestError
-from balsamtally.platform.wire import classify, make_headers, pick_headers, read_call, report
+from balsamtally.errors import BackendFailed, MalformedHeader, NoBackend, RequestError
+from balsamtally.platform.wire import (
+    classify,
+    make_headers,
+    pick_headers,
+    read_call,
+    read_usage,
+    report,
+)
 from tests.balsamtally.scripted import make_backend
 
 EXAMPLE = (
@@ -170,3 +177,19 @@
     assert dict(headers)[b"Retry-After"] == b"1.00" and b"2005" in body
     assert all(name.lower() != b"response-signature" for name, _ in headers)
     assert b"Retry-After" not in dict(report("", BackendFailed())[0])
+
+
+@pytest.mark.parametrize("digits", [16, 5000])
+@pytest.mark.parametrize("name", ["Prompt-Prefix", "Token-Usage", "Last-Event-Id", "Length-Hint"])
+def test_numbers_of_many_digits_are_malformed(name, digits):
+    number = b"9" * digits
+    value = b"1f:" + number if name == "Prompt-Prefix" else number
+    request = make_request((name.encode(), value), without=(name.lower().encode(),))
+    with pytest.raises(MalformedHeader):
+        read_call(request)
+
+
+@pytest.mark.parametrize("value", [b"1_0,5", b"+1,5", b"-1,5", b"1,-5", b"1,5,6", b"x"])
+def test_usage_must_be_plain_whole_numbers(value):
+    with pytest.raises(MalformedHeader):
+        read_usage(value)
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -733,3 +733,22 @@
             assert body == event(1) + event(2)
             assert time.monotonic() - begun_s < route.timeout_s
             expect_soon(lambda: one.closed == 1)
+
+
+LONG_NUMBER = b"9" * 5000
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        STREAM + chunk(b"id: " + LONG_NUMBER + b"\ndata: x\n\n") + END,
+        STREAM.replace(b"Signed", b"Keep-Alive: timeout=" + LONG_NUMBER + b"\r\nSigned"),
+    ],
+)
+def test_number_of_many_digits_from_a_backend_server_costs_only_the_attempt(answer):
+    route = make_route(Repeat.RESUME, streams=True)
+    last = send_raw(STREAM + events(1, 2) + END)
+    with ScriptedBackend(send_raw(answer)) as one, ScriptedBackend(last) as two:
+        with ForwarderHarness(route, one, two) as harness:
+            status, _, body, whole = harness.send()
+    assert (status, whole, body) == (200, True, event(1) + event(2))
