Take all spellings of a prompt part's id for one part

What would happen: a part that crashes runners could be written in capitals or with leading zeros and would count as another part in the evidence, in the quarantine and in the estimate of caches.

Evidence: test_spellings_of_one_prompt_part_are_one_part failed.

Change: hexadecimal ids are compared in lower case without leading zeros; the header is passed on as it came.

--- a/balsamtally/platform/wire.py
+++ b/balsamtally/platform/wire.py
@@ -1,5 +1,7 @@
 """Reads and writes the headers that callers, this program and backend servers exchange."""
 
+import re
+
 from balsamtally.callers import Request
 from balsamtally.calls import AnswerHead, Attempt, Call, Headers, PromptPart, Verdict
 from balsamtally.errors import BalsamtallyError, MalformedHeader, MalformedRequest
@@ -28,6 +30,7 @@
 # Headers that a caller can't strip by naming them in its Connection header.
 KEPT_HEADERS = frozenset((ATTEMPT_ID, b"host", b"model", b"token-usage", b"prompt-prefix"))
 RETRY_AFTER_DIGITS = 2
+_HEXADECIMAL = re.compile(rb"[0-9a-fA-F]+")
 
 
 def read_call(request: Request) -> Call:
@@ -135,10 +138,19 @@
         if not name:
             raise MalformedHeader("Prompt-Prefix has an entry without an ID")
         count = parse_number(tokens, "a token count of Prompt-Prefix")
-        parts.append(PromptPart(name.decode("latin-1"), count))
+        parts.append(PromptPart(normalize_part(name), count))
     return tuple(parts)
 
 
+def normalize_part(name: bytes) -> str:
+    """Return the name of a prompt part, the same one for all spellings of a hexadecimal ID.
+
+    :param name: the ID as sent
+    """
+    text = name.decode("latin-1")
+    return text.lower().lstrip("0") or "0" if _HEXADECIMAL.fullmatch(name) else text
+
+
 def pick_call_headers(request: Request) -> Headers:
     """Return the headers of a request that are passed on to the backend server.
 
--- a/tests/balsamtally/platform/test_wire.py
+++ b/tests/balsamtally/platform/test_wire.py
@@ -12,6 +12,7 @@
     make_headers,
     pick_headers,
     read_call,
+    read_parts,
     read_usage,
     report,
 )
@@ -179,6 +180,16 @@
     assert b"Retry-After" not in dict(report("", BackendFailed())[0])
 
 
+@pytest.mark.parametrize("spelling", [b"1f", b"1F", b"001f", b"0001F"])
+def test_spellings_of_one_prompt_part_are_one_part(spelling):
+    assert [part.name for part in read_parts(spelling + b":20,zz:1,ZZ:2,00:3")] == [
+        "1f",
+        "zz",
+        "ZZ",
+        "0",
+    ]
+
+
 @pytest.mark.parametrize("digits", [16, 5000])
 @pytest.mark.parametrize("name", ["Prompt-Prefix", "Token-Usage", "Last-Event-Id", "Length-Hint"])
 def test_numbers_of_many_digits_are_malformed(name, digits):
