Count crashes apart from 0.15 s on, and hold a new quarantine for a minute

Cause: the interval that keeps the loss of many backend servers at one moment from counting was longer than that needs (the delay between regions), and the first probe came late though a probe costs no more than a crash.

--- a/balsamtally/crash_evidence.py
+++ b/balsamtally/crash_evidence.py
@@ -17,7 +17,7 @@
 
 # Crashes closer together than this count once: a failure that takes several backend servers at the
 # same moment says nothing about the prompts at them.
-MIN_CRASH_INTERVAL_S = 0.25
+MIN_CRASH_INTERVAL_S = 0.15
 # Older crashes are dropped.
 EVIDENCE_TTL_S = 1800.0
 MAX_CRASHES = 128
--- a/balsamtally/quarantine.py
+++ b/balsamtally/quarantine.py
@@ -25,7 +25,7 @@
 DECIDING_S = 10.0
 # Duration of the first quarantine; it doubles with each probe up to the maximum. A probe may cost a
 # backend server and all calls at it.
-FIRST_HOLD_S = 300.0
+FIRST_HOLD_S = 60.0
 MAX_HOLD_S = 3600.0
 MAX_ENTRIES = 256
 # Time for which own findings are repeated to the peers, since datagrams may be lost.
