Let a withdrawal end the attempt that it names

What callers saw: a chat that had been queued in another failure domain and was tried again got neither a slot nor a refusal from its own coordinator for 120 s.

Cause: an entry VM withdraws a request at its coordinator as it goes elsewhere, and the coordinator took that as the end of all attempts of the request.

Evidence: test_retry_after_a_withdrawn_attempt_is_granted and test_withdrawal_of_an_earlier_attempt_that_arrives_late_ends_no_later_one failed (on the queue; not shown end to end).

Change: the message names the attempt, and ends it and those before it. Without a number, as daemons of an earlier version send it, it ends all. test_links names a message's extra field one place later, since the fourth place is known now.

--- a/balsamtally/messages.py
+++ b/balsamtally/messages.py
@@ -4,6 +4,9 @@
 
 from balsamtally.errors import ErrorReport
 
+# Stands for an attempt after all others.
+ALL_ATTEMPTS = 2**31 - 1
+
 
 class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Base class of all messages.
@@ -194,14 +197,17 @@
 
 
 class Withdraw(Message, frozen=True):
-    """Removes a queued request whose caller has disconnected.
+    """Ends an attempt of a queued request, and those before it.
 
     :ivar request: id of the request
     :ivar pool: name of the model
+    :ivar attempt: number of the attempt; by default all attempts end, as for a sender of an
+        earlier version
     """
 
     request: str
     pool: str
+    attempt: int = ALL_ATTEMPTS
 
 
 class CallService(Message, frozen=True):
--- a/balsamtally/queues.py
+++ b/balsamtally/queues.py
@@ -2,7 +2,6 @@
 
 import heapq
 import itertools
-import math
 import random
 import time
 from collections.abc import Callable, Sequence
@@ -185,15 +184,19 @@
         self.tick()
 
     def withdraw(self, sender: str, message: Withdraw) -> None:
-        """Drop a queued request whose caller disconnected.
+        """Drop a queued request whose caller disconnected, or that waits elsewhere now.
+
+        A later attempt of the request is queued as usual, whatever the order of the messages.
 
         :param sender: entry VM that asked
-        :param message: the id of the request
+        :param message: the id of the request and the attempt
         """
         waiting = self.queued.get(message.request)
-        if waiting is not None:
+        if waiting is not None and waiting.ask.attempt <= message.attempt:
             self._dequeue(waiting)
-        self.ended_attempts[message.request] = (math.inf, None)
+        attempt, _ = self.ended_attempts.get(message.request, (0, None))
+        if attempt < message.attempt:
+            self.ended_attempts[message.request] = (message.attempt, None)
         self.tick()
 
     def drop_sender(self, sender: str) -> None:
--- a/balsamtally/slots.py
+++ b/balsamtally/slots.py
@@ -102,7 +102,7 @@
                 if result.ready():
                     return self._accept(result.get(), ask.pool)
                 if has_disconnected():
-                    self.links.cast(coordinator, Withdraw(ask.request, ask.pool))
+                    self.links.cast(coordinator, Withdraw(ask.request, ask.pool, ask.attempt))
                     raise CallerVanished
         finally:
             self._pending.pop(key, None)
@@ -139,7 +139,7 @@
             if not state.runners:
                 raise
             return domain, coordinator
-        self.links.cast(coordinator, Withdraw(ask.request, ask.pool))
+        self.links.cast(coordinator, Withdraw(ask.request, ask.pool, ask.attempt))
         return chosen, remote_coordinator
 
     def _ask_domain(self, ask: Ask, domain: str, previous: str) -> tuple[str, QueueState]:
--- a/tests/balsamtally/test_links.py
+++ b/tests/balsamtally/test_links.py
@@ -83,7 +83,7 @@
     assert one.call("two", Withdraw("before", "p"), 5) == Done()
     task = one.peers["two"].task
     newer = msgspec.msgpack.encode([0, False, ["KindOfTheNextVersion", 1]])
-    with_more = msgspec.msgpack.encode([0, False, ["Withdraw", "more", "p", "a new field"]])
+    with_more = msgspec.msgpack.encode([0, False, ["Withdraw", "more", "p", 1, "a new field"]])
     peer = one._find_peer("two")
     peer.outbox.extend([(0, newer), (0, with_more)])
     one.loop.post(one._wake_writer, peer)
--- a/tests/balsamtally/test_queues.py
+++ b/tests/balsamtally/test_queues.py
@@ -6,7 +6,7 @@
 import structlog
 
 from balsamtally.contracts import RequestClass
-from balsamtally.messages import Release, Renew
+from balsamtally.messages import Release, Renew, Withdraw
 from balsamtally.queues import RunnerView
 from tests.balsamtally.queue_world import CLASSES, WEIGHTS, World
 
@@ -369,3 +369,25 @@
     world.ask("r", attempt=2, preemptions=1)
     assert [message.attempt for message in world.pop_sent("Grant")] == [2]
     assert world.queue.loads.runners["a"].in_use == 2
+
+
+def test_retry_after_a_withdrawn_attempt_is_granted():
+    world = World()
+    world.expire_adoption_period()
+    world.queue.withdraw("vm1", Withdraw("r1", "m", attempt=1))
+    world.ask("r1", attempt=2)
+    [grant] = world.pop_sent("Grant")
+    assert (grant.request, grant.attempt) == ("r1", 2)
+
+
+def test_withdrawal_of_an_earlier_attempt_that_arrives_late_ends_no_later_one():
+    world = World(runners=(("a", 1),))
+    world.expire_adoption_period()
+    world.ask("busy")
+    world.ask("r1", attempt=2)
+    world.queue.withdraw("vm1", Withdraw("r1", "m", attempt=1))
+    assert "r1" in world.queue.queued
+    world.queue.withdraw("vm1", Withdraw("r1", "m", attempt=2))
+    assert "r1" not in world.queue.queued
+    world.ask("r1", attempt=2)
+    assert "r1" not in world.queue.queued
