Keep the suspects of a narrowed quarantine from counting as answered

What operators would see: as a sound part was taken out of a quarantine, the VM noted an answer for all parts of the group, the one that crashes too. It then objected to a later quarantine of that part, and dropped its evidence.

Cause: narrowing went through the release by an operator, which clears the whole group.

Evidence: test_parts_that_a_narrowed_quarantine_keeps_do_not_count_as_answered failed: the VM's objection named the part that crashes.

Change: narrowing ends the old group without clearing it, and a peer that hears of it clears only the parts that no quarantine of the same update keeps. The messages have a module of their own; the guards are in standins.mutate; a test shows that a VM that was cut off hears of quarantines as it comes back.

--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -30,8 +30,9 @@
 from balsamtally.logs import log
 from balsamtally.peers import RECORDS_PATH, Peers
 from balsamtally.plans import CallProgress, Plan
-from balsamtally.quarantine import Quarantine, QuarantineUpdate
+from balsamtally.quarantine import Quarantine
 from balsamtally.quarantine_exchange import QuarantineExchange
+from balsamtally.quarantine_messages import QuarantineUpdate
 from balsamtally.reports import Report
 from balsamtally.reservations import Reservations
 from balsamtally.sockets import listen
@@ -138,9 +139,7 @@
         )
         self._reservations = Reservations(self._dispatch, send)
         self._connect_placement()
-        self._quarantine = Quarantine(settings.vm, lambda: self._quarantine_exchange.announce())
-        self._quarantine_exchange = QuarantineExchange(self._quarantine, self._list_peer_ips, send)
-        self.peers.handlers[QuarantineUpdate] = self._quarantine_exchange.handle_update
+        self._connect_quarantine()
         self._budget = FleetBudget(settings.budget, self.peers.count_members)
         self._connections = Connections()
         self._terminations = Terminations(self._connections.refuses_connections)
@@ -162,6 +161,16 @@
         self.peers.handlers[Withdrawal] = self._reservations.handle_withdrawal
         self.peers.handlers[Reply] = self._placement_client.handle_reply
 
+    def _connect_quarantine(self) -> None:
+        """Create the quarantine of prompt parts and connect it to the peers."""
+        self._quarantine = Quarantine(
+            self.settings.vm, lambda: self._quarantine_exchange.announce()
+        )
+        self._quarantine_exchange = QuarantineExchange(
+            self._quarantine, self._list_peer_ips, self.peers.send_message
+        )
+        self.peers.handlers[QuarantineUpdate] = self._quarantine_exchange.handle_update
+
     def _process_beat(self, beat: Beat) -> None:
         """Process a peer's heartbeat, after the backlog it reports was recorded."""
         self._reservations.release_confirmed(beat)
--- a/balsamtally/peers.py
+++ b/balsamtally/peers.py
@@ -29,7 +29,7 @@
 )
 from balsamtally.errors import BalsamtallyError
 from balsamtally.logs import log
-from balsamtally.quarantine import QuarantineUpdate
+from balsamtally.quarantine_messages import QuarantineUpdate
 from balsamtally.readers import PlatformReadState, should_read
 from balsamtally.records import Update
 from balsamtally.reports import Report
--- a/balsamtally/quarantine.py
+++ b/balsamtally/quarantine.py
@@ -11,9 +11,10 @@
 import msgspec
 
 from balsamtally.calls import Backend
-from balsamtally.crash_evidence import BegunPart, CrashEvidence, Implication, PartGroup
+from balsamtally.crash_evidence import CrashEvidence, Implication, PartGroup
 from balsamtally.errors import PartQuarantined
 from balsamtally.logs import log
+from balsamtally.quarantine_messages import Candidate, QuarantineState, QuarantineUpdate
 
 # Crashes after which a group of parts is quarantined, and after which calls with it aren't retried.
 CRASHES_TO_QUARANTINE = 3
@@ -33,53 +34,6 @@
 MAX_FINDINGS = 64
 
 
-class Candidate(msgspec.Struct, frozen=True, array_like=True):
-    """Parts that an entry VM is about to quarantine.
-
-    :ivar service: service whose backend servers crashed
-    :ivar parts: keys of the parts
-    """
-
-    service: str
-    parts: PartGroup
-
-
-class QuarantineState(msgspec.Struct, frozen=True, array_like=True):
-    """A quarantine as entry VMs tell it to each other.
-
-    :ivar parts: keys of the parts; a prompt that holds all of them isn't sent
-    :ivar service: service whose backend servers crashed
-    :ivar generation: increases with each renewal; the highest one is in force
-    :ivar hold_s: duration of this generation in seconds
-    :ivar left_s: time until a call may probe the parts, in seconds
-    :ivar released: whether the parts were released
-    """
-
-    parts: PartGroup
-    service: str
-    generation: int
-    hold_s: float
-    left_s: float
-    released: bool
-
-
-class QuarantineUpdate(msgspec.Struct, frozen=True, array_like=True, tag="quarantine"):
-    """What an entry VM tells its peers about crashes.
-
-    :ivar vm: name of the sender
-    :ivar implications: calls of the sender that were at backend servers as these crashed
-    :ivar begun: parts that the receiver suspects and of which the sender saw an answer begin
-    :ivar states: the quarantines that the sender knows
-    :ivar candidates: parts that the sender is about to quarantine
-    """
-
-    vm: str
-    implications: tuple[Implication, ...] = ()
-    begun: tuple[BegunPart, ...] = ()
-    states: tuple[QuarantineState, ...] = ()
-    candidates: tuple[Candidate, ...] = ()
-
-
 @dataclass(frozen=True)
 class Proposal:
     """A candidate of this entry VM.
@@ -298,9 +252,9 @@
             if entry.released or entry.service != service or not begun.intersection(group):
                 continue
             changed = True
-            self.release(group, "an answer began")
+            self._end(group, "an answer began")
             rest = tuple(part for part in group if part not in begun)
-            if rest and not begun.issuperset(group):
+            if rest:
                 self._entries[rest] = replace(entry, generation=self._next_generation(rest))
                 log.warning("part_quarantined", parts=list(rest), service=service, why="narrowed")
         return changed
@@ -319,13 +273,16 @@
         entry = self._entries.get(group)
         if entry is None or entry.released:
             return False
-        self._entries[group] = replace(entry, released=True)
-        log.warning("part_released", parts=list(group), why=why, generation=entry.generation)
+        self._end(group, why)
         # Evidence from before the release doesn't renew the quarantine.
         self._evidence.record_begun(entry.service, group)
         self._on_change()
         return True
 
+    def _end(self, group: PartGroup, why: str) -> None:
+        entry = self._entries[group] = replace(self._entries[group], released=True)
+        log.warning("part_released", parts=list(group), why=why, generation=entry.generation)
+
     def prune(self) -> None:
         """Drop evidence and quarantines that are no longer needed."""
         now = self._clock()
@@ -395,11 +352,16 @@
                 self._on_change()
         for implication in update.implications[:MAX_FINDINGS]:
             self._evidence.add(implication)
-        for state in update.states[:MAX_FINDINGS]:
-            self._merge_state(state, update.vm)
+        states = update.states[:MAX_FINDINGS]
+        held = {part for state in states if not state.released for part in state.parts}
+        for state in states:
+            if self._merge_state(state, update.vm) and state.released:
+                # Parts of a quarantine that was only narrowed stay suspects.
+                cleared = tuple(part for part in state.parts if part not in held)
+                self._evidence.record_begun(state.service, cleared)
 
-    def _merge_state(self, state: QuarantineState, source: str) -> None:
-        """Adopt a quarantine that is newer than the known one.
+    def _merge_state(self, state: QuarantineState, source: str) -> bool:
+        """Adopt a quarantine that is newer than the known one; return whether it was.
 
         Of two states of one generation the released one and the earlier end hold, so that passing
         a state on never prolongs it.
@@ -407,7 +369,7 @@
         known = self._entries.get(state.parts)
         until_s = self._clock() + min(state.left_s, MAX_HOLD_S)
         if known is not None and known.generation > state.generation or not state.parts:
-            return
+            return False
         if known is not None and known.generation == state.generation:
             released = known.released or state.released
             entry = replace(known, released=released, until_s=min(known.until_s, until_s))
@@ -415,21 +377,17 @@
             entry = Entry(state.service, state.generation, state.hold_s, until_s, state.released)
         self._entries[state.parts] = entry
         self._limit_entries()
-        if (
-            known is None
-            or known.generation != entry.generation
-            or known.released != entry.released
-        ):
-            log.info(
-                "part_released" if entry.released else "part_quarantined",
-                parts=list(state.parts),
-                service=entry.service,
-                generation=entry.generation,
-                why="told by a peer",
-                source=source,
-            )
-            if entry.released:
-                self._evidence.record_begun(entry.service, state.parts)
+        if known is not None and replace(known, until_s=entry.until_s) == entry:
+            return False
+        log.info(
+            "part_released" if entry.released else "part_quarantined",
+            parts=list(state.parts),
+            service=entry.service,
+            generation=entry.generation,
+            why="told by a peer",
+            source=source,
+        )
+        return True
 
     def list_entries(self) -> list[dict[str, object]]:
         """Return the quarantines in force with all their fields, for operators."""
--- a/balsamtally/quarantine_exchange.py
+++ b/balsamtally/quarantine_exchange.py
@@ -10,7 +10,8 @@
 
 from balsamtally.beats import Beat
 from balsamtally.logs import log
-from balsamtally.quarantine import SETTLE_S, Quarantine, QuarantineUpdate
+from balsamtally.quarantine import SETTLE_S, Quarantine
+from balsamtally.quarantine_messages import QuarantineUpdate
 from balsamtally.tasks import spawn_repeating
 
 # Interval of updates. While there is own evidence, each goes to all peers.
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -58,6 +58,10 @@
 PEERS = "tests/balsamtally/test_peers.py"
 PLANS = "tests/balsamtally/test_plans.py"
 RECORDS = "tests/balsamtally/test_records.py"
+CRASH_EVIDENCE = "tests/balsamtally/test_crash_evidence.py"
+QUARANTINE = "tests/balsamtally/test_quarantine.py"
+QUARANTINE_EXCHANGE = "tests/balsamtally/test_quarantine_exchange.py"
+TERMINATIONS = "tests/balsamtally/test_terminations.py"
 ASKS = "tests/balsamtally/test_asks.py"
 RESERVATIONS = "tests/balsamtally/test_reservations.py"
 COORDINATION = "tests/balsamtally/test_coordination.py"
@@ -90,6 +94,36 @@
     Mutation(
         "routes", "(self._facts_changes, self.members.version)", "(self._facts_changes, 0)", ROUTES
     ),
+    Mutation("chats", "and progress.failed_starts < MAX_FAILED_STARTS", "", CHATS),
+    Mutation("callers", "if self.began_answer:", "if False:", CALLERS),
+    Mutation("crash_evidence", "if at_s - last_s >=", "if True or", CRASH_EVIDENCE),
+    Mutation("crash_evidence", "if crash.service != service:", "if False:", CRASH_EVIDENCE),
+    Mutation("crash_evidence", "set.intersection(", "set.union(", CRASH_EVIDENCE),
+    Mutation(
+        "crash_evidence", "crash.sent_s.get(part, begun_s) < begun_s", "False", CRASH_EVIDENCE
+    ),
+    Mutation("quarantine", "if now - self._own_crash_s > DECIDING_S:", "if False:", QUARANTINE),
+    Mutation("quarantine", "if waited_s >= SETTLE_S:", "if True:", QUARANTINE),
+    Mutation("quarantine", "if now < entry.until_s:", "if False:", QUARANTINE),
+    Mutation(
+        "quarantine", "held.issuperset(group)\n            #", "True\n            #", QUARANTINE
+    ),
+    Mutation("quarantine", "min(known.until_s, until_s)", "until_s", QUARANTINE),
+    Mutation("quarantine", "known.released or state.released", "state.released", QUARANTINE),
+    Mutation(
+        "quarantine_exchange", "or time.monotonic() - self._sent_s", "or 0", QUARANTINE_EXCHANGE
+    ),
+    Mutation("terminations", "is_old and result.ready()", "True", TERMINATIONS),
+    Mutation(
+        "forwarding",
+        "and not progress.begun:\n                self",
+        ":\n                self",
+        FORWARDING,
+    ),
+    Mutation("forwarding", "progress.crashes >= MAX_CRASHES or", "", FORWARDING),
+    Mutation(
+        "forwarding", "connection.ends_by_close and self._term", "False and self._term", FORWARDING
+    ),
     Mutation("receipts", "receipt.customer != customer", "False", RECEIPTS),
     Mutation("receipts", "record.digest != digest", "False", RECEIPTS),
     Mutation("receipts", "record.done.wait()", "pass", RECEIPTS),
--- a/tests/balsamtally/test_quarantine.py
+++ b/tests/balsamtally/test_quarantine.py
@@ -16,9 +16,8 @@
     MAX_HOLD_S,
     SETTLE_S,
     Quarantine,
-    QuarantineState,
-    QuarantineUpdate,
 )
+from balsamtally.quarantine_messages import Candidate, QuarantineState, QuarantineUpdate
 from tests.balsamtally.test_crash_evidence import Clock
 
 _births = itertools.count(1)
@@ -218,6 +217,18 @@
     assert [entry["parts"] for entry in first.list_entries()] == [("dead",)]
 
 
+def test_parts_that_a_narrowed_quarantine_keeps_do_not_count_as_answered(clock):
+    first, second = Quarantine("vm-1", clock=clock), Quarantine("vm-2", clock=clock)
+    crash(first, clock, "a", "dead", times=CRASHES_TO_QUARANTINE)
+    second.merge_update(first.make_update())
+    second.record_begun("model", ("a",))
+    first.merge_update(second.make_update())
+    asked = QuarantineUpdate("vm-3", candidates=(Candidate("model", ("a", "dead")),))
+    for vm in (first, second):
+        assert not is_admitted(vm, "dead") and is_admitted(vm, "a")
+        assert [found.part for found in vm.make_objection(asked).begun] == ["a"]
+
+
 def test_answers_from_before_the_crashes_are_no_objection(clock):
     first, second = Quarantine("vm-1", clock=clock), Quarantine("vm-2", clock=clock)
     second.record_begun("model", ("dead",))
--- a/tests/balsamtally/test_quarantine_exchange.py
+++ b/tests/balsamtally/test_quarantine_exchange.py
@@ -9,8 +9,9 @@
 from hypothesis import strategies as st
 
 from balsamtally.beats import Beat
-from balsamtally.quarantine import CRASHES_TO_QUARANTINE, Quarantine, QuarantineUpdate
+from balsamtally.quarantine import CRASHES_TO_QUARANTINE, REPEAT_S, Quarantine
 from balsamtally.quarantine_exchange import MAX_UPDATE_BYTES, QuarantineExchange, split_update
+from balsamtally.quarantine_messages import QuarantineUpdate
 from tests.balsamtally.test_quarantine import implications_of, is_admitted, make_backend
 from tests.polling import expect_soon
 
@@ -19,10 +20,12 @@
     """Entry VMs that exchange updates in memory; a context manager.
 
     :ivar lost: whether the next updates are lost
+    :ivar cut: names of entry VMs that receive nothing
     """
 
     def __init__(self, size):
         self.lost = False
+        self.cut = set()
         self.sent = 0
         self.quarantines = {}
         self.exchanges = {}
@@ -40,7 +43,7 @@
 
     def _send(self, update, ip):
         self.sent += 1
-        if not self.lost:
+        if not self.lost and ip not in self.cut:
             data = msgspec.msgpack.encode(update)
             update = msgspec.msgpack.decode(data, type=QuarantineUpdate)
             self.exchanges[ip].handle_update(update, update.vm)
@@ -93,6 +96,19 @@
         assert not is_admitted(fleet.quarantines["vm-2"], "dead")
 
 
+def test_entry_vm_that_comes_back_from_a_cut_hears_of_quarantines():
+    with Fleet(4) as fleet:
+        fleet.cut = {"vm-3"}
+        crash_everywhere(fleet, "dead")
+        others = [each for name, each in fleet.quarantines.items() if name != "vm-3"]
+        expect_soon(lambda: not any(is_admitted(each, "dead") for each in others))
+        # The evidence is no longer repeated.
+        gevent.sleep(REPEAT_S + 0.5)
+        assert is_admitted(fleet.quarantines["vm-3"], "dead")
+        fleet.cut = set()
+        expect_soon(lambda: fleet.refuses("dead"))
+
+
 def test_nothing_is_sent_without_evidence():
     with Fleet(3) as fleet:
         for exchange in fleet.exchanges.values():
