Test that a running backend server is asked again only after a while

standins.mutate showed that without the guard no test failed, nor without the check that keeps the stored error answer out of a begun stream, since the method that writes it refuses, too: the test now looks at the error that the call ends with. Each of the guards of the changed modules fails its test now.

--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -272,7 +272,7 @@
     ),
     Mutation(
         "forwarding",
-        "if not self._connections.refuses_connections(progress.backend):",
+        "if not self._terminations.has_terminated(progress.backend):",
         "if False:",
         FORWARDING,
     ),
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -12,7 +12,7 @@
 from balsamtally.backends import Connections
 from balsamtally.callers import CallerServer
 from balsamtally.calls import Account, Branch, Limits, PromptPart, Repeat
-from balsamtally.errors import PartQuarantined
+from balsamtally.errors import AnswerCut, PartQuarantined
 from balsamtally.forwarding import Forwarder
 from balsamtally.plans import make_plan, pick_service
 from balsamtally.sockets import listen
@@ -638,6 +638,8 @@
             status, _, body, whole = harness.send()
     assert (status, whole) == (200, False)
     assert body == event(1) + event(2)
+    [(_, _, error)] = harness.list_recorded("end")
+    assert isinstance(error, AnswerCut)
 
 
 HEAD_PIECES = (
--- a/tests/balsamtally/test_terminations.py
+++ b/tests/balsamtally/test_terminations.py
@@ -2,7 +2,7 @@
 
 import gevent
 
-from balsamtally.terminations import CONFIRMATION_S, Terminations
+from balsamtally.terminations import CONFIRMATION_S, RECHECK_S, Terminations
 from tests.balsamtally.scripted import make_backend
 from tests.balsamtally.test_crash_evidence import Clock
 
@@ -29,6 +29,18 @@
     assert all(task.value for task in tasks) and prober.asked == 1
 
 
+def test_running_backend_server_is_asked_again_only_after_a_while():
+    clock = Clock()
+    prober = Prober(refused=False)
+    terminations = Terminations(prober, clock)
+    backend = make_backend()
+    assert not terminations.has_terminated(backend) and not terminations.has_terminated(backend)
+    assert prober.asked == 1
+    clock.now_s += RECHECK_S
+    prober.refused = True
+    assert terminations.has_terminated(backend)
+
+
 def test_ended_incarnation_is_not_asked_again():
     clock = Clock()
     prober = Prober(refused=True)
