Clear prompt parts only by answers of success

What operators would see: a part that crashes runners is never quarantined, since a runner also refuses some prompts with it by an error of its own (such as 400), before it begins to write.

Cause: any whole answer below 500 counted as begun.

Evidence: test_error_answer_of_a_backend_server_clears_no_prompt_parts failed for 400.

Change: only statuses below 300 count, as for streams.

--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -326,7 +326,6 @@
                 self._pass_stream(caller, plan, progress, head, connection, work)
             else:
                 self._pass_whole(caller, plan, progress, head, connection)
-                self._record_begun(plan, progress)
         finally:
             self._connections.release(backend, connection)
 
@@ -405,6 +404,8 @@
             if head.status == DEADLINE_STATUS:
                 raise NoAnswer(f"the backend server answered {head.status}")
             raise BackendFailed(f"the backend server answered {head.status}")
+        if head.status < 300:
+            self._record_begun(plan, progress)
         self._answer_whole(caller, progress, head, body)
 
     def _answer_whole(
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -754,3 +754,11 @@
         with ForwarderHarness(route, one, two) as harness:
             status, _, body, whole = harness.send()
     assert (status, whole, body) == (200, True, event(1) + event(2))
+
+
+@pytest.mark.parametrize(("status", "begun"), [(200, 1), (400, 0), (500, 0)])
+def test_error_answer_of_a_backend_server_clears_no_prompt_parts(status, begun):
+    with ScriptedBackend(reply(status)) as one:
+        with ForwarderHarness(make_route(), one, parts=SHARED_PARTS) as harness:
+            assert harness.send()[0] == status
+    assert len(harness.list_recorded("begun")) == begun
