Tell in a call's log lines whose answer its caller got and how far

What callers saw: bytes that are no answer. What the operators could see: `first_ms` equal to `total_ms` and no word on whether an answer had begun, which attempt it came from, on which connection, or how it was framed. Two writers, a late answer on a reused connection, an answer of unknown end and a wrong framing gave the same lines.

Change: `attempt_failed` has the attempt's number, its exchange (connection and request on it) and the framing of what it got; `ended` has these of the last attempt, whether the caller got none, a part or a whole of an answer, whose, and how many bytes. `foreign_answer` names the request that was answered. `late_answer` reports a connection with bytes after a whole answer; a gauge counts each of the two. The functions that decide on a repetition move to plans.py, the lines of calls to call_log.py.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -15,7 +15,7 @@
 from balsamtally.calls import AnswerHead, Backend, Headers
 from balsamtally.errors import AnswerCut, BackendUnreachable, BalsamtallyError, NoAnswer
 from balsamtally.logs import log
-from balsamtally.sockets import close, connect, is_idle
+from balsamtally.sockets import close, connect, has_input, is_idle
 
 READ_BYTES = 65_536
 SEND_BYTES = 16_384
@@ -49,14 +49,17 @@
     """One connection to a backend server, for one request at a time.
 
     :param sock: the connected socket
+    :param number: number of the connection among those of its pool
     :ivar idle_since_s: monotonic clock when the last exchange ended, in seconds
     :ivar idle_limit_s: longest idle time after which the connection is reused, in seconds
     :ivar ends_by_close: whether the last answer has neither a length nor chunks, so that it ends
         with the connection
     """
 
-    def __init__(self, sock: socket.socket):
+    def __init__(self, sock: socket.socket, number: int = 0):
         self._sock = sock
+        self._number = number
+        self._requests = 0
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._method = b""
         self._whole_request = False
@@ -66,6 +69,11 @@
         self._irregular = False
         self._read_bytes = 0
 
+    @property
+    def exchange(self) -> str:
+        """Number of the connection and of its last request, separated by a point."""
+        return f"{self._number}.{self._requests}"
+
     def close(self) -> None:
         """Close the connection."""
         close(self._sock)
@@ -77,6 +85,12 @@
         """
         return now_s - self.idle_since_s < self.idle_limit_s and is_idle(self._sock)
 
+    def has_late_answer(self) -> bool:
+        """Return whether bytes came after the whole answer to the last request."""
+        if self._http.their_state not in (h11.IDLE, h11.DONE):
+            return False
+        return bool(self._http.trailing_data[0]) or has_input(self._sock)
+
     def send(self, method: bytes, target: bytes, headers: Headers, body: bytes, until_s: float):
         """Send a request.
 
@@ -89,6 +103,7 @@
         :raises NoAnswer: if the deadline passes
         """
         self._whole_request = False
+        self._requests += 1
         self._method = method
         head = self._http.send(h11.Request(method=method, target=target, headers=headers))
         self._http.send(h11.Data(data=body))
@@ -262,6 +277,7 @@
 
     :param clock: monotonic clock
     :ivar opened: connections opened so far
+    :ivar late_answers: connections closed so far because bytes came after a whole answer
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic):
@@ -269,6 +285,7 @@
         # Idle connections by incarnation of the backend server, the most recently used last.
         self._idle: dict[tuple[str, int], deque[BackendConnection]] = {}
         self.opened = 0
+        self.late_answers = 0
 
     def __enter__(self) -> "Connections":
         return self
@@ -288,13 +305,20 @@
             connection = idle.pop()
             if connection.is_usable(self._clock()):
                 return connection
-            connection.close()
+            self._discard(backend, connection)
         try:
             sock = connect(backend.address, min(timeout_s, CONNECT_TIMEOUT_S))
         except OSError as error:
             raise BackendUnreachable(f"no connection to {backend.name}: {error}") from error
         self.opened += 1
-        return BackendConnection(sock)
+        return BackendConnection(sock, self.opened)
+
+    def _discard(self, backend: Backend, connection: BackendConnection) -> None:
+        """Close a connection that can't be reused, and report bytes after its last answer."""
+        if connection.has_late_answer():
+            self.late_answers += 1
+            log.info("late_answer", backend=backend.name, exchange=connection.exchange)
+        connection.close()
 
     def refuses_connections(self, backend: Backend) -> bool:
         """Return whether a backend server has terminated: no process listens at its address.
@@ -317,7 +341,7 @@
         """
         idle = self._idle.get(backend.key)
         if idle is None or len(idle) >= MAX_IDLE_CONNECTIONS or not connection.reset(self._clock()):
-            connection.close()
+            self._discard(backend, connection)
         else:
             idle.append(connection)
 
--- /dev/null
+++ b/balsamtally/call_log.py
@@ -0,0 +1,78 @@
+"""Log lines about the attempts and the end of a call."""
+
+import time
+
+from balsamtally.calls import Backend
+from balsamtally.errors import BalsamtallyError, CallerLeft
+from balsamtally.logs import log
+from balsamtally.plans import CallProgress, Plan
+
+
+def log_failed_attempt(
+    plan: Plan,
+    progress: CallProgress,
+    backend: Backend | None,
+    failure: BalsamtallyError,
+    reason: str,
+) -> None:
+    """Write the line of an attempt that failed.
+
+    :param plan: plan of the call
+    :param progress: progress of the call
+    :param backend: backend server of the attempt, ``None`` if none was found
+    :param failure: the failure
+    :param reason: why the call isn't tried again, empty if it is
+    """
+    log.info(
+        "attempt_failed",
+        request=plan.call.id,
+        backend=backend.name if backend is not None else "",
+        code=failure.code,
+        why=str(failure),
+        attempt=progress.sent,
+        exchange=progress.exchange,
+        framing=progress.framing,
+        last_event=progress.last_event,
+        answer_begun=progress.attempt_begun,
+        parts=[part.name for part in plan.call.shared_parts],
+        retry=not reason,
+        reason=reason,
+    )
+
+
+def log_end(
+    plan: Plan,
+    progress: CallProgress,
+    error: BaseException | None,
+    began_s: float,
+    on_time: bool,
+) -> None:
+    """Write the line of a call's end.
+
+    :param plan: plan of the call
+    :param progress: progress of the call
+    :param error: why the call failed, ``None`` if it was answered
+    :param began_s: time from the call's arrival to its answer in seconds, negative without one
+    :param on_time: whether the answer met its latency targets
+    """
+    log.info(
+        "ended",
+        request=plan.call.id,
+        route=plan.route.name,
+        customer=plan.customer,
+        backend=progress.backend.name if progress.backend is not None else "",
+        status=progress.status,
+        code=error.code if isinstance(error, BalsamtallyError) else 0,
+        why="" if error is None else str(error) or type(error).__name__,
+        attempts=progress.sent,
+        exchange=progress.exchange,
+        framing=progress.framing,
+        answer=progress.answer,
+        answer_attempt=progress.answer_attempt,
+        sent_bytes=progress.sent_bytes,
+        first_ms=round(began_s * 1000),
+        total_ms=round((time.monotonic() - plan.call.arrived_s) * 1000),
+        longest_gap_ms=round(progress.longest_gap_s * 1000),
+        on_time=on_time,
+        left=isinstance(error, CallerLeft),
+    )
--- a/balsamtally/call_metrics.py
+++ b/balsamtally/call_metrics.py
@@ -28,6 +28,8 @@
     :ivar version: version of the contracts in force
     :ivar platform_age_s: time since the platform's store was last read, in seconds
     :ivar opened: connections to backend servers opened since the start
+    :ivar foreign_answers: answers to other requests that were skipped since the start
+    :ivar late_answers: connections closed since the start because bytes followed a whole answer
     :ivar dropped_lines: log lines dropped since the start
     :ivar quarantined: groups of prompt parts in quarantine
     """
@@ -42,6 +44,8 @@
     version: int = 0
     platform_age_s: float = 0.0
     opened: int = 0
+    foreign_answers: int = 0
+    late_answers: int = 0
     dropped_lines: int = 0
     quarantined: int = 0
 
@@ -92,6 +96,12 @@
             "opened": self._gauge(
                 "backend_connections_opened", "Connections to backend servers opened"
             ),
+            "foreign_answers": self._gauge(
+                "backend_foreign_answers", "Answers to other requests that were skipped"
+            ),
+            "late_answers": self._gauge(
+                "backend_late_answers", "Connections closed for bytes after a whole answer"
+            ),
             "dropped_lines": self._gauge("log_lines_dropped", "Log lines dropped"),
             "quarantined": self._gauge(
                 "quarantined_prompt_parts", "Groups of prompt parts in quarantine"
--- a/balsamtally/callers.py
+++ b/balsamtally/callers.py
@@ -93,6 +93,7 @@
     :ivar closing: whether the next answer announces that the connection closes
     :ivar answered: whether the current request was answered completely
     :ivar began_answer: whether the head of the answer was sent
+    :ivar sent_bytes: length of the part of the answer's body that was sent, in bytes
     """
 
     def __init__(
@@ -117,6 +118,7 @@
         self.closing = False
         self.answered = False
         self.began_answer = False
+        self.sent_bytes = 0
         self._announced_close = False
         self._ended = False
 
@@ -165,6 +167,7 @@
         self.idle = not self._inbox
         self._method = b""
         self.answered = self.began_answer = False
+        self.sent_bytes = 0
         if self.idle:
             self._input_arrived.clear()
             if not self._wait_for_bytes(limits.idle_timeout_s) or not self._inbox or self._ended:
@@ -284,6 +287,7 @@
     def send(self, data: bytes) -> None:
         """Send a piece of the body."""
         self._send(h11.Data(data=data))
+        self.sent_bytes += len(data)
 
     def end(self) -> None:
         """Mark the answer as complete."""
@@ -307,10 +311,18 @@
         parts = [self._http.send(head) or b""]
         if body and self._method != b"HEAD":
             parts.append(self._http.send(h11.Data(data=body)) or b"")
+            self.sent_bytes = len(body)
         parts.append(self._http.send(h11.EndOfMessage()) or b"")
         self._write(b"".join(parts))
         self.answered = True
 
+    @property
+    def answer_state(self) -> str:
+        """``none``, ``cut`` after a part of an answer, or ``whole``."""
+        if not self.began_answer:
+            return "none"
+        return "whole" if self.answered else "cut"
+
     def _send(self, event: object) -> None:
         self._write(self._http.send(event) or b"")
 
--- a/balsamtally/calls.py
+++ b/balsamtally/calls.py
@@ -246,3 +246,11 @@
 
     status: int
     headers: Headers = field(default=())
+
+    @property
+    def framing(self) -> str:
+        """What ends the body: ``length``, ``chunked`` or, with neither header, ``close``."""
+        names = {name.lower() for name, _ in self.headers}
+        if b"transfer-encoding" in names:
+            return "chunked"
+        return "length" if b"content-length" in names else "close"
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -6,6 +6,7 @@
 
 from balsamtally.backends import BackendConnection, Connections
 from balsamtally.backlogs import Work
+from balsamtally.call_log import log_failed_attempt
 from balsamtally.callers import Caller, Request
 from balsamtally.calls import (
     AnswerHead,
@@ -13,7 +14,6 @@
     Backend,
     Call,
     Headers,
-    Repeat,
     Verdict,
 )
 from balsamtally.catalog import Contracts
@@ -29,14 +29,13 @@
     NoAnswer,
     NoBackend,
     Outcome,
-    OutcomeUnknown,
     PartQuarantined,
     QueueTimeout,
     WrongAnswer,
 )
 from balsamtally.events import EventReader
 from balsamtally.logs import log
-from balsamtally.plans import CallProgress, Plan, make_plan
+from balsamtally.plans import CallProgress, Plan, make_final_error, make_plan, may_repeat
 from balsamtally.terminations import Terminations
 
 # Connection failures that a call survives; also the limit on attempts that aren't counted because
@@ -65,6 +64,7 @@
     :ivar classify: classifies the head of an answer to an attempt
     :ivar pick_headers: returns the headers of an answer that are passed on to the caller
     :ivar report: returns headers and body of an error answer to a caller
+    :ivar read_id: returns the id of the request that an answer names, empty if it names none
     """
 
     read_call: Callable[[Request], Call]
@@ -72,6 +72,7 @@
     classify: Callable[[Attempt, AnswerHead], Verdict]
     pick_headers: Callable[[AnswerHead], Headers]
     report: Callable[[str, BalsamtallyError], tuple[Headers, bytes]]
+    read_id: Callable[[AnswerHead], str]
 
 
 @dataclass(frozen=True)
@@ -127,6 +128,7 @@
     :param wire: the header conventions
     :param connections: connections to backend servers
     :param terminations: tells which backend servers have ended
+    :ivar foreign_answers: answers to other requests that were skipped so far
     """
 
     def __init__(
@@ -140,6 +142,7 @@
         self._wire = wire
         self._connections = connections
         self._terminations = terminations
+        self.foreign_answers = 0
 
     def serve(self, caller: Caller, request: Request) -> None:
         """Answer one request of a caller.
@@ -172,6 +175,7 @@
             if not caller.began_answer:
                 self.refuse(caller, BalsamtallyError(), call.id, progress)
         finally:
+            progress.answer, progress.sent_bytes = caller.answer_state, caller.sent_bytes
             self._hooks.record_end(plan, progress, error)
 
     def refuse(
@@ -212,18 +216,7 @@
                 progress.may_have_run |= failure.outcome is not Outcome.NOT_RUN
                 self._report_crash(plan, progress, failure)
                 reason = self._find_stop_reason(plan, progress, failure)
-            log.info(
-                "attempt_failed",
-                request=plan.call.id,
-                backend=backend.name if backend is not None else "",
-                code=failure.code,
-                why=str(failure),
-                last_event=progress.last_event,
-                answer_begun=progress.attempt_begun,
-                parts=[part.name for part in plan.call.shared_parts],
-                retry=not reason,
-                reason=reason,
-            )
+            log_failed_attempt(plan, progress, backend, failure, reason)
             if reason and progress.failed_answer is not None and not progress.begun:
                 self._answer_whole(caller, progress, *progress.failed_answer)
                 return
@@ -310,6 +303,7 @@
     def _exchange(
         self, caller: Caller, plan: Plan, progress: CallProgress, backend: Backend, work: Work
     ) -> None:
+        progress.exchange = progress.framing = ""
         left_s = plan.until_s - time.monotonic()
         if left_s < MIN_LEFT_S:
             raise QueueTimeout
@@ -321,6 +315,7 @@
             self._hooks.admit(plan, progress)
             attempt = self._send(plan, progress, backend, connection)
             head, verdict = self._read_head(plan, attempt, connection)
+            progress.framing = head.framing
             self._check_verdict(plan, backend, head, verdict, connection)
             if plan.route.streams and head.status == 200:
                 self._pass_stream(caller, plan, progress, head, connection, work)
@@ -344,7 +339,10 @@
         progress.attempt_begun = False
         progress.probed_parts.clear()
         headers = self._wire.make_headers(attempt)
-        connection.send(call.method, call.target, headers, call.body, plan.until_s)
+        try:
+            connection.send(call.method, call.target, headers, call.body, plan.until_s)
+        finally:
+            progress.exchange = connection.exchange
         return attempt
 
     def _read_head(
@@ -356,7 +354,15 @@
             verdict = self._wire.classify(attempt, head)
             if verdict is not Verdict.FOREIGN:
                 return head, verdict
-            log.info("foreign_answer", request=plan.call.id, backend=attempt.backend.name)
+            self.foreign_answers += 1
+            log.info(
+                "foreign_answer",
+                request=plan.call.id,
+                backend=attempt.backend.name,
+                answered=self._wire.read_id(head),
+                exchange=connection.exchange,
+                framing=head.framing,
+            )
             connection.skip_answer(plan.until_s)
         raise WrongAnswer(f"received more than {MAX_FOREIGN_ANSWERS} answers to other requests")
 
@@ -399,6 +405,7 @@
             raise BackendFailed(f"the stream could not be resumed: {head.status}")
         body = connection.read_whole(plan.until_s, MAX_WHOLE_BYTES)
         self._check_end(progress, connection)
+        progress.answer_attempt = progress.sent
         if head.status >= 500:
             progress.failed_answer = (head, body)
             if head.status == DEADLINE_STATUS:
@@ -469,31 +476,6 @@
 
     def _begin_stream(self, caller: Caller, progress: CallProgress, head: AnswerHead) -> None:
         progress.begun = True
+        progress.answer_attempt = progress.sent
         progress.status = head.status
         caller.begin(head.status, self._wire.pick_headers(head))
-
-
-def may_repeat(plan: Plan, progress: CallProgress) -> bool:
-    """Return whether a call that may have run may be sent again.
-
-    :param plan: the call's plan
-    :param progress: progress of the call
-    """
-    if plan.route.repeat is Repeat.ALWAYS:
-        return not progress.begun
-    return plan.route.repeat is Repeat.RESUME
-
-
-def make_final_error(failure: BalsamtallyError, progress: CallProgress) -> BalsamtallyError:
-    """Return the error that is sent to a caller after the last attempt.
-
-    The outcome "not run" is reported only if no attempt may have run.
-
-    :param failure: failure of the last attempt
-    :param progress: progress of the call
-    """
-    if isinstance(failure, NoAnswer):
-        return OutcomeUnknown(str(failure))
-    if failure.outcome is Outcome.NOT_RUN and progress.may_have_run:
-        return BackendFailed(f"an earlier attempt may have run; the last one failed: {failure}")
-    return failure
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -17,6 +17,7 @@
 from balsamtally.backlogs import Backlogs
 from balsamtally.beats import Beat
 from balsamtally.budgets import FleetBudget
+from balsamtally.call_log import log_end
 from balsamtally.call_metrics import CallGauges, CallMetrics
 from balsamtally.callers import Caller, CallerServer, Request
 from balsamtally.calls import Backend, Limits
@@ -24,7 +25,7 @@
 from balsamtally.coordination import Ask, Reply, Withdrawal
 from balsamtally.crash_evidence import list_keys
 from balsamtally.dispatch import Dispatch
-from balsamtally.errors import BalsamtallyError, CallerLeft
+from balsamtally.errors import BalsamtallyError
 from balsamtally.forwarding import Forwarder, ForwardingHooks, Wire
 from balsamtally.gateway_settings import GatewaySettings
 from balsamtally.logs import log
@@ -317,6 +318,8 @@
             version=contracts.version if contracts is not None else 0,
             platform_age_s=time.monotonic() - self.catalog.platform_read_s,
             opened=self._connections.opened,
+            foreign_answers=self._forwarder.foreign_answers,
+            late_answers=self._connections.late_answers,
             dropped_lines=self._count_dropped(),
             quarantined=len(self._quarantine.list_entries()),
         )
@@ -329,7 +332,6 @@
             self._metrics.count_failure(backend.name, failure.code)
 
     def _record_end(self, plan: Plan, progress: CallProgress, error: BaseException | None) -> None:
-        now = time.monotonic()
         began_s = progress.first_event_s - plan.call.arrived_s if progress.first_event_s else -1.0
         code = error.code if isinstance(error, BalsamtallyError) else 0
         on_time = meets_targets(plan, progress, began_s) and error is None
@@ -340,22 +342,7 @@
             self._dispatch.record_longest_gap(progress.backend, plan, progress.longest_gap_s)
         if progress.sent:
             self._metrics.observe_wait(plan.route.name, progress.waited_s)
-        log.info(
-            "ended",
-            request=plan.call.id,
-            route=plan.route.name,
-            customer=plan.customer,
-            backend=progress.backend.name if progress.backend is not None else "",
-            status=progress.status,
-            code=code,
-            why="" if error is None else str(error) or type(error).__name__,
-            attempts=progress.sent,
-            first_ms=round(began_s * 1000),
-            total_ms=round((now - plan.call.arrived_s) * 1000),
-            longest_gap_ms=round(progress.longest_gap_s * 1000),
-            on_time=on_time,
-            left=isinstance(error, CallerLeft),
-        )
+        log_end(plan, progress, error, began_s, on_time)
 
     def change_settings(self, settings: GatewaySettings) -> None:
         """Apply new settings, as far as they can change while calls are served.
--- a/balsamtally/plans.py
+++ b/balsamtally/plans.py
@@ -4,9 +4,18 @@
 
 import xxhash
 
-from balsamtally.calls import Account, AnswerHead, Backend, Call, Route
+from balsamtally.calls import Account, AnswerHead, Backend, Call, Repeat, Route
 from balsamtally.catalog import Contracts
-from balsamtally.errors import NotReady, UnknownKey, UnknownPath
+from balsamtally.errors import (
+    BackendFailed,
+    BalsamtallyError,
+    NoAnswer,
+    NotReady,
+    Outcome,
+    OutcomeUnknown,
+    UnknownKey,
+    UnknownPath,
+)
 
 # Ranks within a tier, one for each of the tiers 0 to 2 that the operators' routes have.
 ROUTE_RANKS = 3
@@ -57,7 +66,13 @@
     :ivar last_piece_s: monotonic clock when the last chunk of a stream arrived, in seconds
     :ivar longest_gap_s: longest time between two chunks of the stream, in seconds
     :ivar backend: backend server of the last attempt, ``None`` before the first
+    :ivar exchange: connection of the last attempt, and number of its request on this connection
+    :ivar framing: what ends the answer to the last attempt, empty before its head
     :ivar status: status that was sent to the caller
+    :ivar answer: whether the caller was sent ``none`` of an answer, a part (``cut``), or a
+        ``whole`` one
+    :ivar answer_attempt: number of the attempt whose answer is sent, 0 for an error of this program
+    :ivar sent_bytes: length of the body sent to the caller, in bytes
     """
 
     sent: int = 0
@@ -77,7 +92,12 @@
     last_piece_s: float = 0.0
     longest_gap_s: float = 0.0
     backend: Backend | None = None
+    exchange: str = ""
+    framing: str = ""
     status: int = 0
+    answer: str = "none"
+    answer_attempt: int = 0
+    sent_bytes: int = 0
 
 
 def make_plan(call: Call, contracts: Contracts | None) -> Plan:
@@ -125,3 +145,29 @@
         if point < 0:
             return branch.service
     return route.branches[-1].service
+
+
+def may_repeat(plan: Plan, progress: CallProgress) -> bool:
+    """Return whether a call that may have run may be sent again.
+
+    :param plan: the call's plan
+    :param progress: progress of the call
+    """
+    if plan.route.repeat is Repeat.ALWAYS:
+        return not progress.begun
+    return plan.route.repeat is Repeat.RESUME
+
+
+def make_final_error(failure: BalsamtallyError, progress: CallProgress) -> BalsamtallyError:
+    """Return the error that is sent to a caller after the last attempt.
+
+    The outcome "not run" is reported only if no attempt may have run.
+
+    :param failure: failure of the last attempt
+    :param progress: progress of the call
+    """
+    if isinstance(failure, NoAnswer):
+        return OutcomeUnknown(str(failure))
+    if failure.outcome is Outcome.NOT_RUN and progress.may_have_run:
+        return BackendFailed(f"an earlier attempt may have run; the last one failed: {failure}")
+    return failure
--- a/balsamtally/platform/wire.py
+++ b/balsamtally/platform/wire.py
@@ -240,4 +240,13 @@
     return tuple(headers), body
 
 
-WIRE = Wire(read_call, make_headers, classify, pick_headers, report)
+def read_answer_id(head: AnswerHead) -> str:
+    """Return the id of the request that an answer names, empty if it names none.
+
+    :param head: head of the answer
+    """
+    ids = [value for name, value in head.headers if name.lower() == ATTEMPT_ID]
+    return ids[0][:MAX_ID_BYTES].decode("latin-1") if ids else ""
+
+
+WIRE = Wire(read_call, make_headers, classify, pick_headers, report, read_answer_id)
--- a/balsamtally/request_history.py
+++ b/balsamtally/request_history.py
@@ -13,7 +13,7 @@
 CONTEXT_EVENTS = frozenset(
     ("backend_added", "backend_leaving", "backend_removed", "backend_lapsed", "backend_ejected")
     + ("backend_kept", "contracts_in_force", "platform_lost", "platform_back", "lines_dropped")
-    + ("backend_crashed", "part_quarantined", "part_released")
+    + ("backend_crashed", "part_quarantined", "part_released", "late_answer")
     + ("started", "leaving", "stopped", "settings_changed", "peer_silent")
 )
 
--- a/balsamtally/sockets.py
+++ b/balsamtally/sockets.py
@@ -62,19 +62,34 @@
 def is_idle(sock: socket.socket) -> bool:
     """Return whether a connection is open and has no unread input.
 
+    :param sock: a connected socket
+    """
+    return peek(sock) is None
+
+
+def has_input(sock: socket.socket) -> bool:
+    """Return whether a connection has unread input.
+
+    :param sock: a connected socket
+    """
+    return bool(peek(sock))
+
+
+def peek(sock: socket.socket) -> bytes | None:
+    """Return the first byte of unread input, empty after the end, ``None`` if there is none yet.
+
     :param sock: a connected socket
     """
     before = sock.gettimeout()
     sock.settimeout(0)
     try:
-        sock.recv(1, plain.MSG_PEEK)
+        return sock.recv(1, plain.MSG_PEEK)
     except BlockingIOError:
-        return True
+        return None
     except OSError:
-        return False
+        return b""
     finally:
         sock.settimeout(before)
-    return False
 
 
 def close(sock: socket.socket) -> None:
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -53,6 +53,7 @@
 CALLERS = "tests/balsamtally/test_callers.py"
 CATALOG = "tests/balsamtally/test_catalog.py"
 DISPATCH = "tests/balsamtally/test_dispatch.py"
+CALL_LOG = "tests/balsamtally/test_call_log.py"
 FORWARDING = "tests/balsamtally/test_forwarding.py"
 GRID = "tests/standins/test_grid.py"
 PEERS = "tests/balsamtally/test_peers.py"
@@ -96,6 +97,7 @@
     ),
     Mutation("chats", "and progress.failed_starts < MAX_FAILED_STARTS", "", CHATS),
     Mutation("callers", "if self.began_answer:", "if False:", CALLERS),
+    Mutation("backends", "if connection.has_late_answer():", "if False:", CALL_LOG),
     Mutation("crash_evidence", "if at_s - last_s >=", "if True or", CRASH_EVIDENCE),
     Mutation("crash_evidence", "if crash.service != service:", "if False:", CRASH_EVIDENCE),
     Mutation("crash_evidence", "set.intersection(", "set.union(", CRASH_EVIDENCE),
--- a/tests/balsamtally/scripted.py
+++ b/tests/balsamtally/scripted.py
@@ -221,6 +221,7 @@
             if name.lower() not in (b"content-length", b"transfer-encoding", b"connection")
         ),
         _report,
+        lambda head: dict(head.headers).get(b"Id", b"").decode(),
     )
 
 
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -73,10 +73,9 @@
             )
         )
         terminations = Terminations(self.connections.refuses_connections)
-        forwarder = Forwarder(self.hooks, wire, self.connections, terminations)
-        server = CallerServer(
-            listen(("127.0.0.1", 0)), Limits, forwarder.serve, forwarder.refuse, time.monotonic
-        )
+        self.forwarder = Forwarder(self.hooks, wire, self.connections, terminations)
+        serve, refuse = self.forwarder.serve, self.forwarder.refuse
+        server = CallerServer(listen(("127.0.0.1", 0)), Limits, serve, refuse, time.monotonic)
         self._stack.enter_context(server)
         self._address = server._listener.getsockname()
         return self
