Read callers' raw bytes of streams that fail after an error answer

What callers saw: within a begun stream, the head and body of another backend server's error.

No test read the raw bytes that a daemon sends when an error answer is stored, the next stream begins, and then ends or stalls until the call's deadline.

Change: backend servers of the test deployment take the answer to each attempt from a header of the request (a status, or a stream that stalls, is closed or reset after its first event).

--- a/standins/grid.py
+++ b/standins/grid.py
@@ -8,10 +8,13 @@
 import hashlib
 import json
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -41,6 +44,8 @@
 PREFILL_S = 0.05
 # Time from a crash caused by a prompt to the server's next start.
 RESTART_S = 1.0
+# Value of SO_LINGER that makes a close reset the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 FIRST_BORN = 1_700_000_000_000
 KEY = "example-key-of-buggy-cabo"
 CUSTOMER = "buggy-cabo"
@@ -89,10 +94,15 @@
 class Server:
     """A backend server that records every request it receives and executes; a context manager.
 
+    A request header ``Script`` names the answer to each attempt at the call, separated by commas,
+    the last one for all further attempts: a status, ``stall`` (a stream that sends nothing after
+    its first event), ``cut`` or ``reset`` (its connection is closed or reset then), or ``whole``.
+
     :param store: store in which the server registers
     :param name: id of the server
     :param service: name of its service
     :param domain: failure domain of the server
+    :param attempts: number of requests by attempt id, shared by the servers of a deployment
     :ivar runs: attempt id, headers and time of each executed request, in order
     :ivar arrivals: attempt id and time of each received request, also of refused requests
     :ivar fault: ``""``, ``"full"`` (503, not executed), ``"reset"`` (closes the connection before
@@ -103,7 +113,7 @@
     :ivar crashes: times of these crashes
     """
 
-    def __init__(self, store: Store, name: str, service: str, domain: str):
+    def __init__(self, store: Store, name: str, service: str, domain: str, attempts: Counter[str]):
         self.name = name
         self.service = service
         self.runs: list[tuple[str, dict[str, str], float]] = []
@@ -114,6 +124,7 @@
         self.crashes: list[float] = []
         self._store = store
         self._domain = domain
+        self._attempts = attempts
         self._host = draw_host()
         self._born = FIRST_BORN
         self._server: CallerServer | None = None
@@ -171,16 +182,24 @@
             caller.answer(503, [*echo, (b"Not-Executed", b"1")], b"")
             return
         self.runs.append((attempt_id, headers, time.monotonic()))
+        script = headers.get("script", "whole").split(",")
+        step = script[min(self._attempts[attempt_id], len(script) - 1)]
+        self._attempts[attempt_id] += 1
         if self.fault == "reset":
             return
         echo.append((b"Response-Signature", sign(self.name, attempt_id).encode()))
         self.running += 1
         try:
-            self._answer(caller, request, headers, echo)
+            if step.isdigit():
+                caller.answer(int(step), echo, b"error")
+            else:
+                self._answer(caller, request, headers, echo, step)
         finally:
             self.running -= 1
 
-    def _answer(self, caller: Caller, request: Request, headers: dict, echo: list) -> None:
+    def _answer(
+        self, caller: Caller, request: Request, headers: dict, echo: list, step: str
+    ) -> None:
         if self.service != "model":
             gevent.sleep(SERVICE_TIME_S)
             caller.answer(500 if self.fault == "error" else 200, echo, request.body or b"found")
@@ -198,6 +217,12 @@
                 caller.send(b"id: %d\nda" % number)
                 return
             caller.send(b"id: %d\ndata: t%d\n\n" % (number, number))
+            if step == "stall":
+                gevent.sleep(STOP_TIMEOUT_S)
+            if step == "reset":
+                caller._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            if step != "whole":
+                return
         caller.end()
 
 
@@ -312,6 +337,7 @@
         self._stack = contextlib.ExitStack()
         self.vms: list[Vm] = []
         self.servers: list[Server] = []
+        self._attempts: Counter[str] = Counter()
 
     def __enter__(self) -> "Grid":
         enter = self._stack.enter_context
@@ -322,7 +348,9 @@
             for number in range(self._servers_per_domain):
                 for service in ("model", "desk"):
                     name = f"i-{service}-{domain}-{number}"
-                    self.servers.append(enter(Server(self.store, name, service, domain)))
+                    self.servers.append(
+                        enter(Server(self.store, name, service, domain, self._attempts))
+                    )
             for number in range(self._vms_per_domain):
                 self.vms.append(Vm(f"vm-{domain}-{number}", domain, folder))
         self._stack.callback(self._kill_all)
