Write no error text after the head of an answer that couldn't be sent

What callers could see, on the chat interface: "Internal Server Error", without a head, after the answer to an earlier request on the connection.

Cause: where the sending of a head ends with an exception (the caller reads nothing for 30 s while its earlier answers fill the connection, or the grace period ends), pywsgi has sent no counted byte but has marked the head as sent; its error handler then writes the body of a 500 answer alone.

Evidence: test_no_error_body_is_written_after_a_head_whose_sending_was_aborted failed for both exceptions: b'Internal Server Error' followed the earlier bytes.

Change: the handler ends the connection once a head was given to the socket, with a log line. Both cases of the test pass; the guard fails it when taken out.

--- a/balsamtally/entry.py
+++ b/balsamtally/entry.py
@@ -306,6 +306,20 @@
         environ[SOCKET_KEY] = self.socket
         return environ
 
+    def handle_error(self, kind, value, traceback) -> None:
+        """Answer an error of the server with 500, or end a connection whose answer has begun.
+
+        The base class takes a head that was sent in part for one that wasn't sent.
+        """
+        if not self.headers_sent:
+            super().handle_error(kind, value, traceback)
+            return
+        self.close_connection = True
+        if isinstance(value, (OSError, BalsamtallyError, gevent.GreenletExit)):
+            log.info("answer_aborted", why=f"{kind.__name__}: {value}")
+        else:
+            log.error("request_failed", exc_info=(kind, value, traceback))
+
     def read_requestline(self) -> str:
         """Return the request line, empty if the read timed out."""
         try:
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -31,6 +31,7 @@
     test: str
 
 
+ENTRY = "tests/balsamtally/test_entry.py"
 DISSEMINATION = "tests/balsamtally/test_dissemination.py"
 ANSWERS = "tests/balsamtally/test_answers.py"
 EXCHANGE = "tests/balsamtally/test_exchange.py"
@@ -97,6 +98,7 @@
     ),
     Mutation("chats", "and progress.failed_starts < MAX_FAILED_STARTS", "", CHATS),
     Mutation("callers", "if self.began_answer:", "if False:", CALLERS),
+    Mutation("entry", "if not self.headers_sent:", "if True:", ENTRY),
     Mutation("backends", "if connection.has_late_answer():", "if False:", CALL_LOG),
     Mutation("crash_evidence", "if at_s - last_s >=", "if True or", CRASH_EVIDENCE),
     Mutation("crash_evidence", "if crash.service != service:", "if False:", CRASH_EVIDENCE),
