Let a caller's disconnect end the reading of a refusal

What operators could see: a call at work at a second backend server after its caller had left.

Cause: a disconnect raises CallerLeft in the call's greenlet, once. Where this came while the rest of a refusal or of another request's answer was read, the method took it for a failure of the connection, and the call went on.

Evidence: test_caller_that_leaves_while_a_refusal_is_drained_has_its_call_sent_nowhere_else failed: the second backend server got the request; the log said drain_failed, "the caller closed the connection".

Change: the method catches only failures of the connection and the deadline. The test passes; its guard fails it when taken out.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -13,7 +13,7 @@
 from gevent import select, socket
 
 from balsamtally.calls import AnswerHead, Backend, Headers
-from balsamtally.errors import AnswerCut, BackendUnreachable, BalsamtallyError, NoAnswer
+from balsamtally.errors import AnswerCut, BackendUnreachable, NoAnswer
 from balsamtally.logs import log
 from balsamtally.sockets import close, connect, has_input, is_idle
 
@@ -184,10 +184,11 @@
 
         :param until_s: deadline on the monotonic clock, in seconds
         :return: whether the end of the answer was reached
+        :raises CallerLeft: if the caller disconnects meanwhile
         """
         try:
             self.read_whole(min(until_s, time.monotonic() + DRAIN_S), MAX_DRAINED_BYTES)
-        except BalsamtallyError as error:
+        except (AnswerCut, NoAnswer) as error:
             log.info("drain_failed", why=str(error))
             return False
         return True
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -99,6 +99,7 @@
     Mutation("chats", "and progress.failed_starts < MAX_FAILED_STARTS", "", CHATS),
     Mutation("callers", "if self.began_answer:", "if False:", CALLERS),
     Mutation("entry", "if not self.headers_sent:", "if True:", ENTRY),
+    Mutation("backends", "except (AnswerCut, NoAnswer) as", "except Exception as", FORWARDING),
     Mutation("backends", "if connection.has_late_answer():", "if False:", CALL_LOG),
     Mutation("crash_evidence", "if at_s - last_s >=", "if True or", CRASH_EVIDENCE),
     Mutation("crash_evidence", "if crash.service != service:", "if False:", CRASH_EVIDENCE),
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -34,6 +34,7 @@
 STREAM = b"HTTP/1.1 200 OK\r\nId: id1\r\nSigned: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 STREAM_AGAIN = STREAM.replace(b"Signed: a", b"Signed: b")
 END = b"0\r\n\r\n"
+REQUEST = b"POST /a/x?y=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
 OWN_PART = (PromptPart("o", 5),)
 
 
@@ -86,7 +87,7 @@
     def connect(self):
         return socket.create_connection(self._address, timeout=10)
 
-    def send(self, request=b"POST /a/x?y=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"):
+    def send(self, request=REQUEST):
         """Return status, headers and body of the answer, and whether it is complete."""
         with contextlib.closing(self.connect()) as sock:
             sock.sendall(request)
@@ -761,3 +762,20 @@
         with ForwarderHarness(make_route(), one, parts=SHARED_PARTS) as harness:
             assert harness.send()[0] == status
     assert len(harness.list_recorded("begun")) == begun
+
+
+def test_caller_that_leaves_while_a_refusal_is_drained_has_its_call_sent_nowhere_else():
+    refusal = send_raw(b"HTTP/1.1 503 X\r\nId: id1\r\nNot-Run: 1\r\nContent-Length: 9\r\n\r\n")
+
+    def refuse_slowly(sock, request):
+        refusal(sock, request)
+        hang(sock, request)
+
+    with ScriptedBackend(refuse_slowly) as one, ScriptedBackend(reply()) as two:
+        with ForwarderHarness(make_route(), one, two) as harness:
+            with contextlib.closing(harness.connect()) as sock:
+                sock.sendall(REQUEST)
+                expect_soon(lambda: one.requests)
+                gevent.sleep(0.05)
+            expect_soon(lambda: harness.list_recorded("end"))
+        assert not two.requests
