Answer a call whose request or plan fails unexpectedly

What callers could see: a connection that ends without an answer, and no log line with the request.

Cause: only numbered errors were caught while a request is parsed and its plan is made; another exception ended the caller's greenlet.

Evidence: test_call_whose_plan_fails_unexpectedly_is_answered_with_an_error failed: no status, and a traceback on standard error.

Change: such a request is logged as request_failed and answered 500 with code 9000, like one that fails later. The test passes; its guard fails it when taken out.

--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -151,12 +151,17 @@
         :param request: the request
         :raises CallerLeft: if the caller disconnects
         """
-        call: Call | None = None
+        call_id = ""
         try:
             call = self._wire.read_call(request)
+            call_id = call.id
             plan = make_plan(call, self._hooks.find_contracts())
         except BalsamtallyError as error:
-            self.refuse(caller, error, call.id if call is not None else "")
+            self.refuse(caller, error, call_id)
+            return
+        except Exception:
+            log.exception("request_failed", request=call_id)
+            self.refuse(caller, BalsamtallyError(), call_id)
             return
         progress = CallProgress()
         error: BaseException | None = None
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -126,6 +126,12 @@
         FORWARDING,
     ),
     Mutation("forwarding", "progress.crashes >= MAX_CRASHES or", "", FORWARDING),
+    Mutation(
+        "forwarding",
+        "except Exception:\n            log",
+        "except LookupError:\n            log",
+        FORWARDING,
+    ),
     Mutation(
         "forwarding", "connection.ends_by_close and self._term", "False and self._term", FORWARDING
     ),
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -779,3 +779,11 @@
                 gevent.sleep(0.05)
             expect_soon(lambda: harness.list_recorded("end"))
         assert not two.requests
+
+
+def test_call_whose_plan_fails_unexpectedly_is_answered_with_an_error():
+    with ScriptedBackend(reply()) as one:
+        with ForwarderHarness(make_route(), one, find_contracts=lambda: 1 / 0) as harness:
+            status, headers, _, whole = harness.send()
+    assert (status, headers[b"code"], whole) == (500, b"9000", True)
+    assert not one.requests
