Give a call that ends by an unexpected error, or with its process, a result code

What operators could see: `ended` with code 0, `on_time` and a calm line for a call whose caller got the answer 500, or a part of an answer when the process stopped; so in the counters by code.

Cause: the code was 0 for every exception without a number, and the end of the greenlet wasn't recorded as the call's error. A count of cut answers by code missed both.

Evidence: test_call_that_ends_by_an_unexpected_error_or_with_its_process_has_a_code failed with (500, 0, 'whole', 'division by zero') and (0, 0, 'none', '').

Change: such ends have the code of an internal error, 9000, and their exception as `why`. The test passes; its guard fails it when taken out.

--- a/balsamtally/call_log.py
+++ b/balsamtally/call_log.py
@@ -40,6 +40,16 @@
     )
 
 
+def find_code(error: BaseException | None) -> int:
+    """Return the result code of a call, 0 after a complete answer.
+
+    :param error: why the call failed, ``None`` if it was answered
+    """
+    if error is None:
+        return 0
+    return error.code if isinstance(error, BalsamtallyError) else BalsamtallyError.code
+
+
 def log_end(
     plan: Plan,
     progress: CallProgress,
@@ -62,7 +72,7 @@
         customer=plan.customer,
         backend=progress.backend.name if progress.backend is not None else "",
         status=progress.status,
-        code=error.code if isinstance(error, BalsamtallyError) else 0,
+        code=find_code(error),
         why="" if error is None else str(error) or type(error).__name__,
         attempts=progress.sent,
         exchange=progress.exchange,
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -179,6 +179,9 @@
             log.exception("request_failed", request=call.id)
             if not caller.began_answer:
                 self.refuse(caller, BalsamtallyError(), call.id, progress)
+        except BaseException as failure:
+            error = failure
+            raise
         finally:
             progress.answer, progress.sent_bytes = caller.answer_state, caller.sent_bytes
             self._hooks.record_end(plan, progress, error)
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -17,7 +17,7 @@
 from balsamtally.backlogs import Backlogs
 from balsamtally.beats import Beat
 from balsamtally.budgets import FleetBudget
-from balsamtally.call_log import log_end
+from balsamtally.call_log import find_code, log_end
 from balsamtally.call_metrics import CallGauges, CallMetrics
 from balsamtally.callers import Caller, CallerServer, Request
 from balsamtally.calls import Backend, Limits
@@ -333,7 +333,7 @@
 
     def _record_end(self, plan: Plan, progress: CallProgress, error: BaseException | None) -> None:
         began_s = progress.first_event_s - plan.call.arrived_s if progress.first_event_s else -1.0
-        code = error.code if isinstance(error, BalsamtallyError) else 0
+        code = find_code(error)
         on_time = meets_targets(plan, progress, began_s) and error is None
         self._metrics.count_call(plan.route.name, plan.customer, progress.status, code, on_time)
         if began_s >= 0:
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -100,6 +100,7 @@
     Mutation("callers", "if self.began_answer:", "if False:", CALLERS),
     Mutation("entry", "if not self.headers_sent:", "if True:", ENTRY),
     Mutation("backends", "except (AnswerCut, NoAnswer) as", "except Exception as", FORWARDING),
+    Mutation("forwarding", "except BaseException as", "except BytesWarning as", CALL_LOG),
     Mutation("backends", "if connection.has_late_answer():", "if False:", CALL_LOG),
     Mutation("crash_evidence", "if at_s - last_s >=", "if True or", CRASH_EVIDENCE),
     Mutation("crash_evidence", "if crash.service != service:", "if False:", CRASH_EVIDENCE),
--- a/tests/balsamtally/test_call_log.py
+++ b/tests/balsamtally/test_call_log.py
@@ -4,20 +4,26 @@
 
 from balsamtally.call_log import log_end
 from balsamtally.calls import Repeat
-from tests.balsamtally.scripted import ScriptedBackend, make_route, reply, send_raw
-from tests.balsamtally.test_forwarding import STREAM, ForwarderHarness, event, events
+from tests.balsamtally.scripted import ScriptedBackend, hang, make_route, reply, send_raw
+from tests.balsamtally.test_forwarding import REQUEST, STREAM, ForwarderHarness, event, events
+from tests.polling import expect_soon
 
 OWN = b"HTTP/1.1 200 X\r\nId: id1\r\n"
 FOREIGN = b"HTTP/1.1 200 X\r\nId: other\r\nContent-Length: 2\r\n\r\nab"
 
 
-def run_calls(route, *backends, calls=1):
-    """Return the lines of calls in order, and the number of each kind of unexpected answers."""
+def run_harness(route, *backends, **hooks):
+    """Return a harness that writes the line of each call's end."""
 
     def record_end(plan, progress, error):
         log_end(plan, progress, error, 0.1, error is None)
 
-    with capture_logs() as lines, ForwarderHarness(route, *backends, record_end=record_end) as run:
+    return ForwarderHarness(route, *backends, record_end=record_end, **hooks)
+
+
+def run_calls(route, *backends, calls=1, **hooks):
+    """Return the lines of calls in order, and the number of each kind of unexpected answers."""
+    with capture_logs() as lines, run_harness(route, *backends, **hooks) as run:
         for _ in range(calls):
             run.send()
         return lines, (run.forwarder.foreign_answers, run.connections.late_answers)
@@ -57,3 +63,18 @@
         ("1.2", "length", "whole", 2),
         ("2.1", "close", "whole", 2),
     ]
+
+
+def test_call_that_ends_by_an_unexpected_error_or_with_its_process_has_a_code():
+    with ScriptedBackend(hang) as one:
+        lines, _ = run_calls(make_route(), one, is_open=lambda backend: 1 / 0)
+        with capture_logs() as killed:
+            with run_harness(make_route(), one) as harness:
+                caller = harness.connect()
+                caller.sendall(REQUEST)
+                expect_soon(lambda: one.requests)
+            expect_soon(lambda: pick(killed, "ended"))
+            caller.close()
+    fields = ("status", "code", "answer", "why")
+    assert pick(lines, "ended", *fields) == [(500, 9000, "whole", "division by zero")]
+    assert pick(killed, "ended", *fields) == [(0, 9000, "none", "GreenletExit")]
