--- a/tests/balsamtally/test_request_history.py
+++ b/tests/balsamtally/test_request_history.py
@@ -15,6 +15,7 @@
     make_line("attempt_failed", "02", request="r1", backend="a", code=3002),
     make_line("ended", "03", request="r1", backend="a", code=3002),
     make_line("backend_ejected", "02.5", backend="a"),
+    make_line("late_answer", "02.7", backend="a", exchange="3.1"),
     make_line("backend_ejected", "02.5", backend="b"),
     make_line("backend_ejected", "02.5", vm="vm2", backend="a"),
     make_line("backend_ejected", "59", backend="a"),
@@ -29,6 +30,7 @@
         "routed",
         "attempt_failed",
         "backend_ejected",
+        "late_answer",
         "ended",
     ]
     assert find_request_history("unknown", TEXTS) == []
@@ -44,7 +46,7 @@
     path.write_text("\n".join(TEXTS))
     assert run(["explain", "r1", "--logs", str(path)]) == 0
     out = capsys.readouterr().out.splitlines()
-    assert len(out) == 4 and "attempt_failed" in out[1] and "code=3002" in out[1]
+    assert len(out) == 5 and "attempt_failed" in out[1] and "code=3002" in out[1]
     assert run(["explain", "r1", "--logs", str(path), "--json"]) == 0
-    assert len(json.loads(capsys.readouterr().out)) == 4
+    assert len(json.loads(capsys.readouterr().out)) == 5
     assert run(["explain", "other", "--logs", str(path)]) == 1
