Answer refused HEAD requests without a body

What callers saw: a HEAD request with an ambiguous length, or whose target isn't a path, ended with a closed connection and no answer; the connection's greenlet ended with a traceback and no log line.

Cause: the method was noted only after the framing had been checked, so that the refusal of a HEAD request was written with a body, which the parser refuses.

Evidence: test_refused_head_request_gets_an_answer_without_a_body failed for both requests (LocalProtocolError "Too much data for declared Content-Length", no byte sent).

Change: the method is noted before the checks. The answers are read by a strict grammar (tests/answer_grammar.py), for use by other tests of raw bytes. tests/balsamtally/test_callers.py passes.

--- a/balsamtally/callers.py
+++ b/balsamtally/callers.py
@@ -180,8 +180,8 @@
             request = self._http.next_event()
             if type(request) is not h11.Request:
                 raise MalformedRequest("the head of the request is malformed")
-            check_framing(head, request.target)
             self._method = bytes(request.method)
+            check_framing(head, request.target)
             body = self._read_body(request, limits)
         except h11.RemoteProtocolError as error:
             raise MalformedRequest(str(error)) from error
--- a/tests/balsamtally/test_callers.py
+++ b/tests/balsamtally/test_callers.py
@@ -15,6 +15,7 @@
 from balsamtally.calls import Limits
 from balsamtally.errors import AnswerBegun, BalsamtallyError, CallerLeft, MalformedRequest
 from balsamtally.sockets import listen
+from tests.answer_grammar import read_answers
 
 LIMITS = Limits(1000, 5000, 0.3, 0.4)
 HEAD = b"POST /a/x HTTP/1.1\r\nHost: h\r\n"
@@ -357,3 +358,12 @@
             data = read_all(sock)
     assert failures == [AnswerBegun.code]
     assert data.endswith(b"\r\n5\r\nfirst\r\n") and b"error" not in data
+
+
+@pytest.mark.parametrize("rest", [b"Content-Length: 0\r\nContent-Length: 0\r\n", b""])
+def test_refused_head_request_gets_an_answer_without_a_body(rest):
+    target = b"/a" if rest else b"http://h/"
+    seen, refused, answer = exchange(b"HEAD %s HTTP/1.1\r\nHost: h\r\n%s\r\n" % (target, rest))
+    assert seen == [] and refused == [MalformedRequest.code]
+    [found] = read_answers(answer, [b"HEAD"], "closed")
+    assert found.status == 400
