Count an answer as begun only once its head can be sent

What callers could see: a closed connection in place of an error, if the parser refused the head of an answer. No such head is known that the reader of backend servers' answers lets through.

Cause: began_answer was set before the head was made, so that no error could replace it; and a second begin relied on the parser alone.

Evidence: test_answer_whose_headers_cannot_be_sent_is_replaced_by_an_error failed for begun and whole answers: began_answer was set although nothing had been sent.

Change: one function makes the head of each answer, refuses a second one, and marks the answer as begun after the parser accepted it. Both tests pass.

--- a/balsamtally/callers.py
+++ b/balsamtally/callers.py
@@ -272,14 +272,23 @@
 
         :param status: HTTP status
         :param headers: headers of the answer; without a length the body is sent in chunks
+        :raises AnswerBegun: if an answer to the request has begun
         """
-        self._send(h11.Response(status_code=status, headers=[*headers, *self._begin_answer()]))
+        self._write(self._make_head(status, headers))
 
-    def _begin_answer(self) -> list[tuple[bytes, bytes]]:
-        """Mark the answer as begun; return a ``Connection: close`` header if it is the last."""
+    def _make_head(self, status: int, headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+        """Return the head of an answer, which has begun with it."""
+        if self.began_answer:
+            raise AnswerBegun
+        closing = self.closing
+        close_header = [(b"Connection", b"close")] if closing else []
+        response = h11.Response(status_code=status, headers=[*headers, *close_header])
+        if self._http is None or self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self._http = h11.Connection(h11.SERVER)
+        head = self._http.send(response) or b""
         self.began_answer = True
-        self._announced_close = self.closing
-        return [(b"Connection", b"close")] if self.closing else []
+        self._announced_close = closing
+        return head
 
     def send(self, data: bytes) -> None:
         """Send a piece of the body."""
@@ -298,13 +307,8 @@
         :param body: the body
         :raises AnswerBegun: if an answer to the request has begun
         """
-        if self.began_answer:
-            raise AnswerBegun
         size = (b"Content-Length", b"%d" % len(body))
-        head = h11.Response(status_code=status, headers=[*headers, size, *self._begin_answer()])
-        if self._http is None or self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            self._http = h11.Connection(h11.SERVER)
-        parts = [self._http.send(head) or b""]
+        parts = [self._make_head(status, [*headers, size])]
         if body and self._method != b"HEAD":
             parts.append(self._http.send(h11.Data(data=body)) or b"")
         parts.append(self._http.send(h11.EndOfMessage()) or b"")
--- a/tests/balsamtally/test_callers.py
+++ b/tests/balsamtally/test_callers.py
@@ -8,6 +8,7 @@
 import pytest
 from gevent import socket
 from gevent.event import Event
+from h11 import LocalProtocolError
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
@@ -367,3 +368,20 @@
     assert seen == [] and refused == [MalformedRequest.code]
     [found] = read_answers(answer, [b"HEAD"], "closed")
     assert found.status == 400
+
+
+@pytest.mark.parametrize("whole", [False, True])
+def test_answer_whose_headers_cannot_be_sent_is_replaced_by_an_error(whole):
+    def handle(caller, request):
+        with pytest.raises(LocalProtocolError):
+            if whole:
+                caller.answer(200, ((b"bad name", b"x"),), b"")
+            else:
+                caller.begin(200, ((b"bad name", b"x"),))
+        assert not caller.began_answer
+        caller.answer(502, (), b"error")
+
+    with serve(handle) as (connect, _, _), contextlib.closing(connect()) as sock:
+        sock.sendall(HEAD + b"\r\n")
+        [found] = read_answers(read_all(sock), [b"POST"], "closed")
+    assert (found.status, found.body) == (502, b"error")
