Reset the connection of an HTTP/1.0 caller whose answer is cut

What callers could see: HTTP/1.0 has no chunks, so that a stream ends with its connection; a stream that broke off or passed its deadline was closed like a whole one.

Cause: the connection was closed in the same way after a whole and after an unfinished answer.

Evidence: test_unfinished_answer_to_a_http_1_0_caller_ends_in_a_reset failed: the caller read the end of the stream without an error.

Change: an unfinished answer without chunks ends in a reset. The test passes.

--- a/balsamtally/callers.py
+++ b/balsamtally/callers.py
@@ -25,7 +25,7 @@
     RequestTimeout,
 )
 from balsamtally.logs import log
-from balsamtally.sockets import close, set_up
+from balsamtally.sockets import close, reset, set_up
 
 READ_BYTES = 65_536
 # Input that is buffered while a request is handled. Reading continues so that a disconnect is
@@ -127,7 +127,19 @@
 
     def __exit__(self, *exc_info) -> None:
         self._reader.kill(block=False)
-        close(self._sock)
+        if self._is_cut_without_framing():
+            reset(self._sock)
+        else:
+            close(self._sock)
+
+    def _is_cut_without_framing(self) -> bool:
+        """Return whether an unfinished answer would look whole if the connection were closed.
+
+        HTTP/1.0 has no chunks.
+        """
+        http = self._http
+        is_cut = self.began_answer and not self.answered
+        return is_cut and http is not None and (http.their_http_version or b"") < b"1.1"
 
     # Reading.
 
--- a/balsamtally/sockets.py
+++ b/balsamtally/sockets.py
@@ -3,6 +3,7 @@
 import contextlib
 import ipaddress
 import socket as plain
+import struct
 
 from gevent import socket
 
@@ -14,6 +15,7 @@
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 3_000
 BACKLOG = 512
+_NO_LINGER = struct.pack("ii", 1, 0)
 
 
 def set_up(sock: socket.socket) -> None:
@@ -86,6 +88,16 @@
         sock.close()
 
 
+def reset(sock: socket.socket) -> None:
+    """Close a connection with a reset, ignoring errors.
+
+    :param sock: the socket
+    """
+    with contextlib.suppress(OSError):
+        sock.setsockopt(plain.SOL_SOCKET, plain.SO_LINGER, _NO_LINGER)
+    close(sock)
+
+
 def parse_address(text: str) -> tuple[str, int]:
     """Parse an IPv4 address and port such as ``10.1.0.7:8000``.
 
--- a/tests/balsamtally/test_callers.py
+++ b/tests/balsamtally/test_callers.py
@@ -385,3 +385,15 @@
         sock.sendall(HEAD + b"\r\n")
         [found] = read_answers(read_all(sock), [b"POST"], "closed")
     assert (found.status, found.body) == (502, b"error")
+
+
+def test_unfinished_answer_to_a_http_1_0_caller_ends_in_a_reset():
+    def begin_only(caller, request):
+        caller.begin(200, ())
+        caller.send(b"part")
+
+    with serve(begin_only) as (connect, _, _), contextlib.closing(connect()) as sock:
+        sock.sendall(b"GET /a/x HTTP/1.0\r\nHost: h\r\n\r\n")
+        with pytest.raises(ConnectionResetError):
+            while sock.recv(1000):
+                pass
