Give answers without a body the length that the backend server declared

What callers saw: answers to HEAD with Content-Length 0 in place of the backend server's length, 204 with a Content-Length, which RFC 9110 forbids, and 502 in place of a good answer: for HEAD on a streaming route, and for a 204 whose backend server ended right after it.

Cause: each whole answer got the length of its body, and an answer without a length was taken as one that ends with its connection whether or not it can have a body.

Evidence: test_answer_to_head_declares_the_length_of_the_backend_server failed in 4 of 6 cases and test_answer_without_a_body_has_no_length_and_does_not_end_with_its_connection in both: length 0 in place of 7, 502 in place of 200 and 204, status 204 with content-length.

Change: 204 and 304 have no length; an answer to HEAD has the backend server's length or none, is passed on whole on each route, and doesn't end with its connection. The tests pass.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -12,7 +12,7 @@
 import h11
 from gevent import select, socket
 
-from balsamtally.calls import AnswerHead, Backend, Headers
+from balsamtally.calls import BODILESS, AnswerHead, Backend, Headers
 from balsamtally.errors import AnswerCut, BackendUnreachable, BalsamtallyError, NoAnswer
 from balsamtally.logs import log
 from balsamtally.sockets import close, connect, is_idle
@@ -130,7 +130,9 @@
         names = [name.lower() for name, _ in headers]
         if names.count(b"content-length") + names.count(b"transfer-encoding") > 1:
             raise AnswerCut("the answer has more than one length or transfer encoding header")
-        self.ends_by_close = not {b"content-length", b"transfer-encoding"}.intersection(names)
+        has_body = self._method != b"HEAD" and event.status_code not in BODILESS
+        framing = {b"content-length", b"transfer-encoding"}
+        self.ends_by_close = has_body and not framing.intersection(names)
         self._read_keep_alive(headers)
         return AnswerHead(event.status_code, headers)
 
--- a/balsamtally/callers.py
+++ b/balsamtally/callers.py
@@ -14,7 +14,7 @@
 from gevent.event import Event
 from gevent.pool import Pool
 
-from balsamtally.calls import Headers, Limits
+from balsamtally.calls import BODILESS, Headers, Limits
 from balsamtally.errors import (
     AnswerBegun,
     BalsamtallyError,
@@ -133,10 +133,7 @@
             close(self._sock)
 
     def _is_cut_without_framing(self) -> bool:
-        """Return whether an unfinished answer would look whole if the connection were closed.
-
-        HTTP/1.0 has no chunks.
-        """
+        """Return whether an HTTP/1.0 caller (no chunks) would take a cut answer as whole."""
         http = self._http
         is_cut = self.began_answer and not self.answered
         return is_cut and http is not None and (http.their_http_version or b"") < b"1.1"
@@ -292,14 +289,13 @@
         """Return the head of an answer, which has begun with it."""
         if self.began_answer:
             raise AnswerBegun
-        closing = self.closing
-        close_header = [(b"Connection", b"close")] if closing else []
+        close_header = [(b"Connection", b"close")] if self.closing else []
         response = h11.Response(status_code=status, headers=[*headers, *close_header])
         if self._http is None or self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self._http = h11.Connection(h11.SERVER)
         head = self._http.send(response) or b""
         self.began_answer = True
-        self._announced_close = closing
+        self._announced_close = self.closing
         return head
 
     def send(self, data: bytes) -> None:
@@ -311,16 +307,25 @@
         self._send(h11.EndOfMessage())
         self.answered = True
 
-    def answer(self, status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes) -> None:
+    def answer(
+        self,
+        status: int,
+        headers: Iterable[tuple[bytes, bytes]],
+        body: bytes,
+        length: Headers | None = None,
+    ) -> None:
         """Send a whole answer.
 
         :param status: HTTP status
         :param headers: headers without the length
         :param body: the body
+        :param length: header with the length for the answer to a HEAD request, empty if it isn't
+            known, ``None`` for the length of the body
         :raises AnswerBegun: if an answer to the request has begun
         """
-        size = (b"Content-Length", b"%d" % len(body))
-        parts = [self._make_head(status, [*headers, size])]
+        if length is None or self._method != b"HEAD":
+            length = () if status in BODILESS else ((b"Content-Length", b"%d" % len(body)),)
+        parts = [self._make_head(status, [*headers, *length])]
         if body and self._method != b"HEAD":
             parts.append(self._http.send(h11.Data(data=body)) or b"")
         parts.append(self._http.send(h11.EndOfMessage()) or b"")
--- a/balsamtally/calls.py
+++ b/balsamtally/calls.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 
 Headers = tuple[tuple[bytes, bytes], ...]
+# Statuses of answers without a body and a length.
+BODILESS = frozenset((204, 304))
 
 
 class Repeat(enum.Enum):
@@ -246,3 +248,10 @@
 
     status: int
     headers: Headers = field(default=())
+
+    @property
+    def length(self) -> Headers:
+        """The ``Content-Length`` header, empty if there is none or the answer has no body."""
+        if self.status in BODILESS:
+            return ()
+        return tuple(pair for pair in self.headers if pair[0].lower() == b"content-length")
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -322,7 +322,7 @@
             attempt = self._send(plan, progress, backend, connection)
             head, verdict = self._read_head(plan, attempt, connection)
             self._check_verdict(plan, backend, head, verdict, connection)
-            if plan.route.streams and head.status == 200:
+            if plan.route.streams and head.status == 200 and plan.call.method != b"HEAD":
                 self._pass_stream(caller, plan, progress, head, connection, work)
             else:
                 self._pass_whole(caller, plan, progress, head, connection)
@@ -413,7 +413,7 @@
     ) -> None:
         progress.first_event_s = time.monotonic()
         progress.status = head.status
-        caller.answer(head.status, self._wire.pick_headers(head), body)
+        caller.answer(head.status, self._wire.pick_headers(head), body, head.length)
 
     def _pass_stream(
         self,
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -17,6 +17,7 @@
 from balsamtally.plans import make_plan, pick_service
 from balsamtally.sockets import listen
 from balsamtally.terminations import Terminations
+from tests.answer_grammar import read_answers
 from tests.balsamtally.scripted import (
     ScriptedBackend,
     hang,
@@ -762,3 +763,33 @@
         with ForwarderHarness(make_route(), one, parts=SHARED_PARTS) as harness:
             assert harness.send()[0] == status
     assert len(harness.list_recorded("begun")) == begun
+
+
+@pytest.mark.parametrize("streams", [False, True])
+@pytest.mark.parametrize(
+    "framing", [b"Content-Length: 7\r\n", b"Transfer-Encoding: chunked\r\n", b""]
+)
+def test_answer_to_head_declares_the_length_of_the_backend_server(framing, streams):
+    head = b"HTTP/1.1 200 OK\r\nId: id1\r\n%s\r\n" % framing
+    with ScriptedBackend(lambda sock, _: sock.sendall(head)) as one:
+        with ForwarderHarness(make_route(streams=streams), one) as harness:
+            for _ in range(2):
+                with contextlib.closing(harness.connect()) as sock:
+                    sock.sendall(b"HEAD /a/x HTTP/1.1\r\nHost: h\r\n\r\n")
+                    [answer] = read_answers(sock.recv(65536), [b"HEAD"])
+                assert answer.whole and answer.status == 200
+                assert answer.headers.get(b"content-length", b"7") == b"7"
+        assert one.connections == 1
+
+
+@pytest.mark.parametrize("ended", [False, True])
+def test_answer_without_a_body_has_no_length_and_does_not_end_with_its_connection(ended):
+    head = b"HTTP/1.1 204 OK\r\nId: id1\r\n\r\n"
+    with ScriptedBackend(lambda sock, _: sock.sendall(head)) as one:
+        if ended:
+            one._scripts = [crash(one, head)]
+        with ForwarderHarness(make_route(), one) as harness:
+            with contextlib.closing(harness.connect()) as sock:
+                sock.sendall(b"GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n")
+                [answer] = read_answers(sock.recv(65536), [b"GET"])
+    assert (answer.status, answer.whole) == (204, True)
