--- a/balsamtally/callers.py
+++ b/balsamtally/callers.py
@@ -14,7 +14,7 @@
 from gevent.event import Event
 from gevent.pool import Pool
 
-from balsamtally.calls import Headers, Limits
+from balsamtally.calls import BODILESS, Headers, Limits
 from balsamtally.errors import (
     AnswerBegun,
     BalsamtallyError,
@@ -25,7 +25,7 @@
     RequestTimeout,
 )
 from balsamtally.logs import log
-from balsamtally.sockets import close, set_up
+from balsamtally.sockets import close, reset, set_up
 
 READ_BYTES = 65_536
 # Input that is buffered while a request is handled. Reading continues so that a disconnect is
@@ -129,7 +129,16 @@
 
     def __exit__(self, *exc_info) -> None:
         self._reader.kill(block=False)
-        close(self._sock)
+        if self._is_cut_without_framing():
+            reset(self._sock)
+        else:
+            close(self._sock)
+
+    def _is_cut_without_framing(self) -> bool:
+        """Return whether an HTTP/1.0 caller (no chunks) would take a cut answer as whole."""
+        http = self._http
+        is_cut = self.began_answer and not self.answered
+        return is_cut and http is not None and (http.their_http_version or b"") < b"1.1"
 
     # Reading.
 
@@ -183,8 +192,8 @@
             request = self._http.next_event()
             if type(request) is not h11.Request:
                 raise MalformedRequest("the head of the request is malformed")
-            check_framing(head, request.target)
             self._method = bytes(request.method)
+            check_framing(head, request.target)
             body = self._read_body(request, limits)
         except h11.RemoteProtocolError as error:
             raise MalformedRequest(str(error)) from error
@@ -275,14 +284,22 @@
 
         :param status: HTTP status
         :param headers: headers of the answer; without a length the body is sent in chunks
+        :raises AnswerBegun: if an answer to the request has begun
         """
-        self._send(h11.Response(status_code=status, headers=[*headers, *self._begin_answer()]))
+        self._write(self._make_head(status, headers))
 
-    def _begin_answer(self) -> list[tuple[bytes, bytes]]:
-        """Mark the answer as begun; return a ``Connection: close`` header if it is the last."""
+    def _make_head(self, status: int, headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+        """Return the head of an answer, which has begun with it."""
+        if self.began_answer:
+            raise AnswerBegun
+        close_header = [(b"Connection", b"close")] if self.closing else []
+        response = h11.Response(status_code=status, headers=[*headers, *close_header])
+        if self._http is None or self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self._http = h11.Connection(h11.SERVER)
+        head = self._http.send(response) or b""
         self.began_answer = True
         self._announced_close = self.closing
-        return [(b"Connection", b"close")] if self.closing else []
+        return head
 
     def send(self, data: bytes) -> None:
         """Send a piece of the body."""
@@ -294,21 +311,25 @@
         self._send(h11.EndOfMessage())
         self.answered = True
 
-    def answer(self, status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes) -> None:
+    def answer(
+        self,
+        status: int,
+        headers: Iterable[tuple[bytes, bytes]],
+        body: bytes,
+        length: Headers | None = None,
+    ) -> None:
         """Send a whole answer.
 
         :param status: HTTP status
         :param headers: headers without the length
         :param body: the body
+        :param length: header with the length for the answer to a HEAD request, empty if it isn't
+            known, ``None`` for the length of the body
         :raises AnswerBegun: if an answer to the request has begun
         """
-        if self.began_answer:
-            raise AnswerBegun
-        size = (b"Content-Length", b"%d" % len(body))
-        head = h11.Response(status_code=status, headers=[*headers, size, *self._begin_answer()])
-        if self._http is None or self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            self._http = h11.Connection(h11.SERVER)
-        parts = [self._http.send(head) or b""]
+        if length is None or self._method != b"HEAD":
+            length = () if status in BODILESS else ((b"Content-Length", b"%d" % len(body)),)
+        parts = [self._make_head(status, [*headers, *length])]
         if body and self._method != b"HEAD":
             parts.append(self._http.send(h11.Data(data=body)) or b"")
             self.sent_bytes = len(body)
--- a/tests/balsamtally/test_callers.py
+++ b/tests/balsamtally/test_callers.py
@@ -8,6 +8,7 @@
 import pytest
 from gevent import socket
 from gevent.event import Event
+from h11 import LocalProtocolError
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
@@ -15,6 +16,7 @@
 from balsamtally.calls import Limits
 from balsamtally.errors import AnswerBegun, BalsamtallyError, CallerLeft, MalformedRequest
 from balsamtally.sockets import listen
+from tests.answer_grammar import read_answers
 
 LIMITS = Limits(1000, 5000, 0.3, 0.4)
 HEAD = b"POST /a/x HTTP/1.1\r\nHost: h\r\n"
@@ -357,3 +359,41 @@
             data = read_all(sock)
     assert failures == [AnswerBegun.code]
     assert data.endswith(b"\r\n5\r\nfirst\r\n") and b"error" not in data
+
+
+@pytest.mark.parametrize("rest", [b"Content-Length: 0\r\nContent-Length: 0\r\n", b""])
+def test_refused_head_request_gets_an_answer_without_a_body(rest):
+    target = b"/a" if rest else b"http://h/"
+    seen, refused, answer = exchange(b"HEAD %s HTTP/1.1\r\nHost: h\r\n%s\r\n" % (target, rest))
+    assert seen == [] and refused == [MalformedRequest.code]
+    [found] = read_answers(answer, [b"HEAD"], "closed")
+    assert found.status == 400
+
+
+@pytest.mark.parametrize("whole", [False, True])
+def test_answer_whose_headers_cannot_be_sent_is_replaced_by_an_error(whole):
+    def handle(caller, request):
+        with pytest.raises(LocalProtocolError):
+            if whole:
+                caller.answer(200, ((b"bad name", b"x"),), b"")
+            else:
+                caller.begin(200, ((b"bad name", b"x"),))
+        assert not caller.began_answer
+        caller.answer(502, (), b"error")
+
+    with serve(handle) as (connect, _, _), contextlib.closing(connect()) as sock:
+        sock.sendall(HEAD + b"\r\n")
+        [found] = read_answers(read_all(sock), [b"POST"], "closed")
+    assert (found.status, found.body) == (502, b"error")
+
+
+def test_unfinished_answer_to_a_http_1_0_caller_ends_in_a_reset():
+    def begin_only(caller, request):
+        caller.begin(200, ())
+        caller.send(b"part")
+
+    with serve(begin_only) as (connect, _, _), contextlib.closing(connect()) as sock:
+        sock.sendall(b"GET /a/x HTTP/1.0\r\nHost: h\r\n\r\n")
+        with pytest.raises(ConnectionResetError):
+            while sock.recv(1000):
+                pass
