Refuse a deeply nested record by itself

What callers saw: one entry of another writer, nested too deeply, hid all that came with it. A configuration published after it never came into force (its new key got 401), and after a restart of all VMs no backend server was known: 503, while the health check said 200.

Cause: msgspec raises RecursionError for it, which is no ValueError. It escaped the catalog in the middle of a batch whose records were already merged, so that the rest of the batch was never applied, nor read again.

Change: decoding.decode turns a stack overflow of a decoder into DecodeError; the catalog refuses a record whose decoder raises any of DECODING_ERRORS and goes on with the next one. With either guard taken out its test fails.

--- a/balsamtally/catalog.py
+++ b/balsamtally/catalog.py
@@ -8,6 +8,7 @@
 from gevent.event import Event
 
 from balsamtally.calls import Account, Backend, Limits, Route, Service
+from balsamtally.decoding import DECODING_ERRORS
 from balsamtally.logs import log
 from balsamtally.records import Record, Records, Update
 
@@ -73,11 +74,11 @@
     """Functions that decode published records, implemented by the adapter to the platform.
 
     :ivar read_contracts: returns the contracts of a record, ``None`` for a record of another kind;
-        raises ``ValueError`` if the record is invalid
+        raises one of ``DECODING_ERRORS`` if the record is invalid
     :ivar read_backend_name: returns the name of the backend server of a key, ``None`` for another
         key
-    :ivar read_backend: returns the backend server of an entry; raises ``ValueError`` if the entry
-        is invalid
+    :ivar read_backend: returns the backend server of an entry; raises one of ``DECODING_ERRORS`` if
+        the entry is invalid
     """
 
     read_contracts: Callable[[Record], Contracts | None]
@@ -164,7 +165,7 @@
     def _apply_contracts(self, record: Record, source: str) -> None:
         try:
             contracts = self._decoder.read_contracts(record)
-        except ValueError as error:
+        except DECODING_ERRORS as error:
             log.warning(
                 "contracts_refused", key=record.key, revision=record.revision, why=str(error)
             )
@@ -191,7 +192,7 @@
             return
         try:
             backend = self._decoder.read_backend(name, record.value)
-        except ValueError as error:
+        except DECODING_ERRORS as error:
             log.warning("backend_refused", key=record.key, revision=record.revision, why=str(error))
             self.backends.pop(name, None)
             return
--- /dev/null
+++ b/balsamtally/decoding.py
@@ -0,0 +1,30 @@
+"""Decoding of bytes from outside, of which each failure is one documented exception."""
+
+from typing import Protocol, TypeVar
+
+import msgspec
+
+# Exceptions of decoders and of functions that convert decoded values.
+DECODING_ERRORS = (ValueError, TypeError, ArithmeticError, LookupError, RecursionError)
+
+Value = TypeVar("Value", covariant=True)
+
+
+class Decoder(Protocol[Value]):
+    """A decoder of msgspec for one type."""
+
+    def decode(self, data: bytes, /) -> Value:
+        """Return the decoded value."""
+
+
+def decode(decoder: Decoder[Value], data: bytes) -> Value:
+    """Decode bytes from outside.
+
+    :param decoder: a decoder of msgspec
+    :param data: the bytes
+    :raises msgspec.DecodeError: if the bytes are malformed, nested too deeply or of another shape
+    """
+    try:
+        return decoder.decode(data)
+    except RecursionError as error:
+        raise msgspec.DecodeError("nested too deeply") from error
--- a/balsamtally/platform/documents.py
+++ b/balsamtally/platform/documents.py
@@ -4,6 +4,7 @@
 
 from balsamtally.calls import Account, Backend, Branch, Engine, Limits, Repeat, Route, Service
 from balsamtally.catalog import Contracts, Decoder
+from balsamtally.decoding import decode
 from balsamtally.records import Record
 from balsamtally.sockets import parse_address
 
@@ -115,7 +116,7 @@
     """
     if record.key != CONTRACTS_KEY or record.value is None:
         return None
-    document = _contracts.decode(record.value)
+    document = decode(_contracts, record.value)
     services = {service.name: make_service(service) for service in document.services}
     accounts = None
     if document.tenants is not None:
@@ -206,7 +207,7 @@
     :param value: value of the entry
     :raises ValueError: if the entry is malformed
     """
-    document = _server.decode(value)
+    document = decode(_server, value)
     if not name or not document.service or document.state not in STATES or document.slots < 0:
         raise ValueError(f"the entry of {name!r} describes no valid backend server")
     return Backend(
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -53,6 +53,7 @@
 CALLERS = "tests/balsamtally/test_callers.py"
 CATALOG = "tests/balsamtally/test_catalog.py"
 DISPATCH = "tests/balsamtally/test_dispatch.py"
+DOCUMENTS = "tests/balsamtally/platform/test_documents.py"
 FORWARDING = "tests/balsamtally/test_forwarding.py"
 GRID = "tests/standins/test_grid.py"
 PEERS = "tests/balsamtally/test_peers.py"
@@ -368,6 +369,19 @@
     Mutation("readers", "if own.read_state == PlatformReadState.REFUSED:", "if False:", READERS),
     Mutation("peers", "self._random.choice(newest_peers)", "self._random.choice(alive)", PEERS),
     Mutation("peers", "if peer.beat.vm in self._new_peers:", "if False:", PEERS),
+    Mutation("decoding", "except RecursionError as error:", "except KeyError as error:", DOCUMENTS),
+    Mutation(
+        "catalog",
+        "contracts = self._decoder.read_contracts(record)\n        except DECODING_ERRORS",
+        "contracts = self._decoder.read_contracts(record)\n        except ValueError",
+        CATALOG,
+    ),
+    Mutation(
+        "catalog",
+        "name, record.value)\n        except DECODING_ERRORS",
+        "name, record.value)\n        except ValueError",
+        CATALOG,
+    ),
     Mutation("platform/wire", "| CONNECTION_HEADERS | OWN_HEADERS", "| CONNECTION_HEADERS", WIRE),
     Mutation("platform/wire", "if answered_id is not None and answered_id !=", "if None !=", WIRE),
     Mutation("platform/wire", 'if b"_" in name and', "if False and", WIRE),
--- a/tests/balsamtally/platform/test_documents.py
+++ b/tests/balsamtally/platform/test_documents.py
@@ -29,6 +29,10 @@
 "models":[{"name":"m","version":1,"adapters":[]}]}""")
 
 
+# Nested more deeply than the stack of the decoder, in a field that no document has.
+DEEP = [b'{"extra":' + start * 100_000 for start in (b"[", b'{"a":')]
+
+
 def encode(value):
     return json.dumps(value).encode()
 
@@ -106,6 +110,17 @@
         read_backend("i-1", encode(SERVER | change))
 
 
+@pytest.mark.parametrize("value", DEEP)
+def test_deeply_nested_entry_is_refused_and_costs_no_other_entry(value):
+    catalog = Catalog(DECODER)
+    keys = {"servers/a": value, "op/config": value, "servers/b": encode(SERVER)}
+    catalog.merge([Record(key, 1, data) for key, data in keys.items()], "test")
+    catalog.merge([Record("op/config", 2, encode(CONFIG))], "test")
+    assert list(catalog.backends) == ["b"] and catalog.contracts.version == 7
+    with pytest.raises(ValueError):
+        read_backend("i-1", value)
+
+
 @pytest.mark.parametrize("name", SERVER)
 def test_entry_without_a_required_field_is_refused(name):
     entry = {key: value for key, value in SERVER.items() if key != name}
--- a/tests/balsamtally/test_catalog.py
+++ b/tests/balsamtally/test_catalog.py
@@ -61,6 +61,24 @@
     assert [backend.name for backend in catalog.list_open("desk")] == ["c"]
 
 
+@pytest.mark.parametrize("kind", [ValueError, RecursionError, OverflowError, KeyError, TypeError])
+def test_record_whose_decoder_fails_in_any_way_costs_no_other_record(kind, clock):
+    def refuse(name, value):
+        if value == b"odd":
+            raise kind("odd")
+        return read_backend(name, value)
+
+    def refuse_contracts(record):
+        return refuse("", record.value) if record.value == b"odd" else read_contracts(record)
+
+    decoder = Decoder(refuse_contracts, DECODER.read_backend_name, refuse)
+    catalog = Catalog(decoder, clock)
+    values = {"s/a": b"odd", "old": b"odd", "s/b": b"1", "contracts": b"7"}
+    catalog.merge([Record(key, 1, value) for key, value in values.items()], "platform")
+    assert [backend.name for backend in catalog.list_open("desk")] == ["b"]
+    assert catalog.contracts.version == 7
+
+
 def test_draining_and_removed_backend_servers_get_no_new_work(catalog):
     catalog.merge([Record("s/a", 1, b"1"), Record("s/b", 2, b"1")], "p")
     catalog.merge([Record("s/a", 3, b"1 leaving"), Record("s/b", 4, None)], "p")
--- a/tests/standins/test_grid.py
+++ b/tests/standins/test_grid.py
@@ -287,3 +287,39 @@
         gevent.sleep(1.0)
         assert traffic.stop()[False] == 0
         assert find_placing_vms(grid.vms) - {lost.name}
+
+
+# Entries of another writer.
+ODD_ENTRIES = {
+    "servers/a-deep": b'{"extra":' + b"[" * 100_000,
+}
+
+
+def test_odd_entry_among_those_of_the_runners_costs_no_other_entry(grid):
+    def check_service(key):
+        with GridCaller(grid.vms[0], key=key) as caller, GridCaller(grid.vms[1], key=key) as other:
+            answers = [(kind, asker.ask(kind)) for kind in 2 * KINDS for asker in (caller, other)]
+        for kind, answer in answers:
+            assert answer.good and find_faults(grid, kind, answer) == [], (kind, answer)
+
+    # In the events of a watch, before a new configuration in the same answer.
+    for key, value in ODD_ENTRIES.items():
+        grid.store.put(key, value)
+    grid.store.put("op/config", make_config(5, keys=("second",)))
+    expect_soon(lambda: all(vm.count_events("contracts_in_force", version=5) for vm in grid.vms))
+    check_service("second")
+    # In the first listing of all entry VMs, then in the records of a peer.
+    for restarted, fault in ((grid.vms, ""), (grid.vms[:1], "busy")):
+        grid.store.fault = fault
+        for vm in restarted:
+            vm.kill()
+        for vm in restarted:
+            grid.start(vm)
+        grid.wait_ready(restarted)
+        check_service("second")
+    for vm in grid.vms:
+        assert vm.is_running() and not vm.count_events("step_failed"), vm.read_log()[-3000:]
+        assert not vm.count_events("request_failed")
+    lines = grid.vms[0].list_lines()
+    refused = {line["key"] for line in lines if line["event"] == "backend_refused"}
+    assert refused == ODD_ENTRIES.keys()
