Bound the numbers, lengths and ports of published records

What callers saw: an entry with `born` of 10**30 was taken for a backend server. With two entry VMs in a failure domain a step then failed, since MessagePack carries 64 bits. `slots` of 10**30 and a port in Arabic digits were taken too.

Cause: msgspec decodes integers of up to 4,300 digits, and str.isdecimal accepts the digits of all scripts. Nothing bounded a value where it entered.

Evidence: on the code before, each of the new cases of test_documents.py that is out of range was accepted, and the end-to-end test failed for `born` (1 step_failed) and, entry by entry, for `slots` and the port (not refused).

Change: the documents of the platform give each number a range and each name a length; an address has ASCII digits only. With a bound taken out its test fails (standins.mutate decoding platform/documents sockets).

--- a/balsamtally/decoding.py
+++ b/balsamtally/decoding.py
@@ -1,11 +1,15 @@
 """Decoding of bytes from outside, of which each failure is one documented exception."""
 
-from typing import Protocol, TypeVar
+from typing import Annotated, Protocol, TypeVar
 
 import msgspec
 
 # Exceptions of decoders and of functions that convert decoded values.
 DECODING_ERRORS = (ValueError, TypeError, ArithmeticError, LookupError, RecursionError)
+# The largest integer that JSON carries between all implementations unchanged.
+MAX_INTEGER = 2**53 - 1
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
 Value = TypeVar("Value", covariant=True)
 
--- a/balsamtally/platform/documents.py
+++ b/balsamtally/platform/documents.py
@@ -1,10 +1,12 @@
 """Decodes entries of the platform's store into contracts and backend servers."""
 
+from typing import Annotated
+
 import msgspec
 
 from balsamtally.calls import Account, Backend, Branch, Engine, Limits, Repeat, Route, Service
 from balsamtally.catalog import Contracts, Decoder
-from balsamtally.decoding import decode
+from balsamtally.decoding import Count, decode
 from balsamtally.records import Record
 from balsamtally.sockets import parse_address
 
@@ -13,6 +15,19 @@
 # Published states of backend servers, and whether each means that the server is draining.
 STATES = {"ready": False, "draining": True}
 
+MAX_MS = 1e9
+MAX_WEIGHT = 1e9
+# Each call that a backend server runs needs a connection to its port.
+MAX_SLOTS = 65_535
+# A key of the store has at most 200 bytes; other names are as short.
+MAX_NAME_CHARS = 200
+MAX_ADDRESS_CHARS = len("255.255.255.255:65535")
+
+Duration = Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
+Weight = Annotated[float, msgspec.Meta(ge=0, le=MAX_WEIGHT)]
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+Address = Annotated[str, msgspec.Meta(max_length=MAX_ADDRESS_CHARS)]
+
 
 class RouteDocument(msgspec.Struct, frozen=True):
     """A published route.
@@ -20,67 +35,67 @@
     ``type`` determines whether a call may be repeated, and whether its answer is streamed.
     """
 
-    name: str
+    name: Name
     hostname: str
     path_prefix: str
     type: str
-    timeout_ms: float
-    target_latency_ms: float = 0.0
-    priority: int = 0
-    service: str = ""
+    timeout_ms: Duration
+    target_latency_ms: Duration = 0.0
+    priority: Count = 0
+    service: Name = ""
     traffic_split: tuple["SplitDocument", ...] = ()
-    max_attempts: int = 1
+    max_attempts: Count = 1
     public: bool = False
     sticky: bool = False
     resumable: bool = False
-    gap_target_ms: float = 0.0
+    gap_target_ms: Duration = 0.0
 
 
 class SplitDocument(msgspec.Struct, frozen=True):
     """A service that receives a share of a route's calls."""
 
-    service: str
-    weight: float
+    service: Name
+    weight: Weight
 
 
 class EngineDocument(msgspec.Struct, frozen=True):
     """Properties of a service's engines; ``stride`` is the number of tokens in one event."""
 
-    slots: int = 0
-    kv_capacity_tokens: int = 0
-    stride: int = 0
+    slots: Count = 0
+    kv_capacity_tokens: Count = 0
+    stride: Count = 0
 
 
 class ServiceDocument(msgspec.Struct, frozen=True):
     """A published service."""
 
-    name: str
+    name: Name
     health_check: str = ""
-    max_connections: int = 0
+    max_connections: Count = 0
     engine: EngineDocument | None = None
 
 
 class LimitsDocument(msgspec.Struct, frozen=True):
     """Limits on callers' requests."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: Count = 16_384
+    max_body_bytes: Count = 4_194_304
+    header_timeout_ms: Duration = 3_000.0
+    idle_timeout_ms: Duration = 15_000.0
 
 
 class TenantDocument(msgspec.Struct, frozen=True):
     """A customer with its API keys in plain text."""
 
-    name: str
+    name: Name
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
+    priority: Count | None = None
 
 
 class ContractsDocument(msgspec.Struct, frozen=True):
     """One version of the contracts that the operators publish."""
 
-    version: int
+    version: Count
     routes: tuple[RouteDocument, ...]
     services: tuple[ServiceDocument, ...]
     limits: LimitsDocument = LimitsDocument()
@@ -93,13 +108,13 @@
     ``born`` is the start of its incarnation in Unix milliseconds.
     """
 
-    service: str
-    address: str
-    zone: str
+    service: Name
+    address: Address
+    zone: Name
     state: str
-    slots: int
-    born: int = 0
-    seq: int = 0
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+    born: Count = 0
+    seq: Count = 0
     cold_remaining_ms: float = 0.0
 
 
@@ -208,7 +223,7 @@
     :raises ValueError: if the entry is malformed
     """
     document = decode(_server, value)
-    if not name or not document.service or document.state not in STATES or document.slots < 0:
+    if not name or not document.service or document.state not in STATES:
         raise ValueError(f"the entry of {name!r} describes no valid backend server")
     return Backend(
         name=name,
--- a/balsamtally/sockets.py
+++ b/balsamtally/sockets.py
@@ -94,6 +94,6 @@
     """
     host, _, port = text.rpartition(":")
     ipaddress.IPv4Address(host)
-    if not port.isdecimal() or not 0 < int(port) < 65_536:
+    if not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65_536:
         raise ValueError(f"{text!r} is not an IP number with a port")
     return host, int(port)
--- a/standins/grid.py
+++ b/standins/grid.py
@@ -135,7 +135,11 @@
 
     def register(self, state: str) -> None:
         """Write the server's registration with this state to the store."""
-        entry = {
+        self._store.put(f"servers/{self.name}", self.make_entry(state))
+
+    def make_entry(self, state: str) -> dict:
+        """Return the content of the server's registration with this state."""
+        return {
             "service": self.service,
             "address": f"{self._host}:{SERVER_PORT}",
             "zone": self._domain,
@@ -144,7 +148,6 @@
             "born": self._born,
             "seq": 1,
         }
-        self._store.put(f"servers/{self.name}", entry)
 
     def crash(self) -> None:
         """Stop listening at once and leave the registration in the store."""
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -369,6 +369,18 @@
     Mutation("readers", "if own.read_state == PlatformReadState.REFUSED:", "if False:", READERS),
     Mutation("peers", "self._random.choice(newest_peers)", "self._random.choice(alive)", PEERS),
     Mutation("peers", "if peer.beat.vm in self._new_peers:", "if False:", PEERS),
+    Mutation(
+        "decoding",
+        "Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]",
+        "Annotated[int, msgspec.Meta(ge=0)]",
+        DOCUMENTS,
+    ),
+    Mutation("platform/documents", "(ge=0, le=MAX_SLOTS)", "(ge=0)", DOCUMENTS),
+    Mutation("platform/documents", "(ge=0, le=MAX_MS)", "(ge=0)", DOCUMENTS),
+    Mutation("platform/documents", "(ge=0, le=MAX_WEIGHT)", "(ge=0)", DOCUMENTS),
+    Mutation("platform/documents", "(max_length=MAX_NAME_CHARS)", "()", DOCUMENTS),
+    Mutation("platform/documents", "(max_length=MAX_ADDRESS_CHARS)", "()", DOCUMENTS),
+    Mutation("sockets", "port.isascii() and port.isdigit()", "port.isdecimal()", DOCUMENTS),
     Mutation("decoding", "except RecursionError as error:", "except KeyError as error:", DOCUMENTS),
     Mutation(
         "catalog",
--- a/tests/balsamtally/platform/test_documents.py
+++ b/tests/balsamtally/platform/test_documents.py
@@ -32,6 +32,13 @@
 # Nested more deeply than the stack of the decoder, in a field that no document has.
 DEEP = [b'{"extra":' + start * 100_000 for start in (b"[", b'{"a":')]
 
+ODD_ROUTE_FIELDS = [
+    *((name, 1e30) for name in ("timeout_ms", "target_latency_ms", "gap_target_ms")),
+    *((name, -1) for name in ("timeout_ms", "priority", "max_attempts")),
+    *((name, 10**30) for name in ("priority", "max_attempts")),
+    *(("traffic_split", [{"service": "huvo11a", "weight": weight}]) for weight in (-1, 1e30)),
+]
+
 
 def encode(value):
     return json.dumps(value).encode()
@@ -72,7 +79,20 @@
 
 @pytest.mark.parametrize(
     "change",
-    [{"version": "x"}, {"routes": 3}, {"services": [{}]}, {"routes": [{"name": "a"}]}],
+    [
+        {"version": "x"},
+        {"version": -1},
+        {"version": 10**30},
+        {"routes": 3},
+        {"services": [{}]},
+        {"services": [{"name": "a", "engine": {"kv_capacity_tokens": 10**30}}]},
+        {"services": [{"name": "a", "max_connections": -1}]},
+        {"routes": [{"name": "a"}]},
+        {"limits": {"max_body_bytes": 10**30}},
+        {"limits": {"idle_timeout_ms": -1}},
+        {"tenants": [{"name": "a", "priority": 10**30}]},
+        *({"routes": [CONFIG["routes"][0] | {name: value}]} for name, value in ODD_ROUTE_FIELDS),
+    ],
 )
 def test_invalid_configuration_is_refused(change):
     with pytest.raises(ValueError):
@@ -94,20 +114,33 @@
         {"state": 1},
         {"slots": "64"},
         {"slots": -1},
+        {"slots": 65_536},
+        {"slots": 10**30},
         {"address": "10.128.0.9"},
         {"address": "host:80"},
         {"address": "10.128.0.9:0"},
+        {"address": "10.128.0.9:65536"},
+        {"address": "10.128.0.9:" + "1" * 5000},
+        {"address": "1" * 500 + ":80"},
+        {"address": "10.128.0.9:\u0668\u0660"},
+        {"address": "10.128.0.9:8\u00b2"},
         {"address": 5},
+        {"service": "s" * 201},
+        {"zone": "z" * 201},
+        {"seq": 10**30},
         {"service": None},
         {"service": ""},
         {"zone": []},
         {"born": 1.5},
+        {"born": -1},
+        {"born": 10**30},
         {"born": "1700000000123"},
     ],
 )
 def test_malformed_entry_is_refused(change):
-    with pytest.raises(ValueError):
+    with pytest.raises(ValueError) as refusal:
         read_backend("i-1", encode(SERVER | change))
+    assert len(str(refusal.value)) < 200
 
 
 @pytest.mark.parametrize("value", DEEP)
--- a/tests/standins/test_grid.py
+++ b/tests/standins/test_grid.py
@@ -289,37 +289,49 @@
         assert find_placing_vms(grid.vms) - {lost.name}
 
 
-# Entries of another writer.
+# Entries of another writer: values, and changes to the entry of a runner.
 ODD_ENTRIES = {
     "servers/a-deep": b'{"extra":' + b"[" * 100_000,
+    "servers/a-born": {"born": 10**30},
+    "servers/a-slots": {"slots": 10**30},
+    "servers/a-port": {"address": "127.0.0.1:\u0668\u0660\u0660\u0660"},
 }
 
 
-def test_odd_entry_among_those_of_the_runners_costs_no_other_entry(grid):
-    def check_service(key):
-        with GridCaller(grid.vms[0], key=key) as caller, GridCaller(grid.vms[1], key=key) as other:
-            answers = [(kind, asker.ask(kind)) for kind in 2 * KINDS for asker in (caller, other)]
-        for kind, answer in answers:
-            assert answer.good and find_faults(grid, kind, answer) == [], (kind, answer)
+@pytest.fixture
+def pair():
+    with Grid(vms=2, domains=1) as grid:
+        yield grid
+
+
+def check_service(grid, key):
+    """Check that each entry VM answers the calls of all kinds."""
+    for vm in grid.vms:
+        with GridCaller(vm, key=key) as caller:
+            for kind in 2 * KINDS:
+                answer = caller.ask(kind)
+                assert answer.good and find_faults(grid, kind, answer) == [], (kind, answer)
+
 
+def test_odd_entry_among_those_of_the_runners_costs_no_other_entry(pair):
     # In the events of a watch, before a new configuration in the same answer.
-    for key, value in ODD_ENTRIES.items():
-        grid.store.put(key, value)
-    grid.store.put("op/config", make_config(5, keys=("second",)))
-    expect_soon(lambda: all(vm.count_events("contracts_in_force", version=5) for vm in grid.vms))
-    check_service("second")
+    sound = pair.list_servers("desk")[0].make_entry("ready")
+    for key, odd in ODD_ENTRIES.items():
+        pair.store.put(key, odd if isinstance(odd, bytes) else sound | odd)
+    pair.store.put("op/config", make_config(5, keys=("second",)))
+    expect_soon(lambda: all(vm.count_events("contracts_in_force", version=5) for vm in pair.vms))
+    check_service(pair, "second")
     # In the first listing of all entry VMs, then in the records of a peer.
-    for restarted, fault in ((grid.vms, ""), (grid.vms[:1], "busy")):
-        grid.store.fault = fault
+    for restarted, fault in ((pair.vms, ""), (pair.vms[:1], "busy")):
+        pair.store.fault = fault
         for vm in restarted:
             vm.kill()
         for vm in restarted:
-            grid.start(vm)
-        grid.wait_ready(restarted)
-        check_service("second")
-    for vm in grid.vms:
+            pair.start(vm)
+        pair.wait_ready(restarted)
+        check_service(pair, "second")
+    for vm in pair.vms:
         assert vm.is_running() and not vm.count_events("step_failed"), vm.read_log()[-3000:]
-        assert not vm.count_events("request_failed")
-    lines = grid.vms[0].list_lines()
+    lines = pair.vms[0].list_lines()
     refused = {line["key"] for line in lines if line["event"] == "backend_refused"}
     assert refused == ODD_ENTRIES.keys()
