Refuse names that can't be sent in a header

What callers saw: an entry whose key holds a letter outside Latin-1, or a line end, was taken for a backend server. Each call placed there ended with 500 and code 9000, calls that may not be repeated included, though nothing had been sent. The name of a customer could do the same to all calls of that customer.

Cause: names go into the headers Expect-Instance and Tenant. Encoding them raised UnicodeEncodeError, and h11 refused line ends, outside of the errors that an attempt handles.

Evidence: on the code before, the end-to-end test got such a 500 for each of the two entries, and the generated test failed for both.

Change: HEADER_VALUE bounds the names where they enter; such an entry or configuration is refused. Without either use of it its test fails.

--- a/balsamtally/platform/documents.py
+++ b/balsamtally/platform/documents.py
@@ -1,5 +1,6 @@
 """Decodes entries of the platform's store into contracts and backend servers."""
 
+import re
 from typing import Annotated
 
 import msgspec
@@ -22,10 +23,13 @@
 # A key of the store has at most 200 bytes; other names are as short.
 MAX_NAME_CHARS = 200
 MAX_ADDRESS_CHARS = len("255.255.255.255:65535")
+# A name that is sent as the value of a header, encoded in Latin-1.
+HEADER_VALUE = r"\A(?:[!-~\x80-\xff](?:[ -~\x80-\xff]*[!-~\x80-\xff])?)?\Z"
 
 Duration = Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
 Weight = Annotated[float, msgspec.Meta(ge=0, le=MAX_WEIGHT)]
 Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+HeaderValue = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS, pattern=HEADER_VALUE)]
 Address = Annotated[str, msgspec.Meta(max_length=MAX_ADDRESS_CHARS)]
 
 
@@ -87,7 +91,7 @@
 class TenantDocument(msgspec.Struct, frozen=True):
     """A customer with its API keys in plain text."""
 
-    name: Name
+    name: HeaderValue
     api_keys: tuple[str, ...] = ()
     priority: Count | None = None
 
@@ -222,9 +226,11 @@
     :param value: value of the entry
     :raises ValueError: if the entry is malformed
     """
+    if not name or len(name) > MAX_NAME_CHARS or not re.search(HEADER_VALUE, name):
+        raise ValueError("the name can't be sent in a header")
     document = decode(_server, value)
-    if not name or not document.service or document.state not in STATES:
-        raise ValueError(f"the entry of {name!r} describes no valid backend server")
+    if not document.service or document.state not in STATES:
+        raise ValueError("the service is empty or the state unknown")
     return Backend(
         name=name,
         born=document.born,
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -380,6 +380,8 @@
     Mutation("platform/documents", "(ge=0, le=MAX_WEIGHT)", "(ge=0)", DOCUMENTS),
     Mutation("platform/documents", "(max_length=MAX_NAME_CHARS)", "()", DOCUMENTS),
     Mutation("platform/documents", "(max_length=MAX_ADDRESS_CHARS)", "()", DOCUMENTS),
+    Mutation("platform/documents", ", pattern=HEADER_VALUE)", ")", DOCUMENTS),
+    Mutation("platform/documents", "or not re.search(HEADER_VALUE, name)", "", DOCUMENTS),
     Mutation("sockets", "port.isascii() and port.isdigit()", "port.isdecimal()", DOCUMENTS),
     Mutation("decoding", "except RecursionError as error:", "except KeyError as error:", DOCUMENTS),
     Mutation(
--- a/tests/balsamtally/platform/test_documents.py
+++ b/tests/balsamtally/platform/test_documents.py
@@ -2,8 +2,9 @@
 
 import json
 
+import h11
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from balsamtally.calls import Repeat
@@ -164,6 +165,28 @@
         assert read_backend("i-1", encode(entry)).name == "i-1"
 
 
+@given(name=st.text(max_size=8) | st.text("az\r\n\t\0 :\x7f\x80\xff", max_size=4))
+@example(name="\u0416")
+@example(name="a\r\nTenant: b")
+@example(name="a" * 201)
+def test_name_that_no_header_can_carry_is_refused_where_it_enters(name):
+    tenant = {"name": name, "api_keys": ["k"]}
+    reads = (
+        lambda: read_backend(name, encode(SERVER)).name,
+        lambda: read_contracts(Record("op/config", 1, encode(CONFIG | {"tenants": [tenant]})))
+        .accounts["k"]
+        .name,
+    )
+    for read in reads:
+        try:
+            accepted = read()
+        except ValueError:
+            continue
+        headers = [(b"Host", b"h"), (b"Expect-Instance", accepted.encode("latin-1"))]
+        request = h11.Request(method=b"GET", target=b"/", headers=headers)
+        assert dict(request.headers)[b"expect-instance"] == name.encode("latin-1")
+
+
 @given(st.lists(st.binary(max_size=30) | st.just(encode(SERVER)[:-9]), max_size=5))
 def test_malformed_entries_do_not_affect_others(values):
     catalog = Catalog(DECODER)
--- a/tests/standins/test_grid.py
+++ b/tests/standins/test_grid.py
@@ -294,6 +294,8 @@
     "servers/a-deep": b'{"extra":' + b"[" * 100_000,
     "servers/a-born": {"born": 10**30},
     "servers/a-slots": {"slots": 10**30},
+    "servers/a-name\u0416": {},
+    "servers/a-name\r\nTenant: x": {},
     "servers/a-port": {"address": "127.0.0.1:\u0668\u0660\u0660\u0660"},
 }
 
