--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -54,6 +54,7 @@
 CATALOG = "tests/balsamtally/test_catalog.py"
 DISPATCH = "tests/balsamtally/test_dispatch.py"
 CALL_LOG = "tests/balsamtally/test_call_log.py"
+DOCUMENTS = "tests/balsamtally/platform/test_documents.py"
 FORWARDING = "tests/balsamtally/test_forwarding.py"
 GRID = "tests/standins/test_grid.py"
 PEERS = "tests/balsamtally/test_peers.py"
@@ -370,6 +371,33 @@
     Mutation("readers", "if own.read_state == PlatformReadState.REFUSED:", "if False:", READERS),
     Mutation("peers", "self._random.choice(newest_peers)", "self._random.choice(alive)", PEERS),
     Mutation("peers", "if peer.beat.vm in self._new_peers:", "if False:", PEERS),
+    Mutation(
+        "decoding",
+        "Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]",
+        "Annotated[int, msgspec.Meta(ge=0)]",
+        DOCUMENTS,
+    ),
+    Mutation("platform/documents", "(ge=0, le=MAX_SLOTS)", "(ge=0)", DOCUMENTS),
+    Mutation("platform/documents", "(ge=0, le=MAX_MS)", "(ge=0)", DOCUMENTS),
+    Mutation("platform/documents", "(ge=0, le=MAX_WEIGHT)", "(ge=0)", DOCUMENTS),
+    Mutation("platform/documents", "(max_length=MAX_NAME_CHARS)", "()", DOCUMENTS),
+    Mutation("platform/documents", "(max_length=MAX_ADDRESS_CHARS)", "()", DOCUMENTS),
+    Mutation("platform/documents", ", pattern=HEADER_VALUE)", ")", DOCUMENTS),
+    Mutation("platform/documents", "or not re.search(HEADER_VALUE, name)", "", DOCUMENTS),
+    Mutation("sockets", "port.isascii() and port.isdigit()", "port.isdecimal()", DOCUMENTS),
+    Mutation("decoding", "except RecursionError as error:", "except KeyError as error:", DOCUMENTS),
+    Mutation(
+        "catalog",
+        "contracts = self._decoder.read_contracts(record)\n        except DECODING_ERRORS",
+        "contracts = self._decoder.read_contracts(record)\n        except ValueError",
+        CATALOG,
+    ),
+    Mutation(
+        "catalog",
+        "name, record.value)\n        except DECODING_ERRORS",
+        "name, record.value)\n        except ValueError",
+        CATALOG,
+    ),
     Mutation("platform/wire", "| CONNECTION_HEADERS | OWN_HEADERS", "| CONNECTION_HEADERS", WIRE),
     Mutation("platform/wire", "if answered_id is not None and answered_id !=", "if None !=", WIRE),
     Mutation("platform/wire", 'if b"_" in name and', "if False and", WIRE),
