--- a/tests/standins/test_deadly_parts.py
+++ b/tests/standins/test_deadly_parts.py
@@ -130,7 +130,7 @@
         runner.crash()
     task.join()
     assert not any(vm.count_events("part_quarantined") for vm in grid.vms)
-    assert all(answer.good for answer in sound.answers[-100:])
+    assert not [answer for answer in sound.answers[-100:] if not answer.good]
 
 
 def test_operator_lists_and_releases_a_quarantined_part(grid):
