Send no two calls with the same id on one connection to a backend server

A caller that uses an id again could get the answer to its earlier call: a backend server that answered the first call a second time, after the second call had been sent on the same connection, was believed, since the copy carries the expected id. Where each call has an id of its own, as on the users' platform, this can't happen.

The cause is that the id tells the answers on a connection apart, while nothing kept two calls with the same id off it. The pool now keeps the ids that a connection has carried and gives such a call another connection; this covers a repeat of a call at the same backend server too. A connection is closed after 256 requests, which bounds the ids.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -1,7 +1,8 @@
 """HTTP/1.1 client connections to backend servers, with a pool of idle connections.
 
-A connection is reused only after a regular exchange. It is closed if it holds unread bytes, broke,
-or received an early or a second answer. This module never retries a request.
+A connection is reused only after a regular exchange, and never for two requests with the same id:
+a second answer to the first would be taken for the answer to the second. It is closed if it holds
+unread bytes, broke, or received an early or a second answer. This module never retries a request.
 """
 
 import time
@@ -30,6 +31,8 @@
 # An idle connection is no longer used this long before its backend server would close it.
 IDLE_MARGIN_S = 0.5
 MAX_TIMEOUT_DIGITS = 9
+# Requests sent on one connection, which bounds the ids that it keeps.
+MAX_REQUESTS = 256
 # Idle connections for each backend server.
 MAX_IDLE_CONNECTIONS = 32
 MAX_HEAD_BYTES = 65_536
@@ -49,6 +52,7 @@
     """One connection to a backend server, for one request at a time.
 
     :param sock: the connected socket
+    :ivar request_ids: ids of the requests for which the pool handed out the connection
     :ivar idle_since_s: monotonic clock when the last exchange ended, in seconds
     :ivar idle_limit_s: longest idle time after which the connection is reused, in seconds
     :ivar ends_by_close: whether the last answer has neither a length nor chunks, so that it ends
@@ -60,6 +64,7 @@
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._method = b""
         self._whole_request = False
+        self.request_ids: set[str] = set()
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
         self.ends_by_close = False
@@ -250,6 +255,8 @@
         http = self._http
         if self._irregular or not self._whole_request or http.our_state is not h11.DONE:
             return False
+        if len(self.request_ids) >= MAX_REQUESTS:
+            return False
         if http.their_state is not h11.DONE or http.trailing_data != (b"", False):
             return False
         http.start_next_cycle()
@@ -276,25 +283,35 @@
     def __exit__(self, *exc_info) -> None:
         self.keep_only(())
 
-    def acquire(self, backend: Backend, timeout_s: float) -> BackendConnection:
-        """Return an idle or a new connection to a backend server.
+    def acquire(self, backend: Backend, timeout_s: float, request_id: str) -> BackendConnection:
+        """Return an idle connection that hasn't carried a request with this id, or a new one.
 
         :param backend: the backend server
         :param timeout_s: longest time to open a connection, in seconds
+        :param request_id: id of the request to be sent
         :raises BackendUnreachable: if no connection can be opened; nothing was sent
         """
+        connection = self._take_idle(backend, request_id)
+        if connection is None:
+            try:
+                sock = connect(backend.address, min(timeout_s, CONNECT_TIMEOUT_S))
+            except OSError as error:
+                raise BackendUnreachable(f"no connection to {backend.name}: {error}") from error
+            self.opened += 1
+            connection = BackendConnection(sock)
+        connection.request_ids.add(request_id)
+        return connection
+
+    def _take_idle(self, backend: Backend, request_id: str) -> BackendConnection | None:
         idle = self._idle.setdefault(backend.key, deque())
-        while idle:
-            connection = idle.pop()
-            if connection.is_usable(self._clock()):
+        for connection in reversed(list(idle)):
+            if not connection.is_usable(self._clock()):
+                idle.remove(connection)
+                connection.close()
+            elif request_id not in connection.request_ids:
+                idle.remove(connection)
                 return connection
-            connection.close()
-        try:
-            sock = connect(backend.address, min(timeout_s, CONNECT_TIMEOUT_S))
-        except OSError as error:
-            raise BackendUnreachable(f"no connection to {backend.name}: {error}") from error
-        self.opened += 1
-        return BackendConnection(sock)
+        return None
 
     def refuses_connections(self, backend: Backend) -> bool:
         """Return whether a backend server has terminated: no process listens at its address.
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -313,7 +313,7 @@
         left_s = plan.until_s - time.monotonic()
         if left_s < MIN_LEFT_S:
             raise QueueTimeout
-        connection = self._connections.acquire(backend, left_s)
+        connection = self._connections.acquire(backend, left_s, plan.call.id)
         try:
             # The backend server may have started to drain while the connection was opened.
             if not self._hooks.is_open(backend):
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -276,6 +276,10 @@
         "if False:",
         FORWARDING,
     ),
+    Mutation("backends", "elif request_id not in connection.request_ids:", "else:", FORWARDING),
+    Mutation(
+        "backends", "len(self.request_ids) >= MAX_REQUESTS", "len(self.request_ids) < 0", FORWARDING
+    ),
     Mutation("backends", "except ConnectionRefusedError:", "except ZeroDivisionError:", FORWARDING),
     Mutation("backlogs", "self.reading[: urgency + 1]", "self.reading", BACKLOGS),
     Mutation("beats", "now - self._last_sent_s >= REFRESH_BEAT_S", "True", PEERS),
