Try every backend server before a call is refused for failed connections

Callers got 503 although two sound backend servers were left: after six of eight had ended with their entries still published, a call that met five of them in a row was refused, since it survived four failed connections only. At most half of a service's backend servers are ejected, and those whose time is over are tried again, so that five ended ones can stand before a sound one.

The bound on the number of failed connections is gone. Each backend server is tried once, and the call's deadline bounds slow failures.

--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -39,9 +39,8 @@
 from balsamtally.plans import CallProgress, Plan, make_plan
 from balsamtally.terminations import Terminations
 
-# Connection failures that a call survives; also the limit on attempts that aren't counted because
-# their backend server terminated.
-MAX_UNREACHABLE = 4
+# Attempts of a call that aren't counted because their backend server terminated.
+MAX_TERMINATED = 4
 # Backend servers that may end, one after the other, before they begin to answer a call.
 MAX_CRASHES = 2
 # A call needs at least a round trip to another region and some processing time.
@@ -266,7 +265,7 @@
         """
         if progress.sent - progress.terminated < plan.route.max_attempts:
             return True
-        if not isinstance(failure, AnswerCut) or progress.terminated >= MAX_UNREACHABLE:
+        if not isinstance(failure, AnswerCut) or progress.terminated >= MAX_TERMINATED:
             return False
         if not self._terminations.has_terminated(progress.backend):
             return False
@@ -281,8 +280,8 @@
         if plan.until_s - time.monotonic() < MIN_LEFT_S:
             return "no time is left"
         if isinstance(failure, BackendUnreachable):
-            progress.unreachable += 1
-            return "" if progress.unreachable <= MAX_UNREACHABLE else "too many failed connections"
+            # Each backend server is tried once, so that the number of attempts is bounded.
+            return ""
         if failure.outcome is not Outcome.NOT_RUN and not may_repeat(plan, progress):
             return "the call may have run and is not repeatable"
         if progress.crashes >= MAX_CRASHES or self._is_suspect(plan, progress):
--- a/balsamtally/plans.py
+++ b/balsamtally/plans.py
@@ -43,7 +43,6 @@
     :ivar sent: number of attempts that were sent to a backend server
     :ivar terminated: number of attempts whose backend server has terminated since
     :ivar crashes: number of attempts whose backend server ended before it began to answer
-    :ivar unreachable: number of attempts whose backend server could not be reached
     :ivar waited_s: time from the call's arrival to its first attempt, in seconds
     :ivar avoid: names of backend servers that are not tried again
     :ivar last_event: id of the last event sent to the caller, ``None`` before the first
@@ -63,7 +62,6 @@
     sent: int = 0
     terminated: int = 0
     crashes: int = 0
-    unreachable: int = 0
     waited_s: float = 0.0
     avoid: set[str] = field(default_factory=set)
     last_event: int | None = None
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -114,6 +114,12 @@
         "quarantine_exchange", "or time.monotonic() - self._sent_s", "or 0", QUARANTINE_EXCHANGE
     ),
     Mutation("terminations", "is_old and result.ready()", "True", TERMINATIONS),
+    Mutation(
+        "forwarding",
+        'is bounded.\n            return ""',
+        'is bounded.\n            return "x" * (len(progress.avoid) > 4)',
+        FORWARDING,
+    ),
     Mutation(
         "forwarding",
         "and not progress.begun:\n                self",
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -231,6 +231,19 @@
             assert harness.send()[0] == 200
 
 
+def test_call_reaches_the_last_backend_server_while_all_others_refuse_connections():
+    """As after the loss of a failure domain whose backend servers are still published."""
+    stopped = [ScriptedBackend(reply()) for _ in range(6)]
+    for backend in stopped:
+        with backend:
+            pass
+    with ScriptedBackend(reply()) as one:
+        with ForwarderHarness(make_route(max_attempts=1), *stopped, one) as harness:
+            assert harness.send()[0] == 200
+        with ForwarderHarness(make_route(max_attempts=1), *stopped) as harness:
+            assert harness.send()[0] == 503
+
+
 def test_replaced_backend_server_is_recorded_as_leaving_and_call_is_retried():
     wrong = reply(421, b"", b"Id: id1\r\n")
     with ScriptedBackend(wrong) as one, ScriptedBackend(reply()) as two:
