--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -117,6 +117,12 @@
         "quarantine_exchange", "or time.monotonic() - self._sent_s", "or 0", QUARANTINE_EXCHANGE
     ),
     Mutation("terminations", "is_old and result.ready()", "True", TERMINATIONS),
+    Mutation(
+        "forwarding",
+        'is bounded.\n            return ""',
+        'is bounded.\n            return "x" * (len(progress.avoid) > 4)',
+        FORWARDING,
+    ),
     Mutation(
         "forwarding",
         "and not progress.begun:\n                self",
@@ -279,6 +285,10 @@
         "if False:",
         FORWARDING,
     ),
+    Mutation("backends", "elif request_id not in connection.request_ids:", "else:", FORWARDING),
+    Mutation(
+        "backends", "len(self.request_ids) >= MAX_REQUESTS", "len(self.request_ids) < 0", FORWARDING
+    ),
     Mutation("backends", "except ConnectionRefusedError:", "except ZeroDivisionError:", FORWARDING),
     Mutation("backlogs", "self.reading[: urgency + 1]", "self.reading", BACKLOGS),
     Mutation("beats", "now - self._last_sent_s >= REFRESH_BEAT_S", "True", PEERS),
