Obey backend servers that announce in an answer that they leave or pause

What callers saw: calls went on to a runner that said in its answers that it was leaving, until its entry in the store changed; calls were refused or repeated at runners that had asked for a pause.

Cause: neither header was read. A call marked a runner as leaving only for an answer of another runner at its address, and the next entry of the store undid that.

Change: the adapter reads both headers into a notice. An announced end holds for this incarnation whatever the store or peers write later, closes its idle connections, and goes to all entry VMs in heartbeats as a set, so that order doesn't matter. A pause concerns this entry VM alone: the runner isn't ejected, the coordinator is told to leave it out, calls wait for the end of the first pause if their answer can still begin within the target, and are otherwise refused with that time (2016). The end of a pause is spread. Server-Leaving isn't passed on to callers.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -321,6 +321,14 @@
         else:
             idle.append(connection)
 
+    def discard(self, incarnation: tuple[str, int]) -> None:
+        """Close the idle connections to a backend server; those in use are closed on release.
+
+        :param incarnation: name and start of the backend server
+        """
+        for connection in self._idle.pop(incarnation, ()):
+            connection.close()
+
     def keep_only(self, backends) -> None:
         """Close the idle connections to all other backend servers.
 
--- a/balsamtally/beats.py
+++ b/balsamtally/beats.py
@@ -48,6 +48,7 @@
     :ivar last_ask_number: number of its last placement request
     :ivar pending_asks: numbers of its placement requests without a final reply
     :ivar reports: its recent reports on backend servers
+    :ivar departures: incarnations of backend servers that announced that they are leaving
     """
 
     vm: str
@@ -64,6 +65,7 @@
     last_ask_number: int = 0
     pending_asks: tuple[int, ...] = ()
     reports: tuple[Report, ...] = ()
+    departures: tuple[tuple[str, int], ...] = ()
 
 
 @dataclass
@@ -162,6 +164,7 @@
             or beat.revision != sent.revision
             or beat.leaving != sent.leaving
             or beat.read_state != sent.read_state
+            or beat.departures != sent.departures
         )
 
     def list_ips(self, alive: list[Peer]) -> set[str]:
--- a/balsamtally/call_metrics.py
+++ b/balsamtally/call_metrics.py
@@ -66,6 +66,9 @@
         self._failures = self._counter(
             "backend_failures_total", "Failed attempts by backend server and result code"
         )
+        self._pauses = self._counter(
+            "backend_pauses_total", "Refusals in which a backend server asked for a pause"
+        )
         self._first_event = self._histogram(
             "first_event_seconds", "Time to the first event or answer", FIRST_TOKEN_BOUNDS_S
         )
@@ -127,6 +130,13 @@
         """
         self._failures.inc({"backend": backend, "code": str(code)})
 
+    def count_pause(self, backend: str) -> None:
+        """Count a refusal in which a backend server asked for a pause.
+
+        :param backend: name of the backend server
+        """
+        self._pauses.inc({"backend": backend})
+
     def observe_first_event(self, route: str, time_s: float) -> None:
         """Record the time to the first event of an answer.
 
--- a/balsamtally/calls.py
+++ b/balsamtally/calls.py
@@ -236,6 +236,18 @@
     INVALID = "invalid"
 
 
+@dataclass(frozen=True)
+class Notice:
+    """What a backend server says about itself in the head of an answer.
+
+    :ivar leaving: whether it is leaving and wants no further calls
+    :ivar pause_s: time for which it wants no calls from this entry VM, in seconds, 0 for none
+    """
+
+    leaving: bool = False
+    pause_s: float = 0.0
+
+
 @dataclass(frozen=True)
 class AnswerHead:
     """The head of a backend server's answer.
--- a/balsamtally/catalog.py
+++ b/balsamtally/catalog.py
@@ -8,6 +8,7 @@
 from gevent.event import Event
 
 from balsamtally.calls import Account, Backend, Limits, Route, Service
+from balsamtally.departures import Departures, Incarnation
 from balsamtally.logs import log
 from balsamtally.records import Record, Records, Update
 
@@ -105,6 +106,7 @@
         self.platform_read_s = clock()
         self._decoder = decoder
         self._clock = clock
+        self._departures = Departures()
         self._lapsed: dict[str, float] = {}
         self._grace_until_s = 0.0
 
@@ -196,6 +198,8 @@
             self.backends.pop(name, None)
             return
         self._lapsed.pop(name, None)
+        if backend.key in self._departures:
+            backend = replace(backend, leaving=True)
         self.backends[name] = backend
         if known is None or known.key != backend.key:
             log.info("backend_added", backend=name, born=backend.born, source=source)
@@ -234,6 +238,29 @@
             self.backends[backend.name] = replace(known, leaving=True)
             log.info("backend_leaving", backend=backend.name, source=why)
 
+    def record_departure(self, incarnation: Incarnation, source: str) -> bool:
+        """Record that an incarnation of a backend server announced in an answer that it is leaving.
+
+        It takes no new work from now on, even if its entry is written again as ready.
+
+        :param incarnation: name and start of the backend server
+        :param source: source of the announcement, for the log
+        :return: whether this was news
+        """
+        if not self._departures.record(incarnation):
+            return False
+        if self._is_known(incarnation):
+            self.mark_leaving(self.backends[incarnation[0]], source)
+        return True
+
+    def list_departures(self) -> tuple[Incarnation, ...]:
+        """Return the latest leaving incarnations whose entries are still there."""
+        return self._departures.list_latest(self._is_known)
+
+    def _is_known(self, incarnation: Incarnation) -> bool:
+        known = self.backends.get(incarnation[0])
+        return known is not None and known.key == incarnation
+
     def list_open(self, service: str) -> list[Backend]:
         """Return the backend servers of a service that are not draining.
 
--- a/balsamtally/demands.py
+++ b/balsamtally/demands.py
@@ -80,7 +80,7 @@
         answer_tokens=find_answer_tokens(call),
         size_bytes=len(call.body),
         attempt=progress.sent + 1,
-        avoid=tuple(progress.avoid),
+        avoid=tuple(progress.avoid | progress.paused),
     )
 
 
--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -390,6 +390,11 @@
             self.runners.handle_report(report)
         self._schedule_pass()
 
+    def dispatch_soon(self) -> None:
+        """Schedule a pass after the backend servers that take new work have changed."""
+        self.runners.record_change()
+        self._schedule_pass()
+
     def _schedule_pass(self) -> None:
         """Schedule one pass for all changes within ``SCHEDULING_DELAY_S``."""
         if not self._pass_scheduled and any(self._waiting.values()):
--- a/balsamtally/errors.py
+++ b/balsamtally/errors.py
@@ -323,7 +323,7 @@
 
 
 class BackendLeaving(BackendUnreachable):
-    """The backend server began to drain before the request was sent."""
+    """The backend server began to drain, or to pause, before the request was sent."""
 
     code = 2014
     default = "the backend server is leaving"
@@ -336,6 +336,13 @@
     default = "a part of the prompt is quarantined, since it crashes backend servers"
 
 
+class BackendsPaused(CapacityError):
+    """All backend servers asked for a pause that lasts too long for the call."""
+
+    code = 2016
+    default = "all backend servers pause"
+
+
 class ResultError(BalsamtallyError):
     """A request was sent to a backend server and has no complete answer."""
 
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -13,6 +13,7 @@
     Backend,
     Call,
     Headers,
+    Notice,
     Repeat,
     Verdict,
 )
@@ -63,6 +64,7 @@
     :ivar read_call: parses a caller's request into a call
     :ivar make_headers: returns the request headers of an attempt
     :ivar classify: classifies the head of an answer to an attempt
+    :ivar read_notice: returns what a backend server says about itself in the head of an answer
     :ivar pick_headers: returns the headers of an answer that are passed on to the caller
     :ivar report: returns headers and body of an error answer to a caller
     """
@@ -70,6 +72,7 @@
     read_call: Callable[[Request], Call]
     make_headers: Callable[[Attempt], Headers]
     classify: Callable[[Attempt, AnswerHead], Verdict]
+    read_notice: Callable[[AnswerHead], Notice]
     pick_headers: Callable[[AnswerHead], Headers]
     report: Callable[[str, BalsamtallyError], tuple[Headers, bytes]]
 
@@ -102,6 +105,7 @@
     :ivar record_request: counts a request to a service
     :ivar take_retry: takes a retry from the service's retry budget; returns whether one was left
     :ivar record_outcome: records the result and duration of an attempt at a backend server
+    :ivar record_notice: records what a backend server said about itself in an answer
     :ivar mark_leaving: records that a backend server is draining or was replaced by another one
     :ivar record_end: records how a call ended
     """
@@ -116,6 +120,7 @@
     record_request: Callable[[str], None]
     take_retry: Callable[[str], bool]
     record_outcome: Callable[[Backend, Plan, BalsamtallyError | None, float], None]
+    record_notice: Callable[[Backend, Notice], None]
     mark_leaving: Callable[[Backend, str], None]
     record_end: Callable[[Plan, CallProgress, BaseException | None], None]
 
@@ -315,9 +320,9 @@
             raise QueueTimeout
         connection = self._connections.acquire(backend, left_s)
         try:
-            # The backend server may have started to drain while the connection was opened.
+            # The backend server may have begun to drain or to pause as the connection was opened.
             if not self._hooks.is_open(backend):
-                raise BackendLeaving(f"{backend.name} is draining")
+                raise BackendLeaving(f"{backend.name} is draining or pauses")
             self._hooks.admit(plan, progress)
             attempt = self._send(plan, progress, backend, connection)
             head, verdict = self._read_head(plan, attempt, connection)
@@ -374,6 +379,8 @@
         """
         if verdict is Verdict.INVALID:
             raise WrongAnswer(f"{backend.name} sent an invalid answer")
+        if verdict in (Verdict.ANSWER, Verdict.NOT_RUN):
+            self._hooks.record_notice(backend, self._wire.read_notice(head))
         if verdict is Verdict.ANSWER:
             return
         connection.drain(plan.until_s)
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -19,7 +19,7 @@
 from balsamtally.budgets import FleetBudget
 from balsamtally.call_metrics import CallGauges, CallMetrics
 from balsamtally.callers import Caller, CallerServer, Request
-from balsamtally.calls import Backend, Limits
+from balsamtally.calls import Backend, Limits, Notice
 from balsamtally.catalog import Catalog, Decoder
 from balsamtally.coordination import Ask, Reply, Withdrawal
 from balsamtally.crash_evidence import list_keys
@@ -28,6 +28,7 @@
 from balsamtally.forwarding import Forwarder, ForwardingHooks, Wire
 from balsamtally.gateway_settings import GatewaySettings
 from balsamtally.logs import log
+from balsamtally.pauses import Pauses, PausingChoice
 from balsamtally.peers import RECORDS_PATH, Peers
 from balsamtally.plans import CallProgress, Plan
 from balsamtally.quarantine import Quarantine
@@ -138,6 +139,10 @@
             incarnation, self._dispatch, self.peers.find_coordinator, send
         )
         self._reservations = Reservations(self._dispatch, send)
+        self._pauses = Pauses()
+        self._choice = PausingChoice(
+            self._pauses, self.catalog.list_open, self._placement_client.choose
+        )
         self._connect_placement()
         self._connect_quarantine()
         self._budget = FleetBudget(settings.budget, self.peers.count_members)
@@ -175,6 +180,8 @@
         """Process a peer's heartbeat, after the backlog it reports was recorded."""
         self._reservations.release_confirmed(beat)
         self._dispatch.record_beat(beat)
+        for incarnation in beat.departures:
+            self._record_departure(incarnation, beat.vm)
         self._quarantine_exchange.greet(beat)
 
     def _list_peer_ips(self) -> list[str]:
@@ -205,15 +212,34 @@
             is_suspect=lambda plan: self._quarantine.is_suspect(list_keys(plan.call.shared_parts)),
             record_begun=self._record_begun,
             record_crash=self._record_crash,
-            choose=self._placement_client.choose,
-            is_open=self._dispatch.is_open,
+            choose=self._choice.choose,
+            is_open=self._is_open,
             record_request=self._budget.record_request,
             take_retry=self._budget.take,
             record_outcome=self._record_outcome,
+            record_notice=self._record_notice,
             mark_leaving=self.catalog.mark_leaving,
             record_end=self._record_end,
         )
 
+    def _is_open(self, backend: Backend) -> bool:
+        return self._dispatch.is_open(backend) and not self._pauses.is_paused(backend)
+
+    def _record_notice(self, backend: Backend, notice: Notice) -> None:
+        if notice.leaving and self._record_departure(backend.key, "its answer"):
+            self.peers.announce_change()
+        if notice.pause_s:
+            self._pauses.record(backend, notice.pause_s)
+            self._metrics.count_pause(backend.name)
+
+    def _record_departure(self, incarnation: tuple[str, int], source: str) -> bool:
+        """Stop sending calls to a leaving backend server; return whether this was news."""
+        if not self.catalog.record_departure(incarnation, source):
+            return False
+        self._connections.discard(incarnation)
+        self._dispatch.dispatch_soon()
+        return True
+
     def _admit(self, plan: Plan, progress: CallProgress) -> None:
         parts = list_keys(plan.call.shared_parts)
         self._quarantine.admit(plan.service, parts, progress.probed_parts)
@@ -299,6 +325,7 @@
         self.catalog.remove_lapsed()
         self._connections.keep_only(self.catalog.backends.values())
         self._dispatch.forget_removed()
+        self._pauses.forget_removed(self.catalog.backends.values())
         self._terminations.check_pending(self.catalog.backends)
 
     def _read_gauges(self) -> CallGauges:
--- a/balsamtally/peers.py
+++ b/balsamtally/peers.py
@@ -399,6 +399,7 @@
             region_loads=region_loads,
             last_ask_number=last_ask_number,
             pending_asks=pending_asks,
+            departures=self._catalog.list_departures(),
         )
 
     def _send(self, beat: Beat, ips: set[str]) -> None:
--- a/balsamtally/plans.py
+++ b/balsamtally/plans.py
@@ -46,6 +46,7 @@
     :ivar unreachable: number of attempts whose backend server could not be reached
     :ivar waited_s: time from the call's arrival to its first attempt, in seconds
     :ivar avoid: names of backend servers that are not tried again
+    :ivar paused: names of backend servers that pause as the next attempt is placed
     :ivar last_event: id of the last event sent to the caller, ``None`` before the first
     :ivar may_have_run: whether a backend server may have run the call
     :ivar failed_answer: a backend server's error answer, returned if no attempt succeeds
@@ -66,6 +67,7 @@
     unreachable: int = 0
     waited_s: float = 0.0
     avoid: set[str] = field(default_factory=set)
+    paused: set[str] = field(default_factory=set)
     last_event: int | None = None
     may_have_run: bool = False
     failed_answer: tuple[AnswerHead, bytes] | None = None
--- a/balsamtally/platform/wire.py
+++ b/balsamtally/platform/wire.py
@@ -3,13 +3,16 @@
 import re
 
 from balsamtally.callers import Request
-from balsamtally.calls import AnswerHead, Attempt, Call, Headers, PromptPart, Verdict
+from balsamtally.calls import AnswerHead, Attempt, Call, Headers, Notice, PromptPart, Verdict
 from balsamtally.errors import BalsamtallyError, MalformedHeader, MalformedRequest
 from balsamtally.forwarding import Wire
+from balsamtally.logs import log
 
 ATTEMPT_ID = b"attempt-id"
 SIGNATURE = b"response-signature"
 NOT_EXECUTED = b"not-executed"
+LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 LAST_EVENT = b"last-event-id"
 SCHEME = b"token"
 # Deadline of a call without a Deadline-Ms header; the route's timeout applies as well.
@@ -30,6 +33,8 @@
 # Headers that a caller can't strip by naming them in its Connection header.
 KEPT_HEADERS = frozenset((ATTEMPT_ID, b"host", b"model", b"token-usage", b"prompt-prefix"))
 RETRY_AFTER_DIGITS = 2
+# A time in seconds, possibly with a fraction.
+_SECONDS = re.compile(rb"[0-9]{1,15}(?:\.[0-9]{1,15})?")
 _HEXADECIMAL = re.compile(rb"[0-9a-fA-F]+")
 
 
@@ -215,13 +220,40 @@
     return Verdict.INVALID if head.status < 200 or 300 <= head.status < 400 else Verdict.ANSWER
 
 
+def read_notice(head: AnswerHead) -> Notice:
+    """Return what a backend server says about itself in the head of an answer.
+
+    An invalid value is logged and has no effect.
+
+    :param head: head of the answer
+    """
+    leaving, pause_s = False, 0.0
+    for name, value in head.headers:
+        text = value.strip()
+        if name.lower() == LEAVING:
+            valid = text in (b"0", b"1")
+            leaving |= text == b"1"
+        elif name.lower() == RETRY_AFTER and head.status == 503:
+            valid = _SECONDS.fullmatch(text) is not None
+            pause_s = max(pause_s, float(text)) if valid else pause_s
+        else:
+            continue
+        if not valid:
+            log.info("notice_refused", header=name.decode("latin-1"), value=repr(text[:64]))
+    return Notice(leaving, pause_s)
+
+
 def pick_headers(head: AnswerHead) -> Headers:
     """Return the headers of an answer that are passed on to the caller.
 
+    That the backend server is leaving concerns the entry VM alone.
+
     :param head: head of the answer
     """
     return tuple(
-        (name, value) for name, value in head.headers if name.lower() not in CONNECTION_HEADERS
+        (name, value)
+        for name, value in head.headers
+        if name.lower() not in CONNECTION_HEADERS and name.lower() != LEAVING
     )
 
 
@@ -240,4 +272,4 @@
     return tuple(headers), body
 
 
-WIRE = Wire(read_call, make_headers, classify, pick_headers, report)
+WIRE = Wire(read_call, make_headers, classify, read_notice, pick_headers, report)
--- a/standins/grid.py
+++ b/standins/grid.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import hashlib
+import itertools
 import json
 import signal
 import subprocess
@@ -97,6 +98,8 @@
     :ivar arrivals: attempt id and time of each received request, also of refused requests
     :ivar fault: ``""``, ``"full"`` (503, not executed), ``"reset"`` (closes the connection before
         the answer), ``"cut"`` (closes it within a stream) or ``"error"`` (status 500)
+    :ivar leaving: whether its answers say that it is leaving
+    :ivar retry_after: value of ``Retry-After`` in its refusals, empty for none
     :ivar running: number of requests in progress
     :ivar deadly_part: the server crashes as it begins to answer a prompt with this part, and starts
         again after ``RESTART_S``; empty for none
@@ -109,6 +112,8 @@
         self.runs: list[tuple[str, dict[str, str], float]] = []
         self.arrivals: list[tuple[str, float]] = []
         self.fault = ""
+        self.leaving = False
+        self.retry_after = ""
         self.running = 0
         self.deadly_part = ""
         self.crashes: list[float] = []
@@ -116,6 +121,7 @@
         self._domain = domain
         self._host = draw_host()
         self._born = FIRST_BORN
+        self._numbers = itertools.count(1)
         self._server: CallerServer | None = None
 
     def __enter__(self) -> "Server":
@@ -142,7 +148,7 @@
             "slots": 8,
             "state": state,
             "born": self._born,
-            "seq": 1,
+            "seq": next(self._numbers),
         }
         self._store.put(f"servers/{self.name}", entry)
 
@@ -150,6 +156,13 @@
         """Stop listening at once and leave the registration in the store."""
         self._server.__exit__(None, None, None)
 
+    def restart(self) -> None:
+        """End the process and start a new incarnation at the same address."""
+        self.crash()
+        self._born += 1
+        gevent.sleep(POLL_S)
+        self._start()
+
     def _crash_by_prompt(self) -> None:
         self.crashes.append(time.monotonic())
         self._born += 1
@@ -163,12 +176,15 @@
         headers = {name.decode().lower(): value.decode() for name, value in request.headers}
         attempt_id = headers.get("attempt-id", "")
         echo = [(b"Attempt-Id", attempt_id.encode())]
+        if self.leaving:
+            echo.append((b"Server-Leaving", b"1"))
         self.arrivals.append((attempt_id, time.monotonic()))
         if headers.get("expect-instance", self.name) != self.name:
             caller.answer(421, [*echo, (b"Instance-Id", self.name.encode())], b"")
             return
         if self.fault == "full":
-            caller.answer(503, [*echo, (b"Not-Executed", b"1")], b"")
+            pause = [(b"Retry-After", self.retry_after.encode())] if self.retry_after else []
+            caller.answer(503, [*echo, *pause, (b"Not-Executed", b"1")], b"")
             return
         self.runs.append((attempt_id, headers, time.monotonic()))
         if self.fault == "reset":
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -66,6 +66,7 @@
 RESERVATIONS = "tests/balsamtally/test_reservations.py"
 COORDINATION = "tests/balsamtally/test_coordination.py"
 PACES = "tests/balsamtally/test_paces.py"
+PAUSES = "tests/balsamtally/test_pauses.py"
 WAITING = "tests/balsamtally/test_waiting.py"
 WIRE = "tests/balsamtally/platform/test_wire.py"
 
@@ -375,6 +376,21 @@
         "waiting", "return waiter.urgency, will_miss_target", "return 0, will_miss_target", WAITING
     ),
     Mutation("waiting", "LATE_READ_AHEAD_S if late", "LATE_READ_AHEAD_S if False", WAITING),
+    Mutation(
+        "pauses",
+        "elif choice is None or not self._pauses.is_paused(choice.backend):",
+        "elif True:",
+        PAUSES,
+    ),
+    Mutation("pauses", "if self._clock() + wait_s >= latest_s:", "if False:", PAUSES),
+    Mutation("pauses", "pause_s = min(pause_s, MAX_PAUSE_S)", "pass", PAUSES),
+    Mutation("catalog", "if backend.key in self._departures:", "if False:", CATALOG),
+    Mutation(
+        "departures",
+        "if not incarnation[1] or incarnation in self._incarnations:",
+        "if incarnation in self._incarnations:",
+        CATALOG,
+    ),
 )
 
 
--- a/tests/balsamtally/platform/test_wire.py
+++ b/tests/balsamtally/platform/test_wire.py
@@ -5,13 +5,14 @@
 from hypothesis import strategies as st
 
 from balsamtally.callers import Request
-from balsamtally.calls import AnswerHead, Attempt, PromptPart, Verdict
+from balsamtally.calls import AnswerHead, Attempt, Notice, PromptPart, Verdict
 from balsamtally.errors import BackendFailed, MalformedHeader, NoBackend, RequestError
 from balsamtally.platform.wire import (
     classify,
     make_headers,
     pick_headers,
     read_call,
+    read_notice,
     read_parts,
     read_usage,
     report,
@@ -204,3 +205,30 @@
 def test_usage_must_be_plain_whole_numbers(value):
     with pytest.raises(MalformedHeader):
         read_usage(value)
+
+
+@pytest.mark.parametrize(
+    "status, name, value, notice",
+    [
+        (200, b"Server-Leaving", b"1", Notice(leaving=True)),
+        (503, b"server-leaving", b" 1 ", Notice(leaving=True)),
+        (200, b"Server-Leaving", b"0", Notice()),
+        (200, b"Server-Leaving", b"yes", Notice()),
+        (503, b"Retry-After", b"2.5", Notice(pause_s=2.5)),
+        (503, b"Retry-After", b"1000000000", Notice(pause_s=1e9)),
+        (503, b"Retry-After", b"0", Notice()),
+        (429, b"Retry-After", b"2", Notice()),
+        (503, b"Retry-After", b"-2", Notice()),
+        (503, b"Retry-After", b"soon", Notice()),
+        (503, b"Retry-After", b"9" * 5000, Notice()),
+        (503, b"Retry-After", "\u0663".encode(), Notice()),
+        (503, b"Retry-After", b"nan", Notice()),
+    ],
+)
+def test_notices_are_read_and_odd_values_have_no_effect(status, name, value, notice):
+    assert read_notice(AnswerHead(status, ((name, value),))) == notice
+
+
+def test_departure_of_a_backend_server_is_not_passed_on_to_callers():
+    head = AnswerHead(200, ((b"Server-Leaving", b"1"), (b"A", b"b")))
+    assert pick_headers(head) == ((b"A", b"b"),)
--- a/tests/balsamtally/scripted.py
+++ b/tests/balsamtally/scripted.py
@@ -12,6 +12,7 @@
     Backend,
     Branch,
     Call,
+    Notice,
     PromptPart,
     Repeat,
     Route,
@@ -215,6 +216,7 @@
         read_call,
         _make_headers,
         _classify,
+        lambda head: Notice(leaving=(b"leaving", b"1") in head.headers),
         lambda head: tuple(
             (name, value)
             for name, value in head.headers
@@ -248,6 +250,7 @@
         "record_request": lambda service: None,
         "take_retry": lambda service: True,
         "record_outcome": lambda *fields: recorded.append(("outcome", *fields)),
+        "record_notice": lambda *fields: recorded.append(("notice", *fields)),
         "mark_leaving": lambda *fields: recorded.append(("leaving", *fields)),
         "record_end": lambda *fields: recorded.append(("end", *fields)),
     }
--- a/tests/balsamtally/test_catalog.py
+++ b/tests/balsamtally/test_catalog.py
@@ -76,6 +76,27 @@
     assert len(catalog.list_open("desk")) == 1
 
 
+def test_announced_departure_outlasts_an_older_ready_entry_and_ends_with_the_incarnation(catalog):
+    catalog.merge([Record("s/a", 1, b"1")], "p")
+    assert catalog.record_departure(("a", 1), "its answer")
+    assert not catalog.record_departure(("a", 1), "a peer")
+    catalog.merge([Record("s/a", 2, b"1 ready")], "p")
+    catalog.merge([Record("s/a", 3, None)], "p")
+    catalog.merge([Record("s/a", 4, b"1")], "p")
+    assert catalog.list_open("desk") == []
+    assert catalog.list_departures() == (("a", 1),)
+    catalog.merge([Record("s/a", 5, b"2")], "p")
+    assert len(catalog.list_open("desk")) == 1
+    assert catalog.list_departures() == ()
+
+
+def test_departure_that_arrives_before_the_entry_holds(catalog):
+    catalog.record_departure(("a", 1), "a peer")
+    catalog.merge([Record("s/a", 1, b"1")], "p")
+    assert catalog.list_open("desk") == []
+    assert not catalog.record_departure(("b", 0), "its start isn't known")
+
+
 def test_entries_that_expired_during_an_outage_have_two_seconds_to_be_renewed(catalog, clock):
     catalog.merge([Record("s/a", 1, b"1"), Record("s/b", 2, b"1")], "p")
     catalog.start_removal_grace()
