Give each call of the tests of log lines an id of its own

No connection carries two calls with the same id, so that the second call took another connection than the lines of these tests name. The expected lines are the same.

--- a/tests/balsamtally/test_call_log.py
+++ b/tests/balsamtally/test_call_log.py
@@ -7,7 +7,7 @@
 from tests.balsamtally.scripted import ScriptedBackend, make_route, reply, send_raw
 from tests.balsamtally.test_forwarding import STREAM, ForwarderHarness, event, events
 
-OWN = b"HTTP/1.1 200 X\r\nId: id1\r\n"
+OWN = b"HTTP/1.1 200 X\r\nId: id%d\r\n"
 FOREIGN = b"HTTP/1.1 200 X\r\nId: other\r\nContent-Length: 2\r\n\r\nab"
 
 
@@ -18,8 +18,10 @@
         log_end(plan, progress, error, 0.1, error is None)
 
     with capture_logs() as lines, ForwarderHarness(route, *backends, record_end=record_end) as run:
-        for _ in range(calls):
-            run.send()
+        for number in range(1, calls + 1):
+            run.send(
+                b"POST /a/x HTTP/1.1\r\nHost: h\r\nId: id%d\r\nContent-Length: 0\r\n\r\n" % number
+            )
         return lines, (run.forwarder.foreign_answers, run.connections.late_answers)
 
 
@@ -45,8 +47,8 @@
 
 
 def test_lines_name_connections_that_carried_foreign_and_late_answers():
-    unframed = send_raw(OWN + b"\r\nab")
-    two_answers = send_raw(FOREIGN + OWN + b"Content-Length: 2\r\n\r\nab" + FOREIGN)
+    unframed = send_raw(OWN % 3 + b"\r\nab")
+    two_answers = send_raw(FOREIGN + OWN % 2 + b"Content-Length: 2\r\n\r\nab" + FOREIGN)
     with ScriptedBackend(reply(), two_answers, unframed) as one:
         lines, counts = run_calls(make_route(), one, calls=3)
     assert pick(lines, "foreign_answer", "answered", "exchange") == [("other", "1.2")]
