Forward a call to an issuer whose restart has not been noticed yet

A caller got a receipt from an entry VM that had just started again, sent its call to another one, and was told at once that the outcome is unknown, though nothing had run: the other one still knew the issuer's VM by its earlier incarnation and took the receipt's for one that had been replaced.

The issuer counts as replaced only if a later incarnation is known. The texts of incarnations begin with the time of their start. If a clock was set back, the call is forwarded, and a process that didn't issue the receipt says so.

--- a/balsamtally/services.py
+++ b/balsamtally/services.py
@@ -28,6 +28,7 @@
     UnknownService,
     WrongAnswer,
 )
+from balsamtally.incarnations import is_later
 from balsamtally.logs import log
 from balsamtally.machines import BackendServer
 from balsamtally.messages import CallResult, CallService, ServiceAnswer
@@ -235,9 +236,9 @@
         raise OutcomeUnknown("the entry VM that issued the receipt is unreachable")
 
     def _is_replaced(self, receipt: Receipt) -> bool:
-        """Return whether the issuer's VM is known to run another incarnation."""
+        """Return whether the issuer's VM is known to run a later incarnation."""
         found = self._members.find(receipt.vm)
-        return found is not None and found.incarnation not in ("", receipt.incarnation)
+        return found is not None and is_later(found.incarnation, receipt.incarnation)
 
     def _read_result(self, result, call: Call, receipt: Receipt) -> ServiceAnswer:
         """Return the answer of a forwarded call, or raise its error.
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -233,6 +233,12 @@
         'NoBackend(f"forwarded, and no result',
         SERVICES,
     ),
+    Mutation(
+        "services",
+        "is_later(found.incarnation, receipt.incarnation)",
+        "found.incarnation != receipt.incarnation",
+        SERVICES,
+    ),
     Mutation("services", "if receipt.vm == self._receipts.vm:", "if True:", SERVICES),
     Mutation("services", "not server.leaving and not", "not", SERVICES),
     Mutation("services", "if is_refusal(answer):", "if False:", SERVICES),
--- a/tests/balsamtally/test_services.py
+++ b/tests/balsamtally/test_services.py
@@ -389,6 +389,21 @@
         process.calls.call("ana", "filing", "record", b"x", receipt)
 
 
+@pytest.mark.parametrize("known", ["i1", "i3"])
+def test_call_is_forwarded_to_an_issuer_whose_restart_has_not_been_noticed(process, known):
+    """The issuer's VM is known by an earlier or a later incarnation than the receipt's."""
+    receipt = ReceiptRegistry("b1", "i2", b"key").issue("ana")
+    answer = ServiceAnswer(200, b"own")
+    own = CallResult("i2", 1, digest_call("filing", "record", b"x"), answer)
+    process.world.reply = lambda to: own
+    process.calls._members.find = lambda name: SimpleNamespace(incarnation=known)
+    if known < "i2":
+        assert process.calls.call("ana", "filing", "record", b"x", receipt) == answer
+    else:
+        with pytest.raises(errors.OutcomeUnknown):
+            process.calls.call("ana", "filing", "record", b"x", receipt)
+
+
 def test_refusal_before_routing_reports_unknown_outcome_for_a_call_with_a_receipt():
     refused = errors.TooManyRequests()
     assert qualify_refusal(refused, None) is refused
--- a/tests/standins/test_outcomes.py
+++ b/tests/standins/test_outcomes.py
@@ -103,10 +103,11 @@
 
 
 def start_call(fleet, vm, receipt, label):
-    """Start a call with a delayed answer, and return once the service runs it or it has ended."""
+    """Start a call with a delayed answer, and return once the service runs it."""
     set_late(fleet)
     call = gevent.spawn(record, vm, receipt, label)
     wait_until(lambda: count_runs(fleet, label) or call.ready())
+    assert count_runs(fleet, label), f"the call ended without a run: {call.value}"
     return call
 
 
