--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -813,12 +813,14 @@
     "framing", [b"Content-Length: 7\r\n", b"Transfer-Encoding: chunked\r\n", b""]
 )
 def test_answer_to_head_declares_the_length_of_the_backend_server(framing, streams):
-    head = b"HTTP/1.1 200 OK\r\nId: id1\r\n%s\r\n" % framing
-    with ScriptedBackend(lambda sock, _: sock.sendall(head)) as one:
+    ids = [b"id1", b"id2"]
+    heads = [b"HTTP/1.1 200 OK\r\nId: %s\r\n%s\r\n" % (call_id, framing) for call_id in ids]
+    scripts = [lambda sock, _, head=head: sock.sendall(head) for head in heads]
+    with ScriptedBackend(*scripts) as one:
         with ForwarderHarness(make_route(streams=streams), one) as harness:
-            for _ in range(2):
+            for call_id in ids:
                 with contextlib.closing(harness.connect()) as sock:
-                    sock.sendall(b"HEAD /a/x HTTP/1.1\r\nHost: h\r\n\r\n")
+                    sock.sendall(b"HEAD /a/x HTTP/1.1\r\nHost: h\r\nId: %s\r\n\r\n" % call_id)
                     [answer] = read_answers(sock.recv(65536), [b"HEAD"])
                 assert answer.whole and answer.status == 200
                 assert answer.headers.get(b"content-length", b"7") == b"7"
