--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -1,7 +1,8 @@
 """HTTP/1.1 client connections to backend servers, with a pool of idle connections.
 
-A connection is reused only after a regular exchange. It is closed if it holds unread bytes, broke,
-or received an early or a second answer. This module never retries a request.
+A connection is reused only after a regular exchange, and never for two requests with the same id:
+a second answer to the first would be taken for the answer to the second. It is closed if it holds
+unread bytes, broke, or received an early or a second answer. This module never retries a request.
 """
 
 import time
@@ -12,7 +13,7 @@
 import h11
 from gevent import select, socket
 
-from balsamtally.calls import AnswerHead, Backend, Headers
+from balsamtally.calls import BODILESS, AnswerHead, Backend, Headers
 from balsamtally.errors import AnswerCut, BackendUnreachable, NoAnswer
 from balsamtally.logs import log
 from balsamtally.sockets import close, connect, has_input, is_idle
@@ -30,6 +31,8 @@
 # An idle connection is no longer used this long before its backend server would close it.
 IDLE_MARGIN_S = 0.5
 MAX_TIMEOUT_DIGITS = 9
+# Requests sent on one connection, which bounds the ids that it keeps.
+MAX_REQUESTS = 256
 # Idle connections for each backend server.
 MAX_IDLE_CONNECTIONS = 32
 MAX_HEAD_BYTES = 65_536
@@ -50,6 +53,7 @@
 
     :param sock: the connected socket
     :param number: number of the connection among those of its pool
+    :ivar request_ids: ids of the requests for which the pool handed out the connection
     :ivar idle_since_s: monotonic clock when the last exchange ended, in seconds
     :ivar idle_limit_s: longest idle time after which the connection is reused, in seconds
     :ivar ends_by_close: whether the last answer has neither a length nor chunks, so that it ends
@@ -63,6 +67,7 @@
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._method = b""
         self._whole_request = False
+        self.request_ids: set[str] = set()
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
         self.ends_by_close = False
@@ -145,7 +150,9 @@
         names = [name.lower() for name, _ in headers]
         if names.count(b"content-length") + names.count(b"transfer-encoding") > 1:
             raise AnswerCut("the answer has more than one length or transfer encoding header")
-        self.ends_by_close = not {b"content-length", b"transfer-encoding"}.intersection(names)
+        has_body = self._method != b"HEAD" and event.status_code not in BODILESS
+        framing = {b"content-length", b"transfer-encoding"}
+        self.ends_by_close = has_body and not framing.intersection(names)
         self._read_keep_alive(headers)
         return AnswerHead(event.status_code, headers)
 
@@ -266,6 +273,8 @@
         http = self._http
         if self._irregular or not self._whole_request or http.our_state is not h11.DONE:
             return False
+        if len(self.request_ids) >= MAX_REQUESTS:
+            return False
         if http.their_state is not h11.DONE or http.trailing_data != (b"", False):
             return False
         http.start_next_cycle()
@@ -294,25 +303,35 @@
     def __exit__(self, *exc_info) -> None:
         self.keep_only(())
 
-    def acquire(self, backend: Backend, timeout_s: float) -> BackendConnection:
-        """Return an idle or a new connection to a backend server.
+    def acquire(self, backend: Backend, timeout_s: float, request_id: str) -> BackendConnection:
+        """Return an idle connection that hasn't carried a request with this id, or a new one.
 
         :param backend: the backend server
         :param timeout_s: longest time to open a connection, in seconds
+        :param request_id: id of the request to be sent
         :raises BackendUnreachable: if no connection can be opened; nothing was sent
         """
+        connection = self._take_idle(backend, request_id)
+        if connection is None:
+            try:
+                sock = connect(backend.address, min(timeout_s, CONNECT_TIMEOUT_S))
+            except OSError as error:
+                raise BackendUnreachable(f"no connection to {backend.name}: {error}") from error
+            self.opened += 1
+            connection = BackendConnection(sock, self.opened)
+        connection.request_ids.add(request_id)
+        return connection
+
+    def _take_idle(self, backend: Backend, request_id: str) -> BackendConnection | None:
         idle = self._idle.setdefault(backend.key, deque())
-        while idle:
-            connection = idle.pop()
-            if connection.is_usable(self._clock()):
+        for connection in reversed(list(idle)):
+            if not connection.is_usable(self._clock()):
+                idle.remove(connection)
+                self._discard(backend, connection)
+            elif request_id not in connection.request_ids:
+                idle.remove(connection)
                 return connection
-            self._discard(backend, connection)
-        try:
-            sock = connect(backend.address, min(timeout_s, CONNECT_TIMEOUT_S))
-        except OSError as error:
-            raise BackendUnreachable(f"no connection to {backend.name}: {error}") from error
-        self.opened += 1
-        return BackendConnection(sock, self.opened)
+        return None
 
     def _discard(self, backend: Backend, connection: BackendConnection) -> None:
         """Close a connection that can't be reused, and report bytes after its last answer."""
@@ -346,6 +365,14 @@
         else:
             idle.append(connection)
 
+    def close_idle(self, incarnation: tuple[str, int]) -> None:
+        """Close the idle connections to a backend server; those in use are closed on release.
+
+        :param incarnation: name and start of the backend server
+        """
+        for connection in self._idle.pop(incarnation, ()):
+            connection.close()
+
     def keep_only(self, backends) -> None:
         """Close the idle connections to all other backend servers.
 
--- a/balsamtally/calls.py
+++ b/balsamtally/calls.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 
 Headers = tuple[tuple[bytes, bytes], ...]
+# Statuses of answers without a body and a length.
+BODILESS = frozenset((204, 304))
 
 
 class Repeat(enum.Enum):
@@ -236,6 +238,18 @@
     INVALID = "invalid"
 
 
+@dataclass(frozen=True)
+class Notice:
+    """What a backend server says about itself in the head of an answer.
+
+    :ivar leaving: whether it is leaving and wants no further calls
+    :ivar pause_s: time for which it wants no calls from this entry VM, in seconds, 0 for none
+    """
+
+    leaving: bool = False
+    pause_s: float = 0.0
+
+
 @dataclass(frozen=True)
 class AnswerHead:
     """The head of a backend server's answer.
@@ -254,3 +268,10 @@
         if b"transfer-encoding" in names:
             return "chunked"
         return "length" if b"content-length" in names else "close"
+
+    @property
+    def length(self) -> Headers:
+        """The ``Content-Length`` header, empty if there is none or the answer has no body."""
+        if self.status in BODILESS:
+            return ()
+        return tuple(pair for pair in self.headers if pair[0].lower() == b"content-length")
--- a/balsamtally/catalog.py
+++ b/balsamtally/catalog.py
@@ -8,6 +8,8 @@
 from gevent.event import Event
 
 from balsamtally.calls import Account, Backend, Limits, Route, Service
+from balsamtally.decoding import DECODING_ERRORS
+from balsamtally.departures import Departures, Incarnation
 from balsamtally.logs import log
 from balsamtally.records import Record, Records, Update
 
@@ -73,11 +75,11 @@
     """Functions that decode published records, implemented by the adapter to the platform.
 
     :ivar read_contracts: returns the contracts of a record, ``None`` for a record of another kind;
-        raises ``ValueError`` if the record is invalid
+        raises one of ``DECODING_ERRORS`` if the record is invalid
     :ivar read_backend_name: returns the name of the backend server of a key, ``None`` for another
         key
-    :ivar read_backend: returns the backend server of an entry; raises ``ValueError`` if the entry
-        is invalid
+    :ivar read_backend: returns the backend server of an entry; raises one of ``DECODING_ERRORS`` if
+        the entry is invalid
     """
 
     read_contracts: Callable[[Record], Contracts | None]
@@ -105,6 +107,7 @@
         self.platform_read_s = clock()
         self._decoder = decoder
         self._clock = clock
+        self._departures = Departures()
         self._lapsed: dict[str, float] = {}
         self._grace_until_s = 0.0
 
@@ -164,7 +167,7 @@
     def _apply_contracts(self, record: Record, source: str) -> None:
         try:
             contracts = self._decoder.read_contracts(record)
-        except ValueError as error:
+        except DECODING_ERRORS as error:
             log.warning(
                 "contracts_refused", key=record.key, revision=record.revision, why=str(error)
             )
@@ -191,11 +194,13 @@
             return
         try:
             backend = self._decoder.read_backend(name, record.value)
-        except ValueError as error:
+        except DECODING_ERRORS as error:
             log.warning("backend_refused", key=record.key, revision=record.revision, why=str(error))
             self.backends.pop(name, None)
             return
         self._lapsed.pop(name, None)
+        if backend.key in self._departures:
+            backend = replace(backend, leaving=True)
         self.backends[name] = backend
         if known is None or known.key != backend.key:
             log.info("backend_added", backend=name, born=backend.born, source=source)
@@ -234,6 +239,29 @@
             self.backends[backend.name] = replace(known, leaving=True)
             log.info("backend_leaving", backend=backend.name, source=why)
 
+    def record_departure(self, incarnation: Incarnation, source: str) -> bool:
+        """Record that an incarnation of a backend server announced in an answer that it is leaving.
+
+        It takes no new work from now on, even if its entry is written again as ready.
+
+        :param incarnation: name and start of the backend server
+        :param source: source of the announcement, for the log
+        :return: whether this was news
+        """
+        if not self._departures.record(incarnation):
+            return False
+        if self._is_known(incarnation):
+            self.mark_leaving(self.backends[incarnation[0]], source)
+        return True
+
+    def list_departures(self) -> tuple[Incarnation, ...]:
+        """Return the latest leaving incarnations whose entries are still there."""
+        return self._departures.list_latest(self._is_known)
+
+    def _is_known(self, incarnation: Incarnation) -> bool:
+        known = self.backends.get(incarnation[0])
+        return known is not None and known.key == incarnation
+
     def list_open(self, service: str) -> list[Backend]:
         """Return the backend servers of a service that are not draining.
 
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -14,6 +14,7 @@
     Backend,
     Call,
     Headers,
+    Notice,
     Verdict,
 )
 from balsamtally.catalog import Contracts
@@ -38,9 +39,8 @@
 from balsamtally.plans import CallProgress, Plan, make_final_error, make_plan, may_repeat
 from balsamtally.terminations import Terminations
 
-# Connection failures that a call survives; also the limit on attempts that aren't counted because
-# their backend server terminated.
-MAX_UNREACHABLE = 4
+# Attempts of a call that aren't counted because their backend server terminated.
+MAX_TERMINATED = 4
 # Backend servers that may end, one after the other, before they begin to answer a call.
 MAX_CRASHES = 2
 # A call needs at least a round trip to another region and some processing time.
@@ -62,6 +62,7 @@
     :ivar read_call: parses a caller's request into a call
     :ivar make_headers: returns the request headers of an attempt
     :ivar classify: classifies the head of an answer to an attempt
+    :ivar read_notice: returns what a backend server says about itself in the head of an answer
     :ivar pick_headers: returns the headers of an answer that are passed on to the caller
     :ivar report: returns headers and body of an error answer to a caller
     :ivar read_id: returns the id of the request that an answer names, empty if it names none
@@ -70,6 +71,7 @@
     read_call: Callable[[Request], Call]
     make_headers: Callable[[Attempt], Headers]
     classify: Callable[[Attempt, AnswerHead], Verdict]
+    read_notice: Callable[[AnswerHead], Notice]
     pick_headers: Callable[[AnswerHead], Headers]
     report: Callable[[str, BalsamtallyError], tuple[Headers, bytes]]
     read_id: Callable[[AnswerHead], str]
@@ -103,6 +105,7 @@
     :ivar record_request: counts a request to a service
     :ivar take_retry: takes a retry from the service's retry budget; returns whether one was left
     :ivar record_outcome: records the result and duration of an attempt at a backend server
+    :ivar record_notice: records what a backend server said about itself in an answer
     :ivar mark_leaving: records that a backend server is draining or was replaced by another one
     :ivar record_end: records how a call ended
     """
@@ -117,6 +120,7 @@
     record_request: Callable[[str], None]
     take_retry: Callable[[str], bool]
     record_outcome: Callable[[Backend, Plan, BalsamtallyError | None, float], None]
+    record_notice: Callable[[Backend, Notice], None]
     mark_leaving: Callable[[Backend, str], None]
     record_end: Callable[[Plan, CallProgress, BaseException | None], None]
 
@@ -267,7 +271,7 @@
         """
         if progress.sent - progress.terminated < plan.route.max_attempts:
             return True
-        if not isinstance(failure, AnswerCut) or progress.terminated >= MAX_UNREACHABLE:
+        if not isinstance(failure, AnswerCut) or progress.terminated >= MAX_TERMINATED:
             return False
         if not self._terminations.has_terminated(progress.backend):
             return False
@@ -282,8 +286,8 @@
         if plan.until_s - time.monotonic() < MIN_LEFT_S:
             return "no time is left"
         if isinstance(failure, BackendUnreachable):
-            progress.unreachable += 1
-            return "" if progress.unreachable <= MAX_UNREACHABLE else "too many failed connections"
+            # Each backend server is tried once, so that the number of attempts is bounded.
+            return ""
         if failure.outcome is not Outcome.NOT_RUN and not may_repeat(plan, progress):
             return "the call may have run and is not repeatable"
         if progress.crashes >= MAX_CRASHES or self._is_suspect(plan, progress):
@@ -315,17 +319,17 @@
         left_s = plan.until_s - time.monotonic()
         if left_s < MIN_LEFT_S:
             raise QueueTimeout
-        connection = self._connections.acquire(backend, left_s)
+        connection = self._connections.acquire(backend, left_s, plan.call.id)
         try:
-            # The backend server may have started to drain while the connection was opened.
+            # The backend server may have begun to drain or to pause as the connection was opened.
             if not self._hooks.is_open(backend):
-                raise BackendLeaving(f"{backend.name} is draining")
+                raise BackendLeaving(f"{backend.name} is draining or pauses")
             self._hooks.admit(plan, progress)
             attempt = self._send(plan, progress, backend, connection)
             head, verdict = self._read_head(plan, attempt, connection)
             progress.framing = head.framing
             self._check_verdict(plan, backend, head, verdict, connection)
-            if plan.route.streams and head.status == 200:
+            if plan.route.streams and head.status == 200 and plan.call.method != b"HEAD":
                 self._pass_stream(caller, plan, progress, head, connection, work)
             else:
                 self._pass_whole(caller, plan, progress, head, connection)
@@ -388,6 +392,8 @@
         """
         if verdict is Verdict.INVALID:
             raise WrongAnswer(f"{backend.name} sent an invalid answer")
+        if verdict in (Verdict.ANSWER, Verdict.NOT_RUN):
+            self._hooks.record_notice(backend, self._wire.read_notice(head))
         if verdict is Verdict.ANSWER:
             return
         connection.drain(plan.until_s)
@@ -428,7 +434,7 @@
     ) -> None:
         progress.first_event_s = time.monotonic()
         progress.status = head.status
-        caller.answer(head.status, self._wire.pick_headers(head), body)
+        caller.answer(head.status, self._wire.pick_headers(head), body, head.length)
 
     def _pass_stream(
         self,
--- a/balsamtally/plans.py
+++ b/balsamtally/plans.py
@@ -52,9 +52,9 @@
     :ivar sent: number of attempts that were sent to a backend server
     :ivar terminated: number of attempts whose backend server has terminated since
     :ivar crashes: number of attempts whose backend server ended before it began to answer
-    :ivar unreachable: number of attempts whose backend server could not be reached
     :ivar waited_s: time from the call's arrival to its first attempt, in seconds
     :ivar avoid: names of backend servers that are not tried again
+    :ivar paused: names of backend servers that pause as the next attempt is placed
     :ivar last_event: id of the last event sent to the caller, ``None`` before the first
     :ivar may_have_run: whether a backend server may have run the call
     :ivar failed_answer: a backend server's error answer, returned if no attempt succeeds
@@ -78,9 +78,9 @@
     sent: int = 0
     terminated: int = 0
     crashes: int = 0
-    unreachable: int = 0
     waited_s: float = 0.0
     avoid: set[str] = field(default_factory=set)
+    paused: set[str] = field(default_factory=set)
     last_event: int | None = None
     may_have_run: bool = False
     failed_answer: tuple[AnswerHead, bytes] | None = None
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -55,6 +55,7 @@
 CATALOG = "tests/balsamtally/test_catalog.py"
 DISPATCH = "tests/balsamtally/test_dispatch.py"
 CALL_LOG = "tests/balsamtally/test_call_log.py"
+DOCUMENTS = "tests/balsamtally/platform/test_documents.py"
 FORWARDING = "tests/balsamtally/test_forwarding.py"
 GRID = "tests/standins/test_grid.py"
 PEERS = "tests/balsamtally/test_peers.py"
@@ -68,6 +69,7 @@
 RESERVATIONS = "tests/balsamtally/test_reservations.py"
 COORDINATION = "tests/balsamtally/test_coordination.py"
 PACES = "tests/balsamtally/test_paces.py"
+PAUSES = "tests/balsamtally/test_pauses.py"
 WAITING = "tests/balsamtally/test_waiting.py"
 WIRE = "tests/balsamtally/platform/test_wire.py"
 
@@ -120,6 +122,12 @@
         "quarantine_exchange", "or time.monotonic() - self._sent_s", "or 0", QUARANTINE_EXCHANGE
     ),
     Mutation("terminations", "is_old and result.ready()", "True", TERMINATIONS),
+    Mutation(
+        "forwarding",
+        'is bounded.\n            return ""',
+        'is bounded.\n            return "x" * (len(progress.avoid) > 4)',
+        FORWARDING,
+    ),
     Mutation(
         "forwarding",
         "and not progress.begun:\n                self",
@@ -239,6 +247,12 @@
         'NoBackend(f"forwarded, and no result',
         SERVICES,
     ),
+    Mutation(
+        "services",
+        "is_later(found.incarnation, receipt.incarnation)",
+        "found.incarnation != receipt.incarnation",
+        SERVICES,
+    ),
     Mutation("services", "if receipt.vm == self._receipts.vm:", "if True:", SERVICES),
     Mutation("services", "not server.leaving and not", "not", SERVICES),
     Mutation("services", "if is_refusal(answer):", "if False:", SERVICES),
@@ -288,6 +302,10 @@
         "if False:",
         FORWARDING,
     ),
+    Mutation("backends", "elif request_id not in connection.request_ids:", "else:", FORWARDING),
+    Mutation(
+        "backends", "len(self.request_ids) >= MAX_REQUESTS", "len(self.request_ids) < 0", FORWARDING
+    ),
     Mutation("backends", "except ConnectionRefusedError:", "except ZeroDivisionError:", FORWARDING),
     Mutation("backlogs", "self.reading[: urgency + 1]", "self.reading", BACKLOGS),
     Mutation("beats", "now - self._last_sent_s >= REFRESH_BEAT_S", "True", PEERS),
@@ -380,6 +398,33 @@
     Mutation("readers", "if own.read_state == PlatformReadState.REFUSED:", "if False:", READERS),
     Mutation("peers", "self._random.choice(newest_peers)", "self._random.choice(alive)", PEERS),
     Mutation("peers", "if peer.beat.vm in self._new_peers:", "if False:", PEERS),
+    Mutation(
+        "decoding",
+        "Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]",
+        "Annotated[int, msgspec.Meta(ge=0)]",
+        DOCUMENTS,
+    ),
+    Mutation("platform/documents", "(ge=0, le=MAX_SLOTS)", "(ge=0)", DOCUMENTS),
+    Mutation("platform/documents", "(ge=0, le=MAX_MS)", "(ge=0)", DOCUMENTS),
+    Mutation("platform/documents", "(ge=0, le=MAX_WEIGHT)", "(ge=0)", DOCUMENTS),
+    Mutation("platform/documents", "(max_length=MAX_NAME_CHARS)", "()", DOCUMENTS),
+    Mutation("platform/documents", "(max_length=MAX_ADDRESS_CHARS)", "()", DOCUMENTS),
+    Mutation("platform/documents", ", pattern=HEADER_VALUE)", ")", DOCUMENTS),
+    Mutation("platform/documents", "or not re.search(HEADER_VALUE, name)", "", DOCUMENTS),
+    Mutation("sockets", "port.isascii() and port.isdigit()", "port.isdecimal()", DOCUMENTS),
+    Mutation("decoding", "except RecursionError as error:", "except KeyError as error:", DOCUMENTS),
+    Mutation(
+        "catalog",
+        "contracts = self._decoder.read_contracts(record)\n        except DECODING_ERRORS",
+        "contracts = self._decoder.read_contracts(record)\n        except ValueError",
+        CATALOG,
+    ),
+    Mutation(
+        "catalog",
+        "name, record.value)\n        except DECODING_ERRORS",
+        "name, record.value)\n        except ValueError",
+        CATALOG,
+    ),
     Mutation("platform/wire", "| CONNECTION_HEADERS | OWN_HEADERS", "| CONNECTION_HEADERS", WIRE),
     Mutation("platform/wire", "if answered_id is not None and answered_id !=", "if None !=", WIRE),
     Mutation("platform/wire", 'if b"_" in name and', "if False and", WIRE),
@@ -387,6 +432,21 @@
         "waiting", "return waiter.urgency, will_miss_target", "return 0, will_miss_target", WAITING
     ),
     Mutation("waiting", "LATE_READ_AHEAD_S if late", "LATE_READ_AHEAD_S if False", WAITING),
+    Mutation(
+        "pauses",
+        "elif choice is None or not self._pauses.is_paused(choice.backend):",
+        "elif True:",
+        PAUSES,
+    ),
+    Mutation("pauses", "if self._clock() + wait_s >= latest_s:", "if False:", PAUSES),
+    Mutation("pauses", "pause_s = min(pause_s, MAX_PAUSE_S)", "pass", PAUSES),
+    Mutation("catalog", "if backend.key in self._departures:", "if False:", CATALOG),
+    Mutation(
+        "departures",
+        "if not incarnation[1] or incarnation in self._incarnations:",
+        "if incarnation in self._incarnations:",
+        CATALOG,
+    ),
 )
 
 
--- a/tests/balsamtally/platform/test_documents.py
+++ b/tests/balsamtally/platform/test_documents.py
@@ -2,8 +2,9 @@
 
 import json
 
+import h11
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from balsamtally.calls import Repeat
@@ -29,6 +30,17 @@
 "models":[{"name":"m","version":1,"adapters":[]}]}""")
 
 
+# Nested more deeply than the stack of the decoder, in a field that no document has.
+DEEP = [b'{"extra":' + start * 100_000 for start in (b"[", b'{"a":')]
+
+ODD_ROUTE_FIELDS = [
+    *((name, 1e30) for name in ("timeout_ms", "target_latency_ms", "gap_target_ms")),
+    *((name, -1) for name in ("timeout_ms", "priority", "max_attempts")),
+    *((name, 10**30) for name in ("priority", "max_attempts")),
+    *(("traffic_split", [{"service": "huvo11a", "weight": weight}]) for weight in (-1, 1e30)),
+]
+
+
 def encode(value):
     return json.dumps(value).encode()
 
@@ -68,7 +80,20 @@
 
 @pytest.mark.parametrize(
     "change",
-    [{"version": "x"}, {"routes": 3}, {"services": [{}]}, {"routes": [{"name": "a"}]}],
+    [
+        {"version": "x"},
+        {"version": -1},
+        {"version": 10**30},
+        {"routes": 3},
+        {"services": [{}]},
+        {"services": [{"name": "a", "engine": {"kv_capacity_tokens": 10**30}}]},
+        {"services": [{"name": "a", "max_connections": -1}]},
+        {"routes": [{"name": "a"}]},
+        {"limits": {"max_body_bytes": 10**30}},
+        {"limits": {"idle_timeout_ms": -1}},
+        {"tenants": [{"name": "a", "priority": 10**30}]},
+        *({"routes": [CONFIG["routes"][0] | {name: value}]} for name, value in ODD_ROUTE_FIELDS),
+    ],
 )
 def test_invalid_configuration_is_refused(change):
     with pytest.raises(ValueError):
@@ -90,20 +115,44 @@
         {"state": 1},
         {"slots": "64"},
         {"slots": -1},
+        {"slots": 65_536},
+        {"slots": 10**30},
         {"address": "10.128.0.9"},
         {"address": "host:80"},
         {"address": "10.128.0.9:0"},
+        {"address": "10.128.0.9:65536"},
+        {"address": "10.128.0.9:" + "1" * 5000},
+        {"address": "1" * 500 + ":80"},
+        {"address": "10.128.0.9:\u0668\u0660"},
+        {"address": "10.128.0.9:8\u00b2"},
         {"address": 5},
+        {"service": "s" * 201},
+        {"zone": "z" * 201},
+        {"seq": 10**30},
         {"service": None},
         {"service": ""},
         {"zone": []},
         {"born": 1.5},
+        {"born": -1},
+        {"born": 10**30},
         {"born": "1700000000123"},
     ],
 )
 def test_malformed_entry_is_refused(change):
-    with pytest.raises(ValueError):
+    with pytest.raises(ValueError) as refusal:
         read_backend("i-1", encode(SERVER | change))
+    assert len(str(refusal.value)) < 200
+
+
+@pytest.mark.parametrize("value", DEEP)
+def test_deeply_nested_entry_is_refused_and_costs_no_other_entry(value):
+    catalog = Catalog(DECODER)
+    keys = {"servers/a": value, "op/config": value, "servers/b": encode(SERVER)}
+    catalog.merge([Record(key, 1, data) for key, data in keys.items()], "test")
+    catalog.merge([Record("op/config", 2, encode(CONFIG))], "test")
+    assert list(catalog.backends) == ["b"] and catalog.contracts.version == 7
+    with pytest.raises(ValueError):
+        read_backend("i-1", value)
 
 
 @pytest.mark.parametrize("name", SERVER)
@@ -116,6 +165,28 @@
         assert read_backend("i-1", encode(entry)).name == "i-1"
 
 
+@given(name=st.text(max_size=8) | st.text("az\r\n\t\0 :\x7f\x80\xff", max_size=4))
+@example(name="\u0416")
+@example(name="a\r\nTenant: b")
+@example(name="a" * 201)
+def test_name_that_no_header_can_carry_is_refused_where_it_enters(name):
+    tenant = {"name": name, "api_keys": ["k"]}
+    reads = (
+        lambda: read_backend(name, encode(SERVER)).name,
+        lambda: read_contracts(Record("op/config", 1, encode(CONFIG | {"tenants": [tenant]})))
+        .accounts["k"]
+        .name,
+    )
+    for read in reads:
+        try:
+            accepted = read()
+        except ValueError:
+            continue
+        headers = [(b"Host", b"h"), (b"Expect-Instance", accepted.encode("latin-1"))]
+        request = h11.Request(method=b"GET", target=b"/", headers=headers)
+        assert dict(request.headers)[b"expect-instance"] == name.encode("latin-1")
+
+
 @given(st.lists(st.binary(max_size=30) | st.just(encode(SERVER)[:-9]), max_size=5))
 def test_malformed_entries_do_not_affect_others(values):
     catalog = Catalog(DECODER)
--- a/tests/balsamtally/test_call_log.py
+++ b/tests/balsamtally/test_call_log.py
@@ -8,7 +8,7 @@
 from tests.balsamtally.test_forwarding import REQUEST, STREAM, ForwarderHarness, event, events
 from tests.polling import expect_soon
 
-OWN = b"HTTP/1.1 200 X\r\nId: id1\r\n"
+OWN = b"HTTP/1.1 200 X\r\nId: id%d\r\n"
 FOREIGN = b"HTTP/1.1 200 X\r\nId: other\r\nContent-Length: 2\r\n\r\nab"
 
 
@@ -24,8 +24,10 @@
 def run_calls(route, *backends, calls=1, **hooks):
     """Return the lines of calls in order, and the number of each kind of unexpected answers."""
     with capture_logs() as lines, run_harness(route, *backends, **hooks) as run:
-        for _ in range(calls):
-            run.send()
+        for number in range(1, calls + 1):
+            run.send(
+                b"POST /a/x HTTP/1.1\r\nHost: h\r\nId: id%d\r\nContent-Length: 0\r\n\r\n" % number
+            )
         return lines, (run.forwarder.foreign_answers, run.connections.late_answers)
 
 
@@ -51,8 +53,8 @@
 
 
 def test_lines_name_connections_that_carried_foreign_and_late_answers():
-    unframed = send_raw(OWN + b"\r\nab")
-    two_answers = send_raw(FOREIGN + OWN + b"Content-Length: 2\r\n\r\nab" + FOREIGN)
+    unframed = send_raw(OWN % 3 + b"\r\nab")
+    two_answers = send_raw(FOREIGN + OWN % 2 + b"Content-Length: 2\r\n\r\nab" + FOREIGN)
     with ScriptedBackend(reply(), two_answers, unframed) as one:
         lines, counts = run_calls(make_route(), one, calls=3)
     assert pick(lines, "foreign_answer", "answered", "exchange") == [("other", "1.2")]
--- a/tests/balsamtally/test_catalog.py
+++ b/tests/balsamtally/test_catalog.py
@@ -61,6 +61,24 @@
     assert [backend.name for backend in catalog.list_open("desk")] == ["c"]
 
 
+@pytest.mark.parametrize("kind", [ValueError, RecursionError, OverflowError, KeyError, TypeError])
+def test_record_whose_decoder_fails_in_any_way_costs_no_other_record(kind, clock):
+    def refuse(name, value):
+        if value == b"odd":
+            raise kind("odd")
+        return read_backend(name, value)
+
+    def refuse_contracts(record):
+        return refuse("", record.value) if record.value == b"odd" else read_contracts(record)
+
+    decoder = Decoder(refuse_contracts, DECODER.read_backend_name, refuse)
+    catalog = Catalog(decoder, clock)
+    values = {"s/a": b"odd", "old": b"odd", "s/b": b"1", "contracts": b"7"}
+    catalog.merge([Record(key, 1, value) for key, value in values.items()], "platform")
+    assert [backend.name for backend in catalog.list_open("desk")] == ["b"]
+    assert catalog.contracts.version == 7
+
+
 def test_draining_and_removed_backend_servers_get_no_new_work(catalog):
     catalog.merge([Record("s/a", 1, b"1"), Record("s/b", 2, b"1")], "p")
     catalog.merge([Record("s/a", 3, b"1 leaving"), Record("s/b", 4, None)], "p")
@@ -76,6 +94,27 @@
     assert len(catalog.list_open("desk")) == 1
 
 
+def test_announced_departure_outlasts_an_older_ready_entry_and_ends_with_the_incarnation(catalog):
+    catalog.merge([Record("s/a", 1, b"1")], "p")
+    assert catalog.record_departure(("a", 1), "its answer")
+    assert not catalog.record_departure(("a", 1), "a peer")
+    catalog.merge([Record("s/a", 2, b"1 ready")], "p")
+    catalog.merge([Record("s/a", 3, None)], "p")
+    catalog.merge([Record("s/a", 4, b"1")], "p")
+    assert catalog.list_open("desk") == []
+    assert catalog.list_departures() == (("a", 1),)
+    catalog.merge([Record("s/a", 5, b"2")], "p")
+    assert len(catalog.list_open("desk")) == 1
+    assert catalog.list_departures() == ()
+
+
+def test_departure_that_arrives_before_the_entry_holds(catalog):
+    catalog.record_departure(("a", 1), "a peer")
+    catalog.merge([Record("s/a", 1, b"1")], "p")
+    assert catalog.list_open("desk") == []
+    assert not catalog.record_departure(("b", 0), "its start isn't known")
+
+
 def test_entries_that_expired_during_an_outage_have_two_seconds_to_be_renewed(catalog, clock):
     catalog.merge([Record("s/a", 1, b"1"), Record("s/b", 2, b"1")], "p")
     catalog.start_removal_grace()
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from balsamtally import backends
 from balsamtally.backends import Connections
 from balsamtally.callers import CallerServer
 from balsamtally.calls import Account, Branch, Limits, PromptPart, Repeat
@@ -17,6 +18,7 @@
 from balsamtally.plans import make_plan, pick_service
 from balsamtally.sockets import listen
 from balsamtally.terminations import Terminations
+from tests.answer_grammar import read_answers
 from tests.balsamtally.scripted import (
     ScriptedBackend,
     hang,
@@ -26,6 +28,7 @@
     make_hooks,
     make_route,
     make_wire,
+    read_message,
     reply,
     send_raw,
 )
@@ -65,6 +68,7 @@
         self.connections = self._stack.enter_context(Connections())
         wire = make_wire(
             lambda request: make_call(
+                id=(request.find_value(b"id") or b"id1").decode(),
                 arrived_s=request.arrived_s,
                 deadline_s=self._deadline_s,
                 body=request.body,
@@ -189,10 +193,11 @@
 
 
 def test_refused_call_is_retried_at_another_backend_server():
-    with ScriptedBackend(REFUSED) as one, ScriptedBackend(reply()) as two:
+    again = reply(503, b"", b"Id: id2\r\nNot-Run: 1\r\n"), reply(headers=b"Id: id2\r\n")
+    with ScriptedBackend(REFUSED, again[0]) as one, ScriptedBackend(reply(), again[1]) as two:
         with ForwarderHarness(make_route(Repeat.NEVER), one, two) as harness:
             assert harness.send()[0] == 200
-            assert harness.send()[0] == 200
+            assert harness.send(b"GET /a/x HTTP/1.1\r\nHost: h\r\nId: id2\r\n\r\n")[0] == 200
         assert one.connections == 1
 
 
@@ -227,6 +232,19 @@
             assert harness.send()[0] == 200
 
 
+def test_call_reaches_the_last_backend_server_while_all_others_refuse_connections():
+    """As after the loss of a failure domain whose backend servers are still published."""
+    stopped = [ScriptedBackend(reply()) for _ in range(6)]
+    for backend in stopped:
+        with backend:
+            pass
+    with ScriptedBackend(reply()) as one:
+        with ForwarderHarness(make_route(max_attempts=1), *stopped, one) as harness:
+            assert harness.send()[0] == 200
+        with ForwarderHarness(make_route(max_attempts=1), *stopped) as harness:
+            assert harness.send()[0] == 503
+
+
 def test_replaced_backend_server_is_recorded_as_leaving_and_call_is_retried():
     wrong = reply(421, b"", b"Id: id1\r\n")
     with ScriptedBackend(wrong) as one, ScriptedBackend(reply()) as two:
@@ -282,6 +300,33 @@
         assert one.connections == 2
 
 
+def test_second_call_with_an_id_gets_no_copy_of_the_first_ones_answer():
+    """The copy arrives after the second request was sent, so that only the id could tell."""
+
+    def repeat_first(sock, request):
+        reply(200, b"first")(sock, request)
+        if read_message(sock) is not None:
+            reply(200, b"first")(sock, request)
+        return False
+
+    with ScriptedBackend(repeat_first, reply(200, b"second")) as one:
+        with ForwarderHarness(make_route(), one) as harness:
+            assert [harness.send()[2] for _ in range(2)] == [b"first", b"second"]
+
+
+def test_connection_carries_a_bounded_number_of_requests(monkeypatch):
+    monkeypatch.setattr(backends, "MAX_REQUESTS", 2)
+    with ScriptedBackend(reply()) as one:
+        with ForwarderHarness(make_route(), one) as harness:
+            for call_id in "abcd":
+                connection = harness.connections.acquire(harness.servers[0], 1.0, call_id)
+                connection.send(b"GET", b"/", ((b"Host", b"h"),), b"", time.monotonic() + 5.0)
+                connection.read_head(time.monotonic() + 5.0)
+                assert connection.drain(time.monotonic() + 5.0)
+                harness.connections.release(harness.servers[0], connection)
+        assert one.connections == 2
+
+
 def test_connection_is_closed_after_an_early_answer():
     """The next request on the connection would be read as the rest of the unsent body."""
     big = b"x" * 3_000_000
@@ -787,3 +832,35 @@
             status, headers, _, whole = harness.send()
     assert (status, headers[b"code"], whole) == (500, b"9000", True)
     assert not one.requests
+
+
+@pytest.mark.parametrize("streams", [False, True])
+@pytest.mark.parametrize(
+    "framing", [b"Content-Length: 7\r\n", b"Transfer-Encoding: chunked\r\n", b""]
+)
+def test_answer_to_head_declares_the_length_of_the_backend_server(framing, streams):
+    ids = [b"id1", b"id2"]
+    heads = [b"HTTP/1.1 200 OK\r\nId: %s\r\n%s\r\n" % (call_id, framing) for call_id in ids]
+    scripts = [lambda sock, _, head=head: sock.sendall(head) for head in heads]
+    with ScriptedBackend(*scripts) as one:
+        with ForwarderHarness(make_route(streams=streams), one) as harness:
+            for call_id in ids:
+                with contextlib.closing(harness.connect()) as sock:
+                    sock.sendall(b"HEAD /a/x HTTP/1.1\r\nHost: h\r\nId: %s\r\n\r\n" % call_id)
+                    [answer] = read_answers(sock.recv(65536), [b"HEAD"])
+                assert answer.whole and answer.status == 200
+                assert answer.headers.get(b"content-length", b"7") == b"7"
+        assert one.connections == 1
+
+
+@pytest.mark.parametrize("ended", [False, True])
+def test_answer_without_a_body_has_no_length_and_does_not_end_with_its_connection(ended):
+    head = b"HTTP/1.1 204 OK\r\nId: id1\r\n\r\n"
+    with ScriptedBackend(lambda sock, _: sock.sendall(head)) as one:
+        if ended:
+            one._scripts = [crash(one, head)]
+        with ForwarderHarness(make_route(), one) as harness:
+            with contextlib.closing(harness.connect()) as sock:
+                sock.sendall(b"GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n")
+                [answer] = read_answers(sock.recv(65536), [b"GET"])
+    assert (answer.status, answer.whole) == (204, True)
