--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -155,12 +155,17 @@
         :param request: the request
         :raises CallerLeft: if the caller disconnects
         """
-        call: Call | None = None
+        call_id = ""
         try:
             call = self._wire.read_call(request)
+            call_id = call.id
             plan = make_plan(call, self._hooks.find_contracts())
         except BalsamtallyError as error:
-            self.refuse(caller, error, call.id if call is not None else "")
+            self.refuse(caller, error, call_id)
+            return
+        except Exception:
+            log.exception("request_failed", request=call_id)
+            self.refuse(caller, BalsamtallyError(), call_id)
             return
         progress = CallProgress()
         error: BaseException | None = None
@@ -178,6 +183,9 @@
             log.exception("request_failed", request=call.id)
             if not caller.began_answer:
                 self.refuse(caller, BalsamtallyError(), call.id, progress)
+        except BaseException as failure:
+            error = failure
+            raise
         finally:
             progress.answer, progress.sent_bytes = caller.answer_state, caller.sent_bytes
             self._hooks.record_end(plan, progress, error)
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -101,6 +101,8 @@
     Mutation("chats", "and progress.failed_starts < MAX_FAILED_STARTS", "", CHATS),
     Mutation("callers", "if self.began_answer:", "if False:", CALLERS),
     Mutation("entry", "if not self.headers_sent:", "if True:", ENTRY),
+    Mutation("backends", "except (AnswerCut, NoAnswer) as", "except Exception as", FORWARDING),
+    Mutation("forwarding", "except BaseException as", "except BytesWarning as", CALL_LOG),
     Mutation("backends", "if connection.has_late_answer():", "if False:", CALL_LOG),
     Mutation("crash_evidence", "if at_s - last_s >=", "if True or", CRASH_EVIDENCE),
     Mutation("crash_evidence", "if crash.service != service:", "if False:", CRASH_EVIDENCE),
@@ -133,6 +135,12 @@
         FORWARDING,
     ),
     Mutation("forwarding", "progress.crashes >= MAX_CRASHES or", "", FORWARDING),
+    Mutation(
+        "forwarding",
+        "except Exception:\n            log",
+        "except LookupError:\n            log",
+        FORWARDING,
+    ),
     Mutation(
         "forwarding", "connection.ends_by_close and self._term", "False and self._term", FORWARDING
     ),
