Forward a call with a receipt again after its link broke

A caller was told that the outcome of its call is unknown, though nothing had run, where the call was forwarded on a link to the ended process of an entry VM that had started again: the link broke, and the call was not forwarded again.

The issuer runs a call once, however often it is forwarded, so that a call is forwarded again to it after a broken link, but not after its time. The new test got OutcomeUnknown before.

--- a/balsamtally/services.py
+++ b/balsamtally/services.py
@@ -20,6 +20,7 @@
     NoBackend,
     Outcome,
     OutcomeUnknown,
+    PeerTimeout,
     PeerUnreachable,
     ReceiptForeign,
     ReceiptRequired,
@@ -226,11 +227,16 @@
                 self._sleep(FORWARD_PAUSE_S)
             if self._is_replaced(receipt):
                 break
+            begun_s = self._clock()
             try:
                 result = self._links.call(receipt.vm, message, timeout_s)
             except PeerUnreachable:
                 continue
             except BalsamtallyError as error:
+                # The issuer runs a call once, however often it is forwarded. A link that breaks may
+                # have led to an earlier process of the issuer's VM.
+                if isinstance(error, PeerTimeout) and self._clock() < begun_s + timeout_s:
+                    continue
                 raise OutcomeUnknown(f"forwarded, and no result came back: {error}") from error
             return self._read_result(result, call, receipt)
         raise OutcomeUnknown("the entry VM that issued the receipt is unreachable")
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -239,6 +239,8 @@
         "found.incarnation != receipt.incarnation",
         SERVICES,
     ),
+    Mutation("services", "if isinstance(error, PeerTimeout) and", "if False and", SERVICES),
+    Mutation("services", " and self._clock() < begun_s + timeout_s", "", SERVICES),
     Mutation("services", "if receipt.vm == self._receipts.vm:", "if True:", SERVICES),
     Mutation("services", "not server.leaving and not", "not", SERVICES),
     Mutation("services", "if is_refusal(answer):", "if False:", SERVICES),
--- a/tests/balsamtally/test_services.py
+++ b/tests/balsamtally/test_services.py
@@ -404,6 +404,28 @@
             process.calls.call("ana", "filing", "record", b"x", receipt)
 
 
+@pytest.mark.parametrize("lost_s", [0.0, 60.0])
+def test_call_is_forwarded_again_after_its_link_broke_but_not_after_its_time(process, lost_s):
+    receipt = ReceiptRegistry("b1", "i2", b"key").issue("ana")
+    answer = ServiceAnswer(200, b"own")
+    forwarded = []
+
+    def call(vm, message, timeout_s):
+        forwarded.append(vm)
+        if len(forwarded) == 1:
+            process.world.passed += lost_s
+            raise errors.PeerTimeout()
+        return CallResult("i2", 1, digest_call("filing", "record", b"x"), answer)
+
+    process.call = call
+    if lost_s:
+        with pytest.raises(errors.OutcomeUnknown):
+            process.calls.call("ana", "filing", "record", b"x", receipt)
+        assert forwarded == ["b1"]
+    else:
+        assert process.calls.call("ana", "filing", "record", b"x", receipt) == answer
+
+
 def test_refusal_before_routing_reports_unknown_outcome_for_a_call_with_a_receipt():
     refused = errors.TooManyRequests()
     assert qualify_refusal(refused, None) is refused
