Take an answer without a length for whole only if the process that sent it still runs

An answer that has neither a length nor chunks ends with its connection, and so does one whose backend server crashes. Callers got a part of such an answer as a whole one, with a length put on it, in three cases: another process listened at the address at once, as after a quick restart; the host was cut off and answered no attempt to connect; or the backend server had been found running less than 0.1 s earlier, as that finding was used again.

The check asked whether the address refuses connections. It now asks whether that process runs: a new connection must be accepted, and a witness must be open, which is an idle connection to the process, or one opened when such an answer begins, and stays in the pool for later calls. The end of the process closes the witness too, before its address accepts connections again. A host that answers none of three attempts counts as ended, since a cut answer must not look whole, and a lost packet costs no answer. A witness that was closed after its idle timeout shows nothing; the accepted connection decides alone then, so that a stream that outlasts all idle connections can still be taken for whole after a quick restart.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -16,7 +16,7 @@
 from balsamtally.calls import AnswerHead, Backend, Headers
 from balsamtally.errors import AnswerCut, BackendUnreachable, BalsamtallyError, NoAnswer
 from balsamtally.logs import log
-from balsamtally.sockets import close, connect, is_idle
+from balsamtally.sockets import close, connect, is_established, is_idle
 
 READ_BYTES = 65_536
 SEND_BYTES = 16_384
@@ -26,6 +26,8 @@
 # A connection is refused within a round trip; by the operators' data sheets a round trip to another
 # region takes 0.06 s.
 REFUSAL_TIMEOUT_S = 0.15
+# Attempts to connect before a backend server counts as silent: a lost packet isn't silence.
+SILENT_ATTEMPTS = 3
 # Idle timeout of backend servers that send no Keep-Alive header.
 DEFAULT_IDLE_S = 4.0
 # An idle connection is no longer used this long before its backend server would close it.
@@ -57,6 +59,8 @@
     :ivar idle_limit_s: longest idle time after which the connection is reused, in seconds
     :ivar ends_by_close: whether the last answer has neither a length nor chunks, so that it ends
         with the connection
+    :ivar witness: another connection that ends if the backend server's process ends within such an
+        answer, ``None`` if there is none
     """
 
     def __init__(self, sock: socket.socket):
@@ -68,6 +72,7 @@
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
         self.ends_by_close = False
+        self.witness: BackendConnection | None = None
         self._irregular = False
         self._read_bytes = 0
 
@@ -82,6 +87,17 @@
         """
         return now_s - self.idle_since_s < self.idle_limit_s and is_idle(self._sock)
 
+    def was_closed_early(self, now_s: float) -> bool:
+        """Return whether the backend server closed the connection before its idle timeout.
+
+        :param now_s: monotonic clock in seconds
+        """
+        try:
+            closed = not is_established(self._sock)
+        except OSError:
+            return False  # closed by this side
+        return closed and now_s - self.idle_since_s < self.idle_limit_s
+
     def send(self, method: bytes, target: bytes, headers: Headers, body: bytes, until_s: float):
         """Send a request.
 
@@ -313,6 +329,50 @@
                 return connection
         return None
 
+    def add_witness(self, backend: Backend, connection: BackendConnection) -> None:
+        """Find a witness for an answer without a length: an idle connection, or else a new one.
+
+        The witness stays in the pool.
+
+        :param backend: the backend server
+        :param connection: a connection on which an answer has begun
+        """
+        if not connection.ends_by_close:
+            return
+        idle = self._idle.setdefault(backend.key, deque())
+        now_s = self._clock()
+        connection.witness = next((each for each in reversed(idle) if each.is_usable(now_s)), None)
+        if connection.witness is None:
+            try:
+                connection.witness = BackendConnection(connect(backend.address, REFUSAL_TIMEOUT_S))
+            except OSError as error:
+                log.info("no_witness", backend=backend.name, why=str(error))
+                return
+            self.opened += 1
+            connection.witness.idle_since_s = self._clock()
+            idle.append(connection.witness)
+
+    def is_still_running(self, backend: Backend, connection: BackendConnection) -> bool:
+        """Return whether the process that sent an answer runs after the end of its connection.
+
+        Its address must accept a connection, and the witness must be open: a process that has taken
+        its place accepts connections too. A host that doesn't answer counts as ended.
+
+        :param backend: the backend server
+        :param connection: the connection that ended
+        """
+        for _ in range(SILENT_ATTEMPTS):
+            try:
+                close(connect(backend.address, REFUSAL_TIMEOUT_S))
+            except ConnectionRefusedError:
+                return False
+            except OSError as error:
+                log.info("backend_silent", backend=backend.name, why=str(error))
+                continue
+            witness = connection.witness
+            return witness is None or not witness.was_closed_early(self._clock())
+        return False
+
     def refuses_connections(self, backend: Backend) -> bool:
         """Return whether a backend server has terminated: no process listens at its address.
 
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -321,6 +321,7 @@
             attempt = self._send(plan, progress, backend, connection)
             head, verdict = self._read_head(plan, attempt, connection)
             self._check_verdict(plan, backend, head, verdict, connection)
+            self._connections.add_witness(backend, connection)
             if plan.route.streams and head.status == 200:
                 self._pass_stream(caller, plan, progress, head, connection, work)
             else:
@@ -458,8 +459,9 @@
 
         The connection ends in the same way if the backend server's process ends within the answer.
         """
-        if connection.ends_by_close and self._terminations.has_terminated(progress.backend):
-            raise AnswerCut("the backend server ended, and the answer has no length")
+        is_still_running = self._connections.is_still_running
+        if connection.ends_by_close and not is_still_running(progress.backend, connection):
+            raise AnswerCut("the answer has no length, and its backend server may have ended")
 
     def _record_begun(self, plan: Plan, progress: CallProgress) -> None:
         if not progress.attempt_begun:
--- a/balsamtally/sockets.py
+++ b/balsamtally/sockets.py
@@ -14,6 +14,8 @@
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 3_000
 BACKLOG = 512
+# State of an open connection in the first byte of the kernel's TCP_INFO.
+ESTABLISHED = 1
 
 
 def set_up(sock: socket.socket) -> None:
@@ -77,6 +79,15 @@
     return False
 
 
+def is_established(sock: socket.socket) -> bool:
+    """Return whether neither side has closed a connection, whatever input is unread.
+
+    :param sock: a connected socket
+    :raises OSError: if the socket was closed here
+    """
+    return sock.getsockopt(plain.IPPROTO_TCP, plain.TCP_INFO, 1)[0] == ESTABLISHED
+
+
 def close(sock: socket.socket) -> None:
     """Close a socket, ignoring errors.
 
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -128,7 +128,10 @@
     ),
     Mutation("forwarding", "progress.crashes >= MAX_CRASHES or", "", FORWARDING),
     Mutation(
-        "forwarding", "connection.ends_by_close and self._term", "False and self._term", FORWARDING
+        "forwarding",
+        "if connection.ends_by_close and not is_still",
+        "if False and not is_still",
+        FORWARDING,
     ),
     Mutation("receipts", "receipt.customer != customer", "False", RECEIPTS),
     Mutation("receipts", "record.digest != digest", "False", RECEIPTS),
@@ -294,7 +297,22 @@
     Mutation(
         "backends", "len(self.request_ids) >= MAX_REQUESTS", "len(self.request_ids) < 0", FORWARDING
     ),
-    Mutation("backends", "except ConnectionRefusedError:", "except ZeroDivisionError:", FORWARDING),
+    Mutation("backends", "not witness.was_closed_early(self._clock())", "True", FORWARDING),
+    Mutation(
+        "backends",
+        "                continue\n            witness",
+        "            witness",
+        FORWARDING,
+    ),
+    Mutation(
+        "backends", "closed and now_s - self.idle_since_s < self.idle_limit_s", "closed", BACKENDS
+    ),
+    Mutation(
+        "backends",
+        "except ConnectionRefusedError:\n            return True",
+        "except ZeroDivisionError:\n            return True",
+        FORWARDING,
+    ),
     Mutation("backlogs", "self.reading[: urgency + 1]", "self.reading", BACKLOGS),
     Mutation("beats", "now - self._last_sent_s >= REFRESH_BEAT_S", "True", PEERS),
     Mutation("beats", "or beat.revision != sent.revision", "", PEERS),
--- a/tests/balsamtally/test_backends.py
+++ b/tests/balsamtally/test_backends.py
@@ -9,15 +9,18 @@
 
 from balsamtally import backends
 from balsamtally.backends import (
+    DEFAULT_IDLE_S,
     DRAIN_S,
     MAX_DRAINED_BYTES,
     MAX_HEAD_BYTES,
     BackendConnection,
+    Connections,
     fetch,
 )
 from balsamtally.errors import AnswerCut, BalsamtallyError
 from balsamtally.sockets import connect
-from tests.balsamtally.scripted import ScriptedBackend
+from tests.balsamtally.scripted import ScriptedBackend, hang, make_backend
+from tests.polling import expect_soon
 
 OK = b"HTTP/1.1 200 OK\r\nId: id1\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -171,3 +174,20 @@
     with run_flood(beginning, BLOCK) as flood, pytest.raises(BalsamtallyError):
         fetch(flood.address, b"/", DEADLINE_S)
     assert flood.sent <= 200_000 + KERNEL_BYTES
+
+
+def test_witness_that_its_server_closed_as_idle_does_not_show_the_end_of_the_server():
+    now_s = [100.0]
+    with ScriptedBackend(hang) as server, Connections(lambda: now_s[0]) as connections:
+        backend = make_backend(address=server.address)
+        connection = connections.acquire(backend, 1.0, "id1")
+        connection.ends_by_close = True
+        connections.add_witness(backend, connection)
+        assert connections.is_still_running(backend, connection)
+        expect_soon(lambda: server.connections == 3)
+        gevent.killall(server._tasks[1:])
+        expect_soon(lambda: connection.witness.was_closed_early(now_s[0]))
+        assert not connections.is_still_running(backend, connection)
+        now_s[0] += DEFAULT_IDLE_S
+        assert connections.is_still_running(backend, connection)
+        connection.close()
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from balsamtally import backends
+from balsamtally import backends, sockets
 from balsamtally.backends import Connections
 from balsamtally.callers import CallerServer
 from balsamtally.calls import Account, Branch, Limits, PromptPart, Repeat
@@ -736,6 +736,75 @@
     assert (status, whole) == ((200, False) if streams else (502, True))
 
 
+class RestartingBackend(ScriptedBackend):
+    """A backend server whose process ends after a part of an answer; another one listens at once.
+
+    The second process sends whole answers without a length.
+    """
+
+    def __init__(self, *before):
+        super().__init__(self._restart, send_raw(UNFRAMED, *before, b"whole"))
+        self._before = before
+
+    def _restart(self, sock, request):
+        for piece in self._before:
+            sock.sendall(piece)
+            gevent.sleep(0.02)
+        others = [task for task in self._tasks[1:] if task is not gevent.getcurrent()]
+        gevent.killall(others)
+        return False
+
+
+@pytest.mark.parametrize("streams", [False, True])
+def test_answer_without_a_length_is_cut_if_its_backend_server_has_started_again(streams):
+    text = event(1) if streams else b"short"
+    route = make_route(Repeat.NEVER, streams=streams)
+    with RestartingBackend(UNFRAMED, text) as one:
+        with ForwarderHarness(route, one) as harness:
+            status, _, body, whole = harness.send()
+    assert (status, whole) == ((200, False) if streams else (502, True))
+
+
+@pytest.mark.parametrize("lost", [backends.SILENT_ATTEMPTS, 99])
+@pytest.mark.parametrize("streams", [False, True])
+def test_answer_without_a_length_is_cut_if_its_backend_server_falls_silent(
+    monkeypatch, streams, lost
+):
+    """Its host is cut off, so that attempts to connect have no answer, or a few of them are lost.
+
+    The first one is for the witness.
+    """
+
+    def fall_silent(sock, request):
+        attempts.append("sent")
+        return send_raw(UNFRAMED, text)(sock, request)
+
+    def connect(address, timeout_s):
+        if attempts:
+            attempts.append("tried")
+        if 1 < len(attempts) <= 1 + lost:
+            raise TimeoutError
+        return sockets.connect(address, timeout_s)
+
+    attempts, text = [], event(1) if streams else b"short"
+    monkeypatch.setattr(backends, "connect", connect)
+    with ScriptedBackend(fall_silent) as one:
+        with ForwarderHarness(make_route(Repeat.NEVER, streams=streams), one) as harness:
+            status, _, body, whole = harness.send()
+    if lost == backends.SILENT_ATTEMPTS:
+        assert (status, body, whole) == (200, text, True)
+    else:
+        assert (status, whole) == ((200, False) if streams else (502, True))
+
+
+def test_answer_without_a_length_is_cut_if_its_backend_server_ran_just_before():
+    """Another answer without a length ends in order less than RECHECK_S before the crash."""
+    crashing = CrashingBackend(UNFRAMED, b"short")
+    crashing._scripts.insert(0, send_raw(UNFRAMED, b"whole"))
+    with crashing, ForwarderHarness(make_route(), crashing) as harness:
+        assert [harness.send()[0] for _ in range(2)] == [200, 502]
+
+
 def test_stream_without_chunks_and_events_is_cut():
     route = make_route(Repeat.NEVER, streams=True)
     with ScriptedBackend(send_raw(UNFRAMED)) as one:
