Send a call elsewhere if its connection ended before its head was sent

Callers got 502 with an unknown outcome for a call that had not been sent: the connection ended between the check of the idle connection and the first byte. If a late answer to another request arrived in that time, the call was not sent at all, and its caller waited for its whole deadline (504): input before the end of sending was taken for an early answer, and the late one was skipped by its id.

Input, an end or a reset before the whole head was sent is now an error of its own (code 2016, not run). The call goes to another backend server, without counting as an attempt. The backend server counts as full for a moment, since one at its limit of connections resets new ones, and isn't ejected. may_repeat moves to plans.py.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -14,7 +14,13 @@
 from gevent import select, socket
 
 from balsamtally.calls import AnswerHead, Backend, Headers
-from balsamtally.errors import AnswerCut, BackendUnreachable, BalsamtallyError, NoAnswer
+from balsamtally.errors import (
+    AnswerCut,
+    BackendUnreachable,
+    BalsamtallyError,
+    ConnectionUnusable,
+    NoAnswer,
+)
 from balsamtally.logs import log
 from balsamtally.sockets import close, connect, is_established, is_idle
 
@@ -106,7 +112,8 @@
         :param headers: headers, including the length of a body
         :param body: the body
         :param until_s: deadline on the monotonic clock, in seconds
-        :raises AnswerCut: if the connection breaks
+        :raises ConnectionUnusable: if the connection ended or has input before the head was sent
+        :raises AnswerCut: if the connection breaks later
         :raises NoAnswer: if the deadline passes
         """
         self._whole_request = False
@@ -114,23 +121,30 @@
         head = self._http.send(h11.Request(method=method, target=target, headers=headers))
         self._http.send(h11.Data(data=body))
         self._http.send(h11.EndOfMessage())
-        self._write(head + body, until_s)
+        self._write(head, body, until_s)
 
-    def _write(self, data: bytes, until_s: float) -> None:
-        """Write a request, but stop as soon as the backend server answers early."""
-        view = memoryview(data)
+    def _write(self, head: bytes, body: bytes, until_s: float) -> None:
+        """Write a request, but stop as soon as the backend server answers early.
+
+        What arrives before the whole head was sent is no answer to this request.
+        """
+        view = memoryview(head + body)
         try:
             while view:
                 left_s = until_s - time.monotonic()
                 if left_s <= 0:
                     raise NoAnswer("the request could not be sent in time")
                 readable, writable, _ = select.select([self._sock], [self._sock], [], left_s)
+                if readable and len(view) > len(body):
+                    raise ConnectionUnusable
                 if readable:
                     return
                 if writable:
                     self._sock.settimeout(left_s)
                     view = view[self._sock.send(view[:SEND_BYTES]) :]
         except OSError as error:
+            if len(view) > len(body):
+                raise ConnectionUnusable(f"the connection broke: {error}") from error
             raise AnswerCut(f"the connection broke while the request was sent: {error}") from error
         self._whole_request = True
 
--- a/balsamtally/errors.py
+++ b/balsamtally/errors.py
@@ -336,6 +336,13 @@
     default = "a part of the prompt is quarantined, since it crashes backend servers"
 
 
+class ConnectionUnusable(BackendUnreachable):
+    """The connection ended, or had input, before the request's head was sent."""
+
+    code = 2016
+    default = "the connection ended before the request was sent"
+
+
 class ResultError(BalsamtallyError):
     """A request was sent to a backend server and has no complete answer."""
 
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -13,7 +13,6 @@
     Backend,
     Call,
     Headers,
-    Repeat,
     Verdict,
 )
 from balsamtally.catalog import Contracts
@@ -26,6 +25,7 @@
     BalsamtallyError,
     CallerLeft,
     CapacityError,
+    ConnectionUnusable,
     NoAnswer,
     NoBackend,
     Outcome,
@@ -36,7 +36,7 @@
 )
 from balsamtally.events import EventReader
 from balsamtally.logs import log
-from balsamtally.plans import CallProgress, Plan, make_plan
+from balsamtally.plans import CallProgress, Plan, make_plan, may_repeat
 from balsamtally.terminations import Terminations
 
 # Attempts of a call that aren't counted because their backend server terminated.
@@ -344,7 +344,11 @@
         progress.attempt_begun = False
         progress.probed_parts.clear()
         headers = self._wire.make_headers(attempt)
-        connection.send(call.method, call.target, headers, call.body, plan.until_s)
+        try:
+            connection.send(call.method, call.target, headers, call.body, plan.until_s)
+        except ConnectionUnusable:
+            progress.sent -= 1
+            raise
         return attempt
 
     def _read_head(
@@ -474,17 +478,6 @@
         caller.begin(head.status, self._wire.pick_headers(head))
 
 
-def may_repeat(plan: Plan, progress: CallProgress) -> bool:
-    """Return whether a call that may have run may be sent again.
-
-    :param plan: the call's plan
-    :param progress: progress of the call
-    """
-    if plan.route.repeat is Repeat.ALWAYS:
-        return not progress.begun
-    return plan.route.repeat is Repeat.RESUME
-
-
 def make_final_error(failure: BalsamtallyError, progress: CallProgress) -> BalsamtallyError:
     """Return the error that is sent to a caller after the last attempt.
 
--- a/balsamtally/plans.py
+++ b/balsamtally/plans.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from balsamtally.calls import Account, AnswerHead, Backend, Call, Route
+from balsamtally.calls import Account, AnswerHead, Backend, Call, Repeat, Route
 from balsamtally.catalog import Contracts
 from balsamtally.errors import NotReady, UnknownKey, UnknownPath
 
@@ -110,6 +110,17 @@
     )
 
 
+def may_repeat(plan: Plan, progress: CallProgress) -> bool:
+    """Return whether a call that may have run may be sent again.
+
+    :param plan: the call's plan
+    :param progress: progress of the call
+    """
+    if plan.route.repeat is Repeat.ALWAYS:
+        return not progress.begun
+    return plan.route.repeat is Repeat.RESUME
+
+
 def pick_service(call_id: str, route: Route) -> str:
     """Return the service of a call, chosen by a hash of its id and the route's branch weights.
 
--- a/balsamtally/reports.py
+++ b/balsamtally/reports.py
@@ -10,6 +10,7 @@
     BackendRefused,
     BackendUnreachable,
     BalsamtallyError,
+    ConnectionUnusable,
     NoAnswer,
     PartQuarantined,
 )
@@ -23,7 +24,8 @@
     """Kind of a report.
 
     ``BEGAN``: an answer began; ``PAUSED``: a stream ended, reports its longest inter-event gap;
-    ``ANSWERED``: an attempt succeeded; ``FULL``: the backend server refused it; ``FAILED``: it
+    ``ANSWERED``: an attempt succeeded; ``FULL``: the backend server refused it, or closed its
+    connection before the request; ``FAILED``: it
     failed by the backend server's fault; ``UNREACHABLE``: the connection could not be opened.
     """
 
@@ -82,7 +84,7 @@
     """
     if failure is None:
         return Report(Finding.ANSWERED, backend.service, backend.name, backend.born, took_s)
-    if isinstance(failure, BackendRefused):
+    if isinstance(failure, (BackendRefused, ConnectionUnusable)):
         finding = Finding.FULL
     elif not is_backend_fault(failure, plan, took_s):
         return None
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -307,6 +307,8 @@
     Mutation(
         "backends", "closed and now_s - self.idle_since_s < self.idle_limit_s", "closed", BACKENDS
     ),
+    Mutation("backends", "if readable and len(view) > len(body):", "if False:", FORWARDING),
+    Mutation("forwarding", "            progress.sent -= 1\n", "", FORWARDING),
     Mutation(
         "backends",
         "except ConnectionRefusedError:\n            return True",
@@ -385,6 +387,7 @@
         "return max(1.0, self._find_factor(key))",
         PACES,
     ),
+    Mutation("reports", "(BackendRefused, ConnectionUnusable)", "BackendRefused", DISPATCH),
     Mutation("dispatch", "if not self._pass_scheduled and any", "if any", DISPATCH),
     Mutation(
         "dedicated_runners",
--- a/tests/balsamtally/test_dispatch.py
+++ b/tests/balsamtally/test_dispatch.py
@@ -16,11 +16,12 @@
     BackendLeaving,
     BackendRefused,
     BackendUnreachable,
+    ConnectionUnusable,
     NoAnswer,
     TargetHopeless,
 )
 from balsamtally.plans import CallProgress, make_plan
-from balsamtally.runners import SNAPSHOT_TTL_S
+from balsamtally.runners import FULL_S, SNAPSHOT_TTL_S
 from tests.balsamtally.scripted import make_backend, make_call, make_contracts, make_route
 
 DRAFT = (PromptPart("first", 2500), PromptPart("session", 3800), PromptPart("own", 2900))
@@ -106,6 +107,14 @@
     assert {world.choose(world.plan(n, ())).backend.name for n in range(6, 40)} == {"a", "b"}
 
 
+def test_runner_whose_connection_ended_before_a_request_gets_calls_again_soon(world):
+    one, two = world.add("a"), world.add("b")
+    world.dispatch.record_outcome(one, world.plan(1), ConnectionUnusable(), 0.1)
+    assert world.choose(world.plan(2)).backend is two
+    world.now += FULL_S
+    assert world.choose(world.plan(3, ())).backend is one
+
+
 def test_no_more_than_half_of_a_service_is_ejected(world):
     servers = [world.add(name) for name in "abcd"]
     for server in servers:
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -6,6 +6,7 @@
 import gevent
 import pytest
 from gevent import socket
+from gevent.event import Event
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -196,7 +197,7 @@
     with ScriptedBackend(REFUSED, again[0]) as one, ScriptedBackend(reply(), again[1]) as two:
         with ForwarderHarness(make_route(Repeat.NEVER), one, two) as harness:
             assert harness.send()[0] == 200
-            assert harness.send(b"GET /a/x HTTP/1.1\r\nHost: h\r\nId: id2\r\n\r\n")[0] == 200
+            assert harness.send(SECOND)[0] == 200
         assert one.connections == 1
 
 
@@ -313,6 +314,49 @@
             assert [harness.send()[2] for _ in range(2)] == [b"first", b"second"]
 
 
+LATE = b"HTTP/1.1 200 X\r\nId: id0\r\nContent-Length: 4\r\n\r\nlate"
+SECOND = b"GET /a/x HTTP/1.1\r\nHost: h\r\nId: id2\r\n\r\n"
+
+
+@pytest.mark.parametrize("reused", [False, True])
+@pytest.mark.parametrize("late", [b"", LATE], ids=["end", "late answer"])
+def test_call_whose_connection_has_input_before_it_is_sent_goes_elsewhere(reused, late):
+    """The end of the connection, or a late answer, arrives after the connection was chosen.
+
+    This is none of the two attempts.
+    """
+    admitted = []
+
+    def admit(plan, progress):
+        admitted.append(plan)
+        if len(admitted) == (4 if reused else 2):
+            disturb.set()
+            expect_soon(disturbed.is_set)
+
+    def serve(sock):
+        if reused:
+            read_message(sock)
+            reply()(sock, b"")
+        disturb.wait()
+        sock.sendall(late)
+        if late:
+            gevent.spawn_later(0.1, disturbed.set)
+            received.append(sock.recv(65536))
+        sock.close()
+        disturbed.set()
+
+    disturb, disturbed, received = Event(), Event(), []
+    refusal = reply(503, b"", b"Id: id2\r\nNot-Run: 1\r\n")
+    three = ScriptedBackend(reply(200, b"three", b"Id: id2\r\n"))
+    with ScriptedBackend(hang) as one, ScriptedBackend(refusal) as two, three:
+        one._serve = serve
+        with ForwarderHarness(make_route(), one, two, three, admit=admit) as harness:
+            if reused:
+                assert harness.send()[2] == b"answer"
+            assert harness.send(SECOND)[:3:2] == (200, b"three")
+    assert received in ([], [b""])
+
+
 def test_connection_carries_a_bounded_number_of_requests(monkeypatch):
     monkeypatch.setattr(backends, "MAX_REQUESTS", 2)
     with ScriptedBackend(reply()) as one:
