Check the request's id of a model runner's error answers

A late second answer of a runner, on a reused connection, was taken for the answer to the next chat request if its status was an error, since only the events of a stream carry ids: with 400 the caller got an error for a sound request, and with 503 the runner counted as leaving and the request as not run, while it ran.

An answer whose X-Request-Id is that of another request is refused, whatever its status. A runner that sends no such header on error answers is still believed.

--- a/balsamtally/streams.py
+++ b/balsamtally/streams.py
@@ -8,7 +8,7 @@
 import urllib3
 
 from balsamtally.answers import AnswerCheck
-from balsamtally.errors import AnswerCut, BackendFailed
+from balsamtally.errors import AnswerCut, BackendFailed, WrongAnswer
 from balsamtally.settings import split_address
 
 CONNECT_TIMEOUT_S = 1.0
@@ -133,6 +133,7 @@
     :raises RunnerRefused: if the runner is known not to have run the request
     :raises RunnerFailed: if the runner failed
     :raises BackendFailed: if the runner rejected the request with a client error status
+    :raises WrongAnswer: if the answer carries the id of another request
     :ivar complete: whether the answer was complete and nothing followed its end marker
     :ivar cancelled: whether the stream was aborted by :meth:`cancel`
     :ivar exchanged_bytes: bytes sent and received in bodies
@@ -229,6 +230,10 @@
             raise RunnerRefused(str(error)) from error
         except _FAILURES as error:
             raise RunnerFailed(f"{type(error).__name__}: {error}") from error
+        answered_id = response.headers.get("X-Request-Id", self.attempt_id)
+        if answered_id != self.attempt_id:
+            response.close()
+            raise WrongAnswer(f"an answer to {answered_id!r} came for {self.attempt_id!r}")
         if response.status == 200:
             return response
         self._refuse(response)
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -61,6 +61,7 @@
 CRASH_EVIDENCE = "tests/balsamtally/test_crash_evidence.py"
 QUARANTINE = "tests/balsamtally/test_quarantine.py"
 QUARANTINE_EXCHANGE = "tests/balsamtally/test_quarantine_exchange.py"
+STREAMS = "tests/balsamtally/test_streams.py"
 TERMINATIONS = "tests/balsamtally/test_terminations.py"
 ASKS = "tests/balsamtally/test_asks.py"
 RESERVATIONS = "tests/balsamtally/test_reservations.py"
@@ -413,6 +414,7 @@
     Mutation(
         "waiting", "return waiter.urgency, will_miss_target", "return 0, will_miss_target", WAITING
     ),
+    Mutation("streams", "if answered_id != self.attempt_id:", "if False:", STREAMS),
     Mutation("waiting", "LATE_READ_AHEAD_S if late", "LATE_READ_AHEAD_S if False", WAITING),
 )
 
