--- a/balsamtally/errors.py
+++ b/balsamtally/errors.py
@@ -336,10 +336,17 @@
     default = "a part of the prompt is quarantined, since it crashes backend servers"
 
 
+class ConnectionUnusable(BackendUnreachable):
+    """The connection ended, or had input, before the request's head was sent."""
+
+    code = 2016
+    default = "the connection ended before the request was sent"
+
+
 class BackendsPaused(CapacityError):
     """All backend servers asked for a pause that lasts too long for the call."""
 
-    code = 2016
+    code = 2017
     default = "all backend servers pause"
 
 
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -27,6 +27,7 @@
     BalsamtallyError,
     CallerLeft,
     CapacityError,
+    ConnectionUnusable,
     NoAnswer,
     NoBackend,
     Outcome,
@@ -329,6 +330,7 @@
             head, verdict = self._read_head(plan, attempt, connection)
             progress.framing = head.framing
             self._check_verdict(plan, backend, head, verdict, connection)
+            self._connections.add_witness(backend, connection)
             if plan.route.streams and head.status == 200 and plan.call.method != b"HEAD":
                 self._pass_stream(caller, plan, progress, head, connection, work)
             else:
@@ -353,6 +355,9 @@
         headers = self._wire.make_headers(attempt)
         try:
             connection.send(call.method, call.target, headers, call.body, plan.until_s)
+        except ConnectionUnusable:
+            progress.sent -= 1
+            raise
         finally:
             progress.exchange = connection.exchange
         return attempt
@@ -480,8 +485,9 @@
 
         The connection ends in the same way if the backend server's process ends within the answer.
         """
-        if connection.ends_by_close and self._terminations.has_terminated(progress.backend):
-            raise AnswerCut("the backend server ended, and the answer has no length")
+        is_still_running = self._connections.is_still_running
+        if connection.ends_by_close and not is_still_running(progress.backend, connection):
+            raise AnswerCut("the answer has no length, and its backend server may have ended")
 
     def _record_begun(self, plan: Plan, progress: CallProgress) -> None:
         if not progress.attempt_begun:
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -64,6 +64,7 @@
 CRASH_EVIDENCE = "tests/balsamtally/test_crash_evidence.py"
 QUARANTINE = "tests/balsamtally/test_quarantine.py"
 QUARANTINE_EXCHANGE = "tests/balsamtally/test_quarantine_exchange.py"
+STREAMS = "tests/balsamtally/test_streams.py"
 TERMINATIONS = "tests/balsamtally/test_terminations.py"
 ASKS = "tests/balsamtally/test_asks.py"
 RESERVATIONS = "tests/balsamtally/test_reservations.py"
@@ -142,7 +143,10 @@
         FORWARDING,
     ),
     Mutation(
-        "forwarding", "connection.ends_by_close and self._term", "False and self._term", FORWARDING
+        "forwarding",
+        "if connection.ends_by_close and not is_still",
+        "if False and not is_still",
+        FORWARDING,
     ),
     Mutation("receipts", "receipt.customer != customer", "False", RECEIPTS),
     Mutation("receipts", "record.digest != digest", "False", RECEIPTS),
@@ -253,6 +257,8 @@
         "found.incarnation != receipt.incarnation",
         SERVICES,
     ),
+    Mutation("services", "if isinstance(error, PeerTimeout) and", "if False and", SERVICES),
+    Mutation("services", " and self._clock() < begun_s + timeout_s", "", SERVICES),
     Mutation("services", "if receipt.vm == self._receipts.vm:", "if True:", SERVICES),
     Mutation("services", "not server.leaving and not", "not", SERVICES),
     Mutation("services", "if is_refusal(answer):", "if False:", SERVICES),
@@ -306,7 +312,24 @@
     Mutation(
         "backends", "len(self.request_ids) >= MAX_REQUESTS", "len(self.request_ids) < 0", FORWARDING
     ),
-    Mutation("backends", "except ConnectionRefusedError:", "except ZeroDivisionError:", FORWARDING),
+    Mutation("backends", "not witness.was_closed_early(self._clock())", "True", FORWARDING),
+    Mutation(
+        "backends",
+        "                continue\n            witness",
+        "            witness",
+        FORWARDING,
+    ),
+    Mutation(
+        "backends", "closed and now_s - self.idle_since_s < self.idle_limit_s", "closed", BACKENDS
+    ),
+    Mutation("backends", "if readable and len(view) > len(body):", "if False:", FORWARDING),
+    Mutation("forwarding", "            progress.sent -= 1\n", "", FORWARDING),
+    Mutation(
+        "backends",
+        "except ConnectionRefusedError:\n            return True",
+        "except ZeroDivisionError:\n            return True",
+        FORWARDING,
+    ),
     Mutation("backlogs", "self.reading[: urgency + 1]", "self.reading", BACKLOGS),
     Mutation("beats", "now - self._last_sent_s >= REFRESH_BEAT_S", "True", PEERS),
     Mutation("beats", "or beat.revision != sent.revision", "", PEERS),
@@ -379,6 +402,7 @@
         "return max(1.0, self._find_factor(key))",
         PACES,
     ),
+    Mutation("reports", "(BackendRefused, ConnectionUnusable)", "BackendRefused", DISPATCH),
     Mutation("dispatch", "if not self._pass_scheduled and any", "if any", DISPATCH),
     Mutation(
         "dedicated_runners",
@@ -431,6 +455,7 @@
     Mutation(
         "waiting", "return waiter.urgency, will_miss_target", "return 0, will_miss_target", WAITING
     ),
+    Mutation("streams", "if answered_id != self.attempt_id:", "if False:", STREAMS),
     Mutation("waiting", "LATE_READ_AHEAD_S if late", "LATE_READ_AHEAD_S if False", WAITING),
     Mutation(
         "pauses",
