Decode each item of a store's page by itself

Here an item without a text key, or with a revision or value of another type, made its whole page or answer of a watch a failed read, again and again; a revision or an `at` of more than 64 bits was taken, and no record could be sent to peers from then on. A listing that repeats a page was read without end.

Cause: a page was decoded as one document, and no number had a range.

Change: pages hold raw items; one without a readable key or revision is left out with a log line, one without a readable value counts as empty, as before. A page that doesn't go on after the last one is a failed read. An item that is itself nested too deeply still costs its page: values are base64 text, so that no writer of entries can cause this. The stand-in can send any field of an item in another form. With a guard taken out its test fails (standins.mutate platform/store).

--- a/balsamtally/decoding.py
+++ b/balsamtally/decoding.py
@@ -17,11 +17,11 @@
 class Decoder(Protocol[Value]):
     """A decoder of msgspec for one type."""
 
-    def decode(self, data: bytes, /) -> Value:
+    def decode(self, data: bytes | msgspec.Raw, /) -> Value:
         """Return the decoded value."""
 
 
-def decode(decoder: Decoder[Value], data: bytes) -> Value:
+def decode(decoder: Decoder[Value], data: bytes | msgspec.Raw) -> Value:
     """Decode bytes from outside.
 
     :param decoder: a decoder of msgspec
--- a/balsamtally/platform/store.py
+++ b/balsamtally/platform/store.py
@@ -3,7 +3,8 @@
 import base64
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import Annotated
 from urllib.parse import quote
 
 import gevent
@@ -11,6 +12,7 @@
 
 from balsamtally.backends import fetch
 from balsamtally.catalog import Catalog
+from balsamtally.decoding import Count, decode
 from balsamtally.errors import BalsamtallyError, HistoryGone, PlatformUnavailable
 from balsamtally.logs import log
 from balsamtally.readers import PlatformReadState
@@ -34,6 +36,10 @@
 MIN_PAUSE_S = 0.15
 MAX_PAUSE_S = 0.8
 SOURCE = "platform"
+MAX_KEY_CHARS = 200
+NO_VALUE = msgspec.Raw(b"null")
+
+Key = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_KEY_CHARS)]
 
 
 class Item(msgspec.Struct, frozen=True):
@@ -42,25 +48,45 @@
     ``removed`` is set, and ``value`` missing, in the event of a removal.
     """
 
-    key: str
-    revision: int
-    value: str | None = None
+    key: Key
+    revision: Count
+    value: msgspec.Raw = NO_VALUE
     removed: bool = False
 
 
 class Page(msgspec.Struct, frozen=True):
     """A page of a listing; ``at`` is the store's revision."""
 
-    entries: tuple[Item, ...]
-    at: int
+    entries: tuple[msgspec.Raw, ...]
+    at: Count
     has_more: bool = False
 
 
 class Changes(msgspec.Struct, frozen=True):
     """The events after a revision; the next watch starts at revision ``at``."""
 
-    events: tuple[Item, ...]
-    at: int
+    events: tuple[msgspec.Raw, ...]
+    at: Count
+
+
+_page = msgspec.json.Decoder(Page)
+_changes = msgspec.json.Decoder(Changes)
+_item = msgspec.json.Decoder(Item)
+_value = msgspec.json.Decoder(str | None)
+
+
+def decode_items(items: Iterable[msgspec.Raw]) -> list[Record]:
+    """Return the records of items; an item that names no key or revision is left out.
+
+    :param items: the items in JSON, each decoded by itself
+    """
+    records = []
+    for raw in items:
+        try:
+            records.append(decode_item(decode(_item, raw)))
+        except ValueError as error:
+            log.warning("record_refused", key="", revision=0, why=str(error))
+    return records
 
 
 def decode_item(item: Item) -> Record:
@@ -71,10 +97,9 @@
 
     :param item: the item
     """
-    if item.removed or item.value is None:
-        return Record(item.key, item.revision, None)
     try:
-        value = base64.b64decode(item.value, validate=True)
+        text = None if item.removed else decode(_value, item.value)
+        value = None if text is None else base64.b64decode(text, validate=True)
     except ValueError as error:
         log.warning("record_refused", key=item.key, revision=item.revision, why=str(error))
         value = b""
@@ -171,10 +196,13 @@
         while True:
             page = self._read_page(after)
             first_at = page.at if first_at is None else min(first_at, page.at)
-            records += [decode_item(item) for item in page.entries]
+            found = decode_items(page.entries)
+            records += found
             if not page.has_more or not page.entries:
                 break
-            after = page.entries[-1].key
+            if not found or found[-1].key <= after:
+                raise PlatformUnavailable(f"the listing does not go on after {after!r}")
+            after = found[-1].key
         self._record_success()
         self._catalog.merge_listing(records, first_at, SOURCE)
         self._history_gone = False
@@ -185,15 +213,15 @@
             if after
             else ("/kv-range?path_prefix=")
         )
-        return msgspec.json.decode(self._read(target, READ_TIMEOUT_S), type=Page)
+        return decode(_page, self._read(target, READ_TIMEOUT_S))
 
     def _watch(self, at: int) -> None:
         # After a failure a short watch shows soon whether the store answers again.
         wait_ms = 1 if self._failures else WATCH_WAIT_MS
         target = f"/kv-watch?path_prefix=&after={at}&wait_ms={wait_ms}"
-        changes = msgspec.json.decode(self._read(target, WATCH_TIMEOUT_S), type=Changes)
+        changes = decode(_changes, self._read(target, WATCH_TIMEOUT_S))
         self._record_success()
-        self._catalog.merge([decode_item(item) for item in changes.events], SOURCE, changes.at)
+        self._catalog.merge(decode_items(changes.events), SOURCE, changes.at)
         gevent.sleep(BURST_S)
 
     def _read(self, target: str, timeout_s: float) -> bytes:
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -62,6 +62,7 @@
 CRASH_EVIDENCE = "tests/balsamtally/test_crash_evidence.py"
 QUARANTINE = "tests/balsamtally/test_quarantine.py"
 QUARANTINE_EXCHANGE = "tests/balsamtally/test_quarantine_exchange.py"
+STORE = "tests/balsamtally/platform/test_store.py"
 TERMINATIONS = "tests/balsamtally/test_terminations.py"
 ASKS = "tests/balsamtally/test_asks.py"
 RESERVATIONS = "tests/balsamtally/test_reservations.py"
@@ -396,6 +397,21 @@
         "name, record.value)\n        except ValueError",
         CATALOG,
     ),
+    Mutation("platform/store", "    key: Key\n", "    key: str\n", STORE),
+    Mutation("platform/store", "    revision: Count\n", "    revision: int\n", STORE),
+    Mutation("platform/store", "found[-1].key <= after", "False", STORE),
+    Mutation(
+        "platform/store",
+        "text, validate=True)\n    except ValueError",
+        "text, validate=True)\n    except KeyError",
+        STORE,
+    ),
+    Mutation(
+        "platform/store",
+        "decode(_item, raw)))\n        except ValueError",
+        "decode(_item, raw)))\n        except KeyError",
+        STORE,
+    ),
     Mutation("platform/wire", "| CONNECTION_HEADERS | OWN_HEADERS", "| CONNECTION_HEADERS", WIRE),
     Mutation("platform/wire", "if answered_id is not None and answered_id !=", "if None !=", WIRE),
     Mutation("platform/wire", 'if b"_" in name and', "if False and", WIRE),
--- a/standins/store.py
+++ b/standins/store.py
@@ -34,6 +34,7 @@
         self.delay_s = 0.0
         self._items: dict[str, dict] = {}
         self._events: list[dict] = []
+        self._spoiled: dict[str, dict] = {}
         self._revision = 100
         self._oldest_revision = 100
         self._changed = Event()
@@ -67,10 +68,10 @@
         self._append_event(item)
         return self._revision
 
-    def spoil(self, key: str, text: str) -> None:
-        """Write an item whose value is this text without base64 encoding."""
+    def spoil(self, key: str, /, **fields: object) -> None:
+        """Write an item that is sent with these fields instead of its own."""
+        self._spoiled[key] = fields
         self.put(key, b"")
-        self._items[key]["value"] = text
 
     def remove(self, key: str) -> int:
         """Remove an item and return the revision of the removal."""
@@ -110,20 +111,22 @@
         path, _, query = request.target.decode().partition("?")
         fields = {name: values[0] for name, values in parse_qs(query).items()}
         if path == "/kv-range":
-            self._answer(caller, self._list(fields))
+            self._list(caller, fields)
         elif path == "/kv-watch":
             self._watch(caller, fields)
         else:
             caller.answer(404, (), b"")
 
-    def _answer(self, caller: Caller, body: dict) -> None:
+    def _answer(self, caller: Caller, name: str, items: list[dict], **more: object) -> None:
+        sent = [item | self._spoiled.get(item["key"], {}) for item in items]
+        body = {name: sent, "at": self._revision, **more}
         caller.answer(200, ((b"Content-Type", b"application/json"),), json.dumps(body).encode())
 
-    def _list(self, fields: dict[str, str]) -> dict:
+    def _list(self, caller: Caller, fields: dict[str, str]) -> None:
         prefix, after = fields.get("path_prefix", ""), fields.get("after", "")
         keys = sorted(key for key in self._items if key.startswith(prefix) and key > after)
         items = [self._items[key] for key in keys[:PAGE_ITEMS]]
-        return {"entries": items, "has_more": len(keys) > PAGE_ITEMS, "at": self._revision}
+        self._answer(caller, "entries", items, has_more=len(keys) > PAGE_ITEMS)
 
     def _watch(self, caller: Caller, fields: dict[str, str]) -> None:
         prefix, after = fields.get("path_prefix", ""), int(fields["after"])
@@ -139,6 +142,6 @@
             ]
             left_s = until_s - time.monotonic()
             if events or left_s <= 0:
-                self._answer(caller, {"events": events, "at": self._revision})
+                self._answer(caller, "events", events)
                 return
             self._changed.wait(left_s)
--- a/tests/balsamtally/platform/test_store.py
+++ b/tests/balsamtally/platform/test_store.py
@@ -1,17 +1,28 @@
 """Tests of reading the store under each fault that its stand-in simulates."""
 
 import gevent
+import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from structlog.testing import capture_logs
 
 from balsamtally.catalog import Catalog
 from balsamtally.platform import store as reader
 from balsamtally.platform.documents import DECODER
 from balsamtally.sockets import parse_address
 from standins.fleet import find_addresses
-from standins.store import Store
-from tests.balsamtally.platform.test_documents import CONFIG, SERVER
+from standins.store import PAGE_ITEMS, Store
+from tests.balsamtally.platform.test_documents import CONFIG, SERVER, encode
 from tests.polling import expect_soon
 
+VALUES = st.none() | st.booleans() | st.integers() | st.text("a\u0416=+", max_size=4)
+FIELDS = st.sampled_from(["key", "revision", "value", "removed", "other"])
+
+
+def make_documents(values):
+    return st.dictionaries(FIELDS, values, max_size=5) | st.lists(values, max_size=2)
+
 
 def draw_address():
     [address] = find_addresses(1)
@@ -117,10 +128,70 @@
             expect_soon(lambda: catalog.contracts is not None)
 
 
-def test_undecodable_item_does_not_affect_others(store, catalog):
+ODD_ITEMS = [
+    {"value": "not base64"},
+    {"value": "\u0416"},
+    {"value": 5},
+    {"value": [[]]},
+    {"key": 5},
+    {"key": ""},
+    {"key": "k" * 201},
+    {"revision": -1},
+    {"revision": 10**30},
+    {"revision": "5"},
+    {"removed": "yes"},
+]
+
+
+@pytest.mark.parametrize("odd", ODD_ITEMS)
+def test_odd_item_of_a_listing_or_a_watch_costs_no_other_item(store, catalog, odd):
     store.put("servers/b", SERVER)
     expect_soon(lambda: list_names(catalog) == ["a", "b"])
-    store.spoil("servers/a", "not base64")
+    store.spoil("servers/a", **odd)
     store.put("op/config", CONFIG | {"version": 9})
     expect_soon(lambda: catalog.contracts.version == 9)
-    assert list_names(catalog) == ["b"]
+    assert list_names(catalog) == (["b"] if "value" in odd else ["a", "b"])
+    fresh = Catalog(DECODER)
+    with reader.Store(store.address, fresh, random_source=lambda low, high: 0.02):
+        expect_soon(lambda: fresh.contracts is not None)
+    assert list_names(fresh) == ["b"] and fresh.contracts.version == 9
+    for record in fresh.make_update(0).records:
+        assert 0 < len(record.key) <= 200 and 0 < record.revision < 2**53
+
+
+@pytest.mark.parametrize("odd", [{"at": -1}, {"at": 10**30}, {"at": 2**63}, {"has_more": 1}])
+def test_page_that_is_odd_is_a_failed_read(store, catalog, odd, monkeypatch):
+    serve = store._answer
+    monkeypatch.setattr(store, "_answer", lambda *args, **more: serve(*args, **more | odd))
+    store.put("servers/b", SERVER)
+    store.forget_history()
+    with capture_logs() as lines:
+        expect_soon(lambda: any(line["event"] == "platform_lost" for line in lines))
+    assert list_names(catalog) == ["a"]
+    monkeypatch.undo()
+    expect_soon(lambda: list_names(catalog) == ["a", "b"])
+
+
+def test_listing_that_repeats_a_page_is_a_failed_read(store, catalog, monkeypatch):
+    for number in range(2 * PAGE_ITEMS):
+        store.put(f"servers/s{number:03}", SERVER)
+    send_page = store._list
+    monkeypatch.setattr(store, "_list", lambda caller, fields: send_page(caller, {}))
+    store.forget_history()
+    with capture_logs() as lines:
+        expect_soon(lambda: any(line["event"] == "platform_lost" for line in lines))
+    monkeypatch.undo()
+    store.put("op/config", CONFIG | {"version": 8})
+    expect_soon(lambda: catalog.contracts.version == 8)
+
+
+@given(st.binary(max_size=200) | st.recursive(VALUES, make_documents, max_leaves=8).map(encode))
+def test_any_item_is_a_record_or_left_out(raw):
+    try:
+        items = msgspec.json.decode(b"[" + raw + b"]", type=list[msgspec.Raw])
+    except ValueError:
+        return
+    for record in reader.decode_items(items):
+        assert record.key and 0 <= record.revision < 2**53
+        assert record.value is None or isinstance(record.value, bytes)
+        assert msgspec.msgpack.encode(record)
