Count a runner's error answer that is cut in its body by its status

What callers saw: 500 with code 1000 for a chat whose runner broke off its error answer, in place of another attempt or the numbered error; a traceback in the log.

Cause: the body of the error answer, of which only the text is used, was read outside the handling of the runner's failures.

Change: a body that can't be read leaves the status in force, and the reason becomes part of the error's text.

--- a/balsamtally/streams.py
+++ b/balsamtally/streams.py
@@ -236,7 +236,11 @@
 
     @staticmethod
     def _refuse(response: urllib3.HTTPResponse) -> None:
-        text = response.read(2000).decode(errors="replace")
+        """Raise the error for an answer that is no stream; its body may be incomplete."""
+        try:
+            text = response.read(2000).decode(errors="replace")
+        except _FAILURES as error:
+            text = f"{type(error).__name__}: {error}"
         response.close()
         if response.status == LEAVING_STATUS:
             raise RunnerLeaving(f"status {response.status}: {text}")
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -70,6 +70,7 @@
 COORDINATION = "tests/balsamtally/test_coordination.py"
 PACES = "tests/balsamtally/test_paces.py"
 PAUSES = "tests/balsamtally/test_pauses.py"
+STREAMS = "tests/balsamtally/test_streams.py"
 WAITING = "tests/balsamtally/test_waiting.py"
 WIRE = "tests/balsamtally/platform/test_wire.py"
 
@@ -305,6 +306,12 @@
     Mutation("plans", "tier * ROUTE_RANKS + rank", "tier", PLANS),
     Mutation("gateway", "            self._wait_for_contracts()\n", "", GRID),
     Mutation("gateway", "is not None and not self.leaving", "is not None", GRID),
+    Mutation(
+        "streams",
+        "except _FAILURES as error:\n            text",
+        "except KeyError as error:\n            text",
+        STREAMS,
+    ),
     Mutation("backends", "self._yield_after(len(data))", "pass", BACKENDS),
     Mutation("backends", "range(MAX_INTERIM_ANSWERS + 1)", "iter(int, 1)", BACKENDS),
     Mutation("backends", "if len(body) > most_bytes:", "if False:", BACKENDS),
