--- a/tests/balsamtally/test_streams.py
+++ b/tests/balsamtally/test_streams.py
@@ -1,11 +1,11 @@
-"""Streams from model runners: what a runner sends for another request is never believed."""
+"""Tests of streamed answers from model runners: whose they are, and what an error answer means."""
 
 import pytest
 from gevent import get_hub
 
-from balsamtally.errors import WrongAnswer
-from balsamtally.streams import Runners, RunnerStream
-from tests.balsamtally.scripted import ScriptedBackend, reply
+from balsamtally.errors import BackendFailed, WrongAnswer
+from balsamtally.streams import RunnerFailed, RunnerLeaving, Runners, RunnerStream
+from tests.balsamtally.scripted import ScriptedBackend, reply, send_raw
 
 STREAM = (
     b'data: {"id":"r1.1","choices":[{"delta":{"content":"a"},"finish_reason":"stop"}]}\n\n'
@@ -29,3 +29,19 @@
         with pytest.raises(WrongAnswer):
             apply(read, ("r2.1",))
     assert runner.connections == 1
+
+
+@pytest.mark.parametrize(
+    ("status", "expected"), [(400, BackendFailed), (500, RunnerFailed), (503, RunnerLeaving)]
+)
+@pytest.mark.parametrize("framing", [b"Content-Length: 9\r\n", b"Transfer-Encoding: chunked\r\n"])
+@pytest.mark.parametrize("reset", [False, True])
+def test_error_answer_that_is_cut_in_its_body_counts_by_its_status(
+    status, expected, framing, reset
+):
+    head = b"HTTP/1.1 %d X\r\n%s\r\n" % (status, framing)
+    script = send_raw(head, b"4\r\npart", pause_s=0.01, reset=reset)
+    with ScriptedBackend(script) as one, Runners() as runners:
+        pool = runners.find_pool(":".join(map(str, one.address)))
+        with pytest.raises(expected, match=str(status)):
+            RunnerStream(pool, "id1", {})
