Announce the close on connections that open while the VM drains

Callers that opened a connection to a draining entry VM and were answered within 50 ms weren't told that it closes: Connection: close was set on the connections open at each step of the drain only. They kept the connection, and their next request on it met the close, or the VM that refused the one before.

Evidence: the new test had an answer without Connection: close before. Change: the server remembers that the close was announced, and new connections begin with it.

--- a/balsamtally/callers.py
+++ b/balsamtally/callers.py
@@ -414,6 +414,7 @@
         self._refuse = refuse
         self._clock = clock
         self._tasks = Pool(MAX_CALLERS)
+        self._closing = False
         self.callers: set[Caller] = set()
 
     def __enter__(self) -> "CallerServer":
@@ -430,7 +431,8 @@
         close(self._listener)
 
     def announce_close(self) -> None:
-        """Announce the close of all connections by ``Connection: close`` in their next answers."""
+        """Announce the close of all connections, old and new, in their next answers."""
+        self._closing = True
         for caller in self.callers:
             caller.closing = True
 
@@ -451,6 +453,7 @@
 
     def _serve(self, sock: socket.socket) -> None:
         with Caller(sock, self._find_limits, self._clock) as caller:
+            caller.closing = self._closing
             self.callers.add(caller)
             try:
                 self._serve_requests(caller)
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -96,6 +96,7 @@
     ),
     Mutation("chats", "and progress.failed_starts < MAX_FAILED_STARTS", "", CHATS),
     Mutation("callers", "if self.began_answer:", "if False:", CALLERS),
+    Mutation("callers", "caller.closing = self._closing", "pass", CALLERS),
     Mutation("crash_evidence", "if at_s - last_s >=", "if True or", CRASH_EVIDENCE),
     Mutation("crash_evidence", "if crash.service != service:", "if False:", CRASH_EVIDENCE),
     Mutation("crash_evidence", "set.intersection(", "set.union(", CRASH_EVIDENCE),
--- a/tests/balsamtally/test_callers.py
+++ b/tests/balsamtally/test_callers.py
@@ -213,6 +213,14 @@
             assert answer.startswith(b"HTTP/1.1 200") and b"onnection: close" in answer
 
 
+def test_connection_that_opens_after_the_close_was_announced_is_told_too():
+    with serve(echo([])) as (connect, _, server):
+        server.announce_close()
+        with contextlib.closing(connect()) as sock:
+            sock.sendall(HEAD + b"\r\n")
+            assert b"onnection: close" in read_all(sock)
+
+
 REQUEST_LINE = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+) (/[!-~]*) HTTP/1\.1")
 HEADER_LINE = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([!-~](?:[ \t!-~]*[!-~])?)?[ \t]*")
 
