Refuse calls that can't end in the grace period, and tell those that run at its end

What callers saw: in a planned stop, calls that came after the SIGTERM were passed on whatever they took. Those that still ran at 0.93 of the grace period lost their connection without an answer, calls that may not be repeated among them; waiting calls were cut in the same way although they had not been sent. Backend servers were handed the callers' whole time, so that they worked on.

Cause: the drain only waited for the calls in flight and then ended the process.

Evidence: the three tests of test_planned_stops.py failed before: a call that may not be repeated ended with status 0 and no answer; a call passed on with 7.9 s of grace left was handed 14,997 ms; waiting calls had no answer at all.

Change: a draining entry VM passes a call on only if its own time, or 1.25 times the longest recent duration of its route, fits the rest of the grace period; a route with too few known calls counts as too long if its calls may not be repeated. The check is made before the call is queued and again before it is sent, for retries and resumed streams too. Refused calls, also waiting ones, get 503 (2006) with Retry-After 0.1. Backend servers are handed no more than what is left, and a missing answer in that time isn't counted as their fault. Calls that still run are told (3006) before the process ends. 3006 has status 504 now: 503 promises that a call was not run. `stopped` tells how many were refused, told and cut.

--- a/balsamtally/callers.py
+++ b/balsamtally/callers.py
@@ -265,6 +265,18 @@
         finally:
             self._serving = None
 
+    def interrupt(self, error: BalsamtallyError) -> None:
+        """Raise an error in the handler of the current request, if one runs.
+
+        :param error: the error
+        """
+        gevent.get_hub().loop.run_callback(self._raise_in_handler, error)
+
+    def _raise_in_handler(self, error: BalsamtallyError) -> None:
+        # The handler may have returned since.
+        if (handler := self._serving) is not None:
+            handler.throw(error)
+
     # Writing.
 
     def begin(self, status: int, headers: Iterable[tuple[bytes, bytes]]) -> None:
@@ -441,6 +453,14 @@
         for caller in self.callers:
             caller.end_after_answer()
 
+    def interrupt(self, error: BalsamtallyError) -> None:
+        """Raise an error in all handlers of requests.
+
+        :param error: the error
+        """
+        for caller in self.callers:
+            caller.interrupt(error)
+
     def _accept(self) -> None:
         while True:
             try:
--- /dev/null
+++ b/balsamtally/durations.py
@@ -0,0 +1,54 @@
+"""How long the calls of each route take."""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+# Share by which a shorter call lowers the longest recent duration.
+DECAY = 0.01
+# Smallest number of calls that tell how long others may take.
+MIN_SAMPLES = 16
+
+
+@dataclass
+class RouteDurations:
+    """The durations of one route's calls.
+
+    :ivar longest_s: the longest recent duration, in seconds
+    :ivar samples: calls that were recorded
+    """
+
+    longest_s: float = 0.0
+    samples: int = 0
+
+
+class Durations:
+    """The durations of the calls that were sent to a backend server, by route."""
+
+    def __init__(self):
+        self._routes: dict[str, RouteDurations] = {}
+
+    def record(self, route: str, took_s: float) -> None:
+        """Record a call.
+
+        :param route: name of the route
+        :param took_s: time from its last attempt to its end, in seconds
+        """
+        found = self._routes.setdefault(route, RouteDurations())
+        found.samples += 1
+        found.longest_s = max(took_s, found.longest_s + DECAY * (took_s - found.longest_s))
+
+    def find_longest_s(self, route: str) -> float | None:
+        """Return the longest recent duration, ``None`` if too few calls were recorded, in seconds.
+
+        :param route: name of the route
+        """
+        found = self._routes.get(route)
+        return found.longest_s if found is not None and found.samples >= MIN_SAMPLES else None
+
+    def keep_only(self, routes: Collection[str]) -> None:
+        """Drop the durations of removed routes.
+
+        :param routes: names of the routes that still exist
+        """
+        for name in [name for name in self._routes if name not in routes]:
+            del self._routes[name]
--- a/balsamtally/errors.py
+++ b/balsamtally/errors.py
@@ -388,7 +388,7 @@
     """The entry VM's grace period ended before the answer was complete."""
 
     code = 3006
-    status = 503
+    status = 504
     default = "the entry VM stopped before the answer's end"
 
 
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -7,15 +7,7 @@
 from balsamtally.backends import BackendConnection, Connections
 from balsamtally.backlogs import Work
 from balsamtally.callers import Caller, Request
-from balsamtally.calls import (
-    AnswerHead,
-    Attempt,
-    Backend,
-    Call,
-    Headers,
-    Repeat,
-    Verdict,
-)
+from balsamtally.calls import AnswerHead, Attempt, Backend, Call, Headers, Repeat, Verdict
 from balsamtally.catalog import Contracts
 from balsamtally.errors import (
     AnswerCut,
@@ -26,6 +18,7 @@
     BalsamtallyError,
     CallerLeft,
     CapacityError,
+    Leaving,
     NoAnswer,
     NoBackend,
     Outcome,
@@ -98,6 +91,7 @@
         the times on the monotonic clock at which the call was sent and its connection broke
     :ivar choose: waits for a backend server and counts the call there; returns ``None`` if no
         backend server takes new work
+    :ivar find_end_s: returns the monotonic clock by which a call must end, in seconds
     :ivar is_open: returns whether a backend server still takes new work
     :ivar record_request: counts a request to a service
     :ivar take_retry: takes a retry from the service's retry budget; returns whether one was left
@@ -112,6 +106,7 @@
     record_begun: Callable[[Plan], None]
     record_crash: Callable[[Plan, Backend, float, float], None]
     choose: Callable[[Plan, CallProgress], Choice | None]
+    find_end_s: Callable[[Plan], float]
     is_open: Callable[[Backend], bool]
     record_request: Callable[[str], None]
     take_retry: Callable[[str], bool]
@@ -205,6 +200,8 @@
                 return
             if isinstance(failure, PartQuarantined):
                 reason = "a part of the prompt is quarantined"
+            elif isinstance(failure, Leaving):
+                reason = "this entry VM is draining"
             elif backend is None:
                 reason = "no backend server became available in time"
             else:
@@ -278,7 +275,7 @@
         self, plan: Plan, progress: CallProgress, failure: BalsamtallyError
     ) -> str:
         """Return why a call isn't retried after a failure, empty if it is retried."""
-        if plan.until_s - time.monotonic() < MIN_LEFT_S:
+        if self._hooks.find_end_s(plan) - time.monotonic() < MIN_LEFT_S:
             return "no time is left"
         if isinstance(failure, BackendUnreachable):
             progress.unreachable += 1
@@ -334,7 +331,7 @@
     ) -> Attempt:
         call = plan.call
         last_event = progress.last_event if progress.last_event is not None else call.last_event
-        left_s = plan.until_s - time.monotonic()
+        left_s = self._hooks.find_end_s(plan) - time.monotonic()
         attempt = Attempt(call, backend, plan.customer, plan.urgency, left_s, last_event)
         if not progress.sent:
             progress.waited_s = time.monotonic() - call.arrived_s
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import dataclasses
 import time
 from collections.abc import Callable
 from urllib.parse import parse_qs
@@ -24,9 +25,17 @@
 from balsamtally.coordination import Ask, Reply, Withdrawal
 from balsamtally.crash_evidence import list_keys
 from balsamtally.dispatch import Dispatch
-from balsamtally.errors import BalsamtallyError, CallerLeft
-from balsamtally.forwarding import Forwarder, ForwardingHooks, Wire
+from balsamtally.errors import (
+    BalsamtallyError,
+    CallerLeft,
+    GraceEnded,
+    Leaving,
+    NoAnswer,
+    OutcomeUnknown,
+)
+from balsamtally.forwarding import Choice, Forwarder, ForwardingHooks, Wire
 from balsamtally.gateway_settings import GatewaySettings
+from balsamtally.grace_period import END_SHARE, TELL_SHARE, GracePeriod, StopCounts
 from balsamtally.logs import log
 from balsamtally.peers import RECORDS_PATH, Peers
 from balsamtally.plans import CallProgress, Plan
@@ -50,8 +59,6 @@
 # The balancer removes an entry VM after two failed health checks one second apart. Idle connections
 # stay open until then, so that requests sent on them meanwhile are served.
 CLOSE_IDLE_AFTER_S = 3.0
-# Share of the grace period after which calls still in flight are abandoned.
-DRAIN_SHARE = 0.93
 # Limits for the health check, peer and metrics pages, whose requests have small heads and no body.
 PAGE_LIMITS = Limits(max_body_bytes=0, idle_timeout_s=30.0)
 
@@ -140,6 +147,7 @@
         self._reservations = Reservations(self._dispatch, send)
         self._connect_placement()
         self._connect_quarantine()
+        self._grace_period = GracePeriod(lambda: self.settings.grace_s)
         self._budget = FleetBudget(settings.budget, self.peers.count_members)
         self._connections = Connections()
         self._terminations = Terminations(self._connections.refuses_connections)
@@ -205,7 +213,8 @@
             is_suspect=lambda plan: self._quarantine.is_suspect(list_keys(plan.call.shared_parts)),
             record_begun=self._record_begun,
             record_crash=self._record_crash,
-            choose=self._placement_client.choose,
+            choose=self._choose,
+            find_end_s=self._grace_period.find_end_s,
             is_open=self._dispatch.is_open,
             record_request=self._budget.record_request,
             take_retry=self._budget.take,
@@ -214,7 +223,11 @@
             record_end=self._record_end,
         )
 
+    def _choose(self, plan: Plan, progress: CallProgress) -> Choice | None:
+        return self._grace_period.wait(plan, progress, self._placement_client.choose)
+
     def _admit(self, plan: Plan, progress: CallProgress) -> None:
+        self._grace_period.check(plan, progress)
         parts = list_keys(plan.call.shared_parts)
         self._quarantine.admit(plan.service, parts, progress.probed_parts)
 
@@ -258,6 +271,10 @@
         try:
             self._wait_for_contracts()
             self._forwarder.serve(caller, request)
+        except GraceEnded:
+            # The forwarder reports the calls that it has begun.
+            if not caller.began_answer:
+                self._forwarder.refuse(caller, Leaving())
         finally:
             self._in_flight -= 1
 
@@ -300,6 +317,9 @@
         self._connections.keep_only(self.catalog.backends.values())
         self._dispatch.forget_removed()
         self._terminations.check_pending(self.catalog.backends)
+        if self.catalog.contracts is not None:
+            routes = {route.name for route in self.catalog.contracts.routes}
+            self._grace_period.durations.keep_only(routes)
 
     def _read_gauges(self) -> CallGauges:
         contracts = self.catalog.contracts
@@ -324,7 +344,10 @@
     def _record_outcome(
         self, backend: Backend, plan: Plan, failure: BalsamtallyError | None, took_s: float
     ) -> None:
-        self._dispatch.record_outcome(backend, plan, failure, took_s)
+        # A backend server isn't at fault if it had only the rest of the grace period to answer.
+        ends_early = self._grace_period.find_end_s(plan) < plan.until_s
+        if not (ends_early and isinstance(failure, NoAnswer)):
+            self._dispatch.record_outcome(backend, plan, failure, took_s)
         if failure is not None:
             self._metrics.count_failure(backend.name, failure.code)
 
@@ -340,6 +363,9 @@
             self._dispatch.record_longest_gap(progress.backend, plan, progress.longest_gap_s)
         if progress.sent:
             self._metrics.observe_wait(plan.route.name, progress.waited_s)
+        if progress.sent and (error is None or isinstance(error, OutcomeUnknown)):
+            self._grace_period.durations.record(plan.route.name, now - progress.attempt_sent_s)
+        self._grace_period.count_end(progress, error)
         log.info(
             "ended",
             request=plan.call.id,
@@ -372,20 +398,30 @@
         self._budget.rule = settings.budget
         log.info("settings_changed", changed=changed)
 
-    def drain(self) -> int:
-        """Stop accepting calls, wait for those in flight and return how many were abandoned."""
+    def drain(self) -> StopCounts:
+        """Serve the calls that end within the grace period, and end the others.
+
+        :return: how many calls weren't served to their end
+        """
         self.leaving = True
         self.peers.leaving = True
+        self._grace_period.begin()
         begun = time.monotonic()
         log.info("leaving", in_flight=self._in_flight)
-        idle_closed = False
-        while (passed_s := time.monotonic() - begun) < self.settings.grace_s * DRAIN_SHARE:
-            if passed_s >= CLOSE_IDLE_AFTER_S and not idle_closed:
+        idle_closed = told = False
+        while (passed_s := time.monotonic() - begun) < self.settings.grace_s * END_SHARE:
+            ends = passed_s >= self.settings.grace_s * TELL_SHARE
+            if (ends or passed_s >= CLOSE_IDLE_AFTER_S) and not idle_closed:
                 idle_closed = True
                 self._callers.stop_listening()
                 self._callers.close_idle()
-            if idle_closed and not self._in_flight and not self._callers.callers:
+            if idle_closed and not self._in_flight and (ends or not self._callers.callers):
                 break
             self._callers.announce_close()
-            gevent.sleep(DRAIN_POLL_INTERVAL_S)
-        return self._in_flight
+            self._grace_period.refuse_waiting()
+            gevent.sleep(0 if ends and not told else DRAIN_POLL_INTERVAL_S)
+            if ends and not told:
+                told = True
+                self._callers.interrupt(GraceEnded())
+        counts = self._grace_period.counts
+        return dataclasses.replace(counts, cut=counts.cut + self._in_flight)
--- a/balsamtally/platform/daemon.py
+++ b/balsamtally/platform/daemon.py
@@ -28,7 +28,7 @@
     :param settings: the settings
     :param path: path of the settings file
     :param listener: listening socket for callers
-    :return: number of calls that were aborted at the end of the grace period
+    :return: number of calls that had not ended at the end of the grace period
     """
     lines = set_up_bounded_logs(settings.vm, sys.stdout)
     incarnation = make_incarnation()
@@ -44,11 +44,11 @@
         ) as store:
             follower = gevent.spawn(follow_settings, path, gateway, store)
             stopping.wait()
-            cut = gateway.drain()
+            counts = gateway.drain()
             follower.kill(block=False)
-    log.info("stopped", reason="signal", cut=cut)
+    log.info("stopped", reason="signal", **vars(counts))
     lines.flush()
-    return cut
+    return counts.told + counts.cut
 
 
 def describe(settings: GatewaySettings) -> dict:
--- a/balsamtally/reports.py
+++ b/balsamtally/reports.py
@@ -10,6 +10,8 @@
     BackendRefused,
     BackendUnreachable,
     BalsamtallyError,
+    GraceEnded,
+    Leaving,
     NoAnswer,
     PartQuarantined,
 )
@@ -111,6 +113,6 @@
     :param plan: the call's plan
     :param took_s: duration of the attempt, in seconds
     """
-    if isinstance(failure, (BackendLeaving, PartQuarantined)):
+    if isinstance(failure, (BackendLeaving, GraceEnded, Leaving, PartQuarantined)):
         return False
     return not isinstance(failure, NoAnswer) or took_s >= plan.route.target_s * MIN_SILENCE_TARGETS
--- a/standins/grid.py
+++ b/standins/grid.py
@@ -182,8 +182,7 @@
 
     def _answer(self, caller: Caller, request: Request, headers: dict, echo: list) -> None:
         if self.service != "model":
-            gevent.sleep(SERVICE_TIME_S)
-            caller.answer(500 if self.fault == "error" else 200, echo, request.body or b"found")
+            self._answer_whole(caller, request, headers, echo)
             return
         gevent.sleep(PREFILL_S)
         if self.deadly_part and f"{self.deadly_part}:" in headers.get("prompt-prefix", ""):
@@ -193,13 +192,23 @@
         last = int(headers.get("token-usage", "0,10").split(",")[1])
         caller.begin(200, [*echo, (b"Content-Type", b"text/event-stream")])
         for number in range(first, last + 1):
-            gevent.sleep(EVENT_S)
+            gevent.sleep(float(headers.get("event-s", EVENT_S)))
             if self.fault == "cut" and number == first + 2:
                 caller.send(b"id: %d\nda" % number)
                 return
             caller.send(b"id: %d\ndata: t%d\n\n" % (number, number))
         caller.end()
 
+    def _answer_whole(self, caller: Caller, request: Request, headers: dict, echo: list) -> None:
+        """Answer after the time that the request asks for, or with 504 at its deadline."""
+        work_s = float(headers.get("work-s", SERVICE_TIME_S))
+        deadline_s = float(headers["deadline-ms"]) / 1000
+        gevent.sleep(min(work_s, deadline_s))
+        if work_s > deadline_s:
+            caller.answer(504, echo, b"")
+            return
+        caller.answer(500 if self.fault == "error" else 200, echo, request.body or b"found")
+
 
 class Vm:
     """An entry VM: a daemon process with its settings file.
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -54,7 +54,9 @@
 CATALOG = "tests/balsamtally/test_catalog.py"
 DISPATCH = "tests/balsamtally/test_dispatch.py"
 FORWARDING = "tests/balsamtally/test_forwarding.py"
+GRACE_PERIOD = "tests/balsamtally/test_grace_period.py"
 GRID = "tests/standins/test_grid.py"
+STOPS = "tests/standins/test_planned_stops.py"
 PEERS = "tests/balsamtally/test_peers.py"
 PLANS = "tests/balsamtally/test_plans.py"
 RECORDS = "tests/balsamtally/test_records.py"
@@ -282,6 +284,25 @@
     Mutation("beats", "now - self._last_sent_s >= REFRESH_BEAT_S", "True", PEERS),
     Mutation("beats", "or beat.revision != sent.revision", "", PEERS),
     Mutation("plans", "tier * ROUTE_RANKS + rank", "tier", PLANS),
+    Mutation("grace_period", "if task in self._waiting:", "if True:", GRACE_PERIOD),
+    Mutation("grace_period", "min(self._begun_s, self._clock())", "self._clock()", GRACE_PERIOD),
+    Mutation("grace_period", "end_s < plan.until_s and", "", GRACE_PERIOD),
+    Mutation(
+        "grace_period", "math.inf if plan.route.repeat is Repeat.NEVER else", "", GRACE_PERIOD
+    ),
+    Mutation("grace_period", " - spent_s)", ")", GRACE_PERIOD),
+    Mutation("grace_period", "if progress.first_event_s:", "if False:", GRACE_PERIOD),
+    Mutation(
+        "forwarding",
+        "if self._hooks.find_end_s(plan) - time.m",
+        "if plan.until_s - time.m",
+        STOPS,
+    ),
+    Mutation("gateway", "not (ends_early and isinstance(failure, NoAnswer))", "True", STOPS),
+    Mutation("gateway", "self._grace_period.check(plan, progress)", "pass", STOPS),
+    Mutation("gateway", "self._grace_period.refuse_waiting()", "pass", STOPS),
+    Mutation("gateway", "self._callers.interrupt(GraceEnded())", "pass", STOPS),
+    Mutation("forwarding", "left_s = self._hooks.find_end_s(plan)", "left_s = plan.until_s", STOPS),
     Mutation("gateway", "            self._wait_for_contracts()\n", "", GRID),
     Mutation("gateway", "is not None and not self.leaving", "is not None", GRID),
     Mutation("backends", "self._yield_after(len(data))", "pass", BACKENDS),
--- a/tests/balsamtally/scripted.py
+++ b/tests/balsamtally/scripted.py
@@ -244,6 +244,7 @@
         "record_begun": lambda *fields: recorded.append(("begun", *fields)),
         "record_crash": lambda *fields: recorded.append(("crash", *fields)),
         "choose": choose,
+        "find_end_s": lambda plan: plan.until_s,
         "is_open": lambda backend: True,
         "record_request": lambda service: None,
         "take_retry": lambda service: True,
