--- a/balsamtally/callers.py
+++ b/balsamtally/callers.py
@@ -277,6 +277,18 @@
         finally:
             self._serving = None
 
+    def interrupt(self, error: BalsamtallyError) -> None:
+        """Raise an error in the handler of the current request, if one runs.
+
+        :param error: the error
+        """
+        gevent.get_hub().loop.run_callback(self._raise_in_handler, error)
+
+    def _raise_in_handler(self, error: BalsamtallyError) -> None:
+        # The handler may have returned since.
+        if (handler := self._serving) is not None:
+            handler.throw(error)
+
     # Writing.
 
     def begin(self, status: int, headers: Iterable[tuple[bytes, bytes]]) -> None:
@@ -447,6 +459,7 @@
         self._refuse = refuse
         self._clock = clock
         self._tasks = Pool(MAX_CALLERS)
+        self._closing = False
         self.callers: set[Caller] = set()
 
     def __enter__(self) -> "CallerServer":
@@ -463,7 +476,8 @@
         close(self._listener)
 
     def announce_close(self) -> None:
-        """Announce the close of all connections by ``Connection: close`` in their next answers."""
+        """Announce the close of all connections, old and new, in their next answers."""
+        self._closing = True
         for caller in self.callers:
             caller.closing = True
 
@@ -472,6 +486,14 @@
         for caller in self.callers:
             caller.end_after_answer()
 
+    def interrupt(self, error: BalsamtallyError) -> None:
+        """Raise an error in all handlers of requests.
+
+        :param error: the error
+        """
+        for caller in self.callers:
+            caller.interrupt(error)
+
     def _accept(self) -> None:
         while True:
             try:
@@ -484,6 +506,7 @@
 
     def _serve(self, sock: socket.socket) -> None:
         with Caller(sock, self._find_limits, self._clock) as caller:
+            caller.closing = self._closing
             self.callers.add(caller)
             try:
                 self._serve_requests(caller)
