Serve late streams that may be resumed by the average duration of their route

A stream that is cut is resumed by its caller at another entry VM, while callers retry a refusal only a few times. The longest recent duration refused nearly all long streams from the signal on, most of which would have ended in time.

--- a/balsamtally/durations.py
+++ b/balsamtally/durations.py
@@ -5,6 +5,8 @@
 
 # Share by which a shorter call lowers the longest recent duration.
 DECAY = 0.01
+# Weight of one call in the moving average.
+SMOOTHING = 0.05
 # Smallest number of calls that tell how long others may take.
 MIN_SAMPLES = 16
 
@@ -14,10 +16,12 @@
     """The durations of one route's calls.
 
     :ivar longest_s: the longest recent duration, in seconds
+    :ivar mean_s: moving average, in seconds
     :ivar samples: calls that were recorded
     """
 
     longest_s: float = 0.0
+    mean_s: float = 0.0
     samples: int = 0
 
 
@@ -35,15 +39,16 @@
         """
         found = self._routes.setdefault(route, RouteDurations())
         found.samples += 1
+        found.mean_s += max(SMOOTHING, 1.0 / found.samples) * (took_s - found.mean_s)
         found.longest_s = max(took_s, found.longest_s + DECAY * (took_s - found.longest_s))
 
-    def find_longest_s(self, route: str) -> float | None:
-        """Return the longest recent duration, ``None`` if too few calls were recorded, in seconds.
+    def find(self, route: str) -> RouteDurations | None:
+        """Return the durations of a route's calls, ``None`` if too few were recorded.
 
         :param route: name of the route
         """
         found = self._routes.get(route)
-        return found.longest_s if found is not None and found.samples >= MIN_SAMPLES else None
+        return found if found is not None and found.samples >= MIN_SAMPLES else None
 
     def keep_only(self, routes: Collection[str]) -> None:
         """Drop the durations of removed routes.
--- a/balsamtally/grace_period.py
+++ b/balsamtally/grace_period.py
@@ -22,7 +22,7 @@
 CALL_SHARE = 0.92
 TELL_SHARE = 0.93
 END_SHARE = 0.96
-# A call is passed on if this multiple of its route's longest recent duration is left.
+# A call is passed on if this multiple of the duration that is expected of it is left.
 DURATION_MARGIN = 1.25
 # A refused call may be sent to another entry VM at once, by a new connection.
 RETRY_AFTER_S = 0.1
@@ -85,11 +85,13 @@
 
     def _predict_s(self, plan: Plan, progress: CallProgress) -> float:
         """Return how long a call may take from now on, in seconds."""
-        longest_s = self.durations.find_longest_s(plan.route.name)
-        if longest_s is None:
+        known = self.durations.find(plan.route.name)
+        if known is None:
             return math.inf if plan.route.repeat is Repeat.NEVER else 0.0
+        # A stream that is cut is resumed elsewhere, so that the risk of a cut is taken for it.
+        took_s = known.mean_s if plan.route.repeat is Repeat.RESUME else known.longest_s
         spent_s = self._clock() - progress.first_event_s if progress.begun else 0.0
-        return max(0.0, longest_s * DURATION_MARGIN - spent_s)
+        return max(0.0, took_s * DURATION_MARGIN - spent_s)
 
     def wait(self, plan: Plan, progress: CallProgress, choose: Callable) -> object:
         """Let a call wait for a backend server, as long as it may still be passed on.
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -291,6 +291,7 @@
         "grace_period", "math.inf if plan.route.repeat is Repeat.NEVER else", "", GRACE_PERIOD
     ),
     Mutation("grace_period", " - spent_s)", ")", GRACE_PERIOD),
+    Mutation("grace_period", "if plan.route.repeat is Repeat.RESUME", "if False", GRACE_PERIOD),
     Mutation("grace_period", "if progress.first_event_s:", "if False:", GRACE_PERIOD),
     Mutation(
         "forwarding",
