--- a/balsamtally/beats.py
+++ b/balsamtally/beats.py
@@ -66,7 +66,7 @@
     last_ask_number: Count = 0
     pending_asks: tuple[Count, ...] = ()
     reports: tuple[Report, ...] = ()
-    departures: tuple[tuple[str, int], ...] = ()
+    departures: tuple[tuple[str, Count], ...] = ()
 
 
 @dataclass
--- a/tests/balsamtally/test_peers.py
+++ b/tests/balsamtally/test_peers.py
@@ -172,6 +172,8 @@
     {"reports": (Report(Finding.BEGAN, "desk", "runner", 1, 1.0, math.inf),)},
     {"reports": (Report(Finding.BEGAN, "desk", "runner", 2**63, 1.0),)},
     {"reads": (PromptRead("runner", (("part", -(2**63)),)),)},
+    {"departures": (("runner", 2**63),)},
+    {"departures": (("runner", -1),)},
 ]
 
 
@@ -189,8 +191,10 @@
 def test_deeply_nested_datagram_and_failing_handler_cost_no_other_datagram():
     beat = Beat("y", "127.0.0.9", "home", "y-1", 0, False, {}, ())
     fields = msgspec.msgpack.encode(beat)
-    # An array of 15 elements, the last one unknown to this version.
-    deep = b"\xdc\x00\x10" + fields[1:] + DEEP
+    # The array has one element more, which is unknown to this version.
+    count = len(msgspec.msgpack.decode(fields))
+    head_bytes = 1 if count < 16 else 3
+    deep = b"\xdc" + (count + 1).to_bytes(2, "big") + fields[head_bytes:] + DEEP
     with Vm("a", ()) as vm, capture_logs() as lines:
         vm.peers.handlers[Withdrawal] = lambda message, ip: {}[message.number]
         datagrams = [deep, msgspec.msgpack.encode(Withdrawal("i", 1)), fields]
