--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -70,6 +70,8 @@
 COORDINATION = "tests/balsamtally/test_coordination.py"
 PACES = "tests/balsamtally/test_paces.py"
 PAUSES = "tests/balsamtally/test_pauses.py"
+RAW_ANSWERS = "tests/balsamtally/test_raw_answers.py"
+RAW_CHATS = "tests/balsamtally/test_raw_chats.py"
 STREAMS = "tests/balsamtally/test_streams.py"
 WAITING = "tests/balsamtally/test_waiting.py"
 WIRE = "tests/balsamtally/platform/test_wire.py"
@@ -312,6 +314,31 @@
         "except KeyError as error:\n            text",
         STREAMS,
     ),
+    Mutation("backends", 'self._method != b"HEAD" and', "", FORWARDING),
+    Mutation("backends", "event.status_code not in BODILESS", "True", FORWARDING),
+    Mutation("callers", "() if status in BODILESS else", "", FORWARDING),
+    Mutation("callers", "if self._is_cut_without_framing():", "if False:", CALLERS),
+    Mutation("calls", "if self.status in BODILESS:", "if False:", FORWARDING),
+    Mutation("forwarding", ' and plan.call.method != b"HEAD"', "", FORWARDING),
+    # Both guards against a second answer in a stream.
+    Mutation(
+        "forwarding",
+        "and not progress.begun:\n                self",
+        ":\n                caller.began_answer = False\n                self",
+        RAW_ANSWERS,
+    ),
+    Mutation("callers", "if self._is_cut_without_framing():", "if False:", RAW_ANSWERS),
+    Mutation("callers", "() if status in BODILESS else", "", RAW_ANSWERS),
+    Mutation("forwarding", "if verdict is not Verdict.FOREIGN:", "if True:", RAW_ANSWERS),
+    Mutation("forwarding", "if reader.rest:", "if False:", RAW_ANSWERS),
+    Mutation("forwarding", "progress.last_event = ids[-1]", "pass", RAW_ANSWERS),
+    Mutation(
+        "responses",
+        "cut = AnswerCut(str(error))",
+        "return\n        cut = AnswerCut(str(error))",
+        RAW_CHATS,
+    ),
+    Mutation("answers", "if chunk_id != self.attempt_id:", "if False:", RAW_CHATS),
     Mutation("backends", "self._yield_after(len(data))", "pass", BACKENDS),
     Mutation("backends", "range(MAX_INTERIM_ANSWERS + 1)", "iter(int, 1)", BACKENDS),
     Mutation("backends", "if len(body) > most_bytes:", "if False:", BACKENDS),
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -53,11 +53,24 @@
 
 
 class ForwarderHarness:
-    """Runs a forwarder between callers and scripted backend servers."""
+    """Runs a forwarder between callers and scripted backend servers.
 
-    def __init__(self, route, *backends, deadline_s=2.0, parts=OWN_PART, **hooks):
+    :param wire: the header conventions, ``None`` for those of :mod:`scripted`
+    """
+
+    def __init__(
+        self,
+        route,
+        *backends,
+        more_routes=(),
+        wire=None,
+        deadline_s=2.0,
+        parts=OWN_PART,
+        **hooks,
+    ):
         self.servers = [make_backend(f"b{i}", b.address) for i, b in enumerate(backends)]
-        found = make_contracts(route)
+        found = make_contracts(route, *more_routes)
+        self._wire = wire
         self.hooks, self.recorded, self.backlogs = make_hooks(found, self.servers, **hooks)
         self._deadline_s = deadline_s
         self._parts = parts
@@ -65,7 +78,7 @@
     def __enter__(self):
         self._stack = contextlib.ExitStack()
         self.connections = self._stack.enter_context(Connections())
-        wire = make_wire(
+        wire = self._wire or make_wire(
             lambda request: make_call(
                 id=(request.find_value(b"id") or b"id1").decode(),
                 arrived_s=request.arrived_s,
@@ -814,27 +827,34 @@
 )
 def test_answer_to_head_declares_the_length_of_the_backend_server(framing, streams):
     ids = [b"id1", b"id2"]
-    heads = [b"HTTP/1.1 200 OK\r\nId: %s\r\n%s\r\n" % (call_id, framing) for call_id in ids]
-    scripts = [lambda sock, _, head=head: sock.sendall(head) for head in heads]
+    scripts = [send_open(b"HTTP/1.1 200 OK\r\nId: %s\r\n%s\r\n" % (id_, framing)) for id_ in ids]
     with ScriptedBackend(*scripts) as one:
         with ForwarderHarness(make_route(streams=streams), one) as harness:
-            for call_id in ids:
+            for id_ in ids:
                 with contextlib.closing(harness.connect()) as sock:
-                    sock.sendall(b"HEAD /a/x HTTP/1.1\r\nHost: h\r\nId: %s\r\n\r\n" % call_id)
+                    sock.sendall(b"HEAD /a/x HTTP/1.1\r\nHost: h\r\nId: %s\r\n\r\n" % id_)
                     [answer] = read_answers(sock.recv(65536), [b"HEAD"])
                 assert answer.whole and answer.status == 200
-                assert answer.headers.get(b"content-length", b"7") == b"7"
+                length = b"7" if b"Length" in framing else None
+                assert answer.headers.get(b"content-length") == length
         assert one.connections == 1
 
 
+def send_open(data):
+    """Return a script that sends bytes and keeps the connection."""
+    return lambda sock, request: sock.sendall(data)
+
+
+@pytest.mark.parametrize("method", [b"GET", b"HEAD"])
 @pytest.mark.parametrize("ended", [False, True])
-def test_answer_without_a_body_has_no_length_and_does_not_end_with_its_connection(ended):
-    head = b"HTTP/1.1 204 OK\r\nId: id1\r\n\r\n"
-    with ScriptedBackend(lambda sock, _: sock.sendall(head)) as one:
+def test_answer_without_a_body_has_no_length_and_does_not_end_with_its_connection(ended, method):
+    length = b"" if ended else b"Content-Length: 7\r\n"
+    head = b"HTTP/1.1 204 OK\r\nId: id1\r\n%s\r\n" % length
+    with ScriptedBackend(send_open(head)) as one:
         if ended:
             one._scripts = [crash(one, head)]
         with ForwarderHarness(make_route(), one) as harness:
             with contextlib.closing(harness.connect()) as sock:
-                sock.sendall(b"GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n")
-                [answer] = read_answers(sock.recv(65536), [b"GET"])
+                sock.sendall(b"%s /a/x HTTP/1.1\r\nHost: h\r\n\r\n" % method)
+                [answer] = read_answers(sock.recv(65536), [method])
     assert (answer.status, answer.whole) == (204, True)
