--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -27,6 +27,8 @@
     BalsamtallyError,
     CallerLeft,
     CapacityError,
+    ConnectionUnusable,
+    Leaving,
     NoAnswer,
     NoBackend,
     Outcome,
@@ -101,6 +103,7 @@
         the times on the monotonic clock at which the call was sent and its connection broke
     :ivar choose: waits for a backend server and counts the call there; returns ``None`` if no
         backend server takes new work
+    :ivar find_end_s: returns the monotonic clock by which a call must end, in seconds
     :ivar is_open: returns whether a backend server still takes new work
     :ivar record_request: counts a request to a service
     :ivar take_retry: takes a retry from the service's retry budget; returns whether one was left
@@ -116,6 +119,7 @@
     record_begun: Callable[[Plan], None]
     record_crash: Callable[[Plan, Backend, float, float], None]
     choose: Callable[[Plan, CallProgress], Choice | None]
+    find_end_s: Callable[[Plan], float]
     is_open: Callable[[Backend], bool]
     record_request: Callable[[str], None]
     take_retry: Callable[[str], bool]
@@ -155,12 +159,17 @@
         :param request: the request
         :raises CallerLeft: if the caller disconnects
         """
-        call: Call | None = None
+        call_id = ""
         try:
             call = self._wire.read_call(request)
+            call_id = call.id
             plan = make_plan(call, self._hooks.find_contracts())
         except BalsamtallyError as error:
-            self.refuse(caller, error, call.id if call is not None else "")
+            self.refuse(caller, error, call_id)
+            return
+        except Exception:
+            log.exception("request_failed", request=call_id)
+            self.refuse(caller, BalsamtallyError(), call_id)
             return
         progress = CallProgress()
         error: BaseException | None = None
@@ -178,6 +187,9 @@
             log.exception("request_failed", request=call.id)
             if not caller.began_answer:
                 self.refuse(caller, BalsamtallyError(), call.id, progress)
+        except BaseException as failure:
+            error = failure
+            raise
         finally:
             progress.answer, progress.sent_bytes = caller.answer_state, caller.sent_bytes
             self._hooks.record_end(plan, progress, error)
@@ -213,6 +225,8 @@
                 return
             if isinstance(failure, PartQuarantined):
                 reason = "a part of the prompt is quarantined"
+            elif isinstance(failure, Leaving):
+                reason = "this entry VM is draining"
             elif backend is None:
                 reason = "no backend server became available in time"
             else:
@@ -275,7 +289,7 @@
         self, plan: Plan, progress: CallProgress, failure: BalsamtallyError
     ) -> str:
         """Return why a call isn't retried after a failure, empty if it is retried."""
-        if plan.until_s - time.monotonic() < MIN_LEFT_S:
+        if self._hooks.find_end_s(plan) - time.monotonic() < MIN_LEFT_S:
             return "no time is left"
         if isinstance(failure, BackendUnreachable):
             # Each backend server is tried once, so that the number of attempts is bounded.
@@ -321,6 +335,7 @@
             head, verdict = self._read_head(plan, attempt, connection)
             progress.framing = head.framing
             self._check_verdict(plan, backend, head, verdict, connection)
+            self._connections.add_witness(backend, connection)
             if plan.route.streams and head.status == 200 and plan.call.method != b"HEAD":
                 self._pass_stream(caller, plan, progress, head, connection, work)
             else:
@@ -333,7 +348,7 @@
     ) -> Attempt:
         call = plan.call
         last_event = progress.last_event if progress.last_event is not None else call.last_event
-        left_s = plan.until_s - time.monotonic()
+        left_s = self._hooks.find_end_s(plan) - time.monotonic()
         attempt = Attempt(call, backend, plan.customer, plan.urgency, left_s, last_event)
         if not progress.sent:
             progress.waited_s = time.monotonic() - call.arrived_s
@@ -345,6 +360,9 @@
         headers = self._wire.make_headers(attempt)
         try:
             connection.send(call.method, call.target, headers, call.body, plan.until_s)
+        except ConnectionUnusable:
+            progress.sent -= 1
+            raise
         finally:
             progress.exchange = connection.exchange
         return attempt
@@ -472,8 +490,9 @@
 
         The connection ends in the same way if the backend server's process ends within the answer.
         """
-        if connection.ends_by_close and self._terminations.has_terminated(progress.backend):
-            raise AnswerCut("the backend server ended, and the answer has no length")
+        is_still_running = self._connections.is_still_running
+        if connection.ends_by_close and not is_still_running(progress.backend, connection):
+            raise AnswerCut("the answer has no length, and its backend server may have ended")
 
     def _record_begun(self, plan: Plan, progress: CallProgress) -> None:
         if not progress.attempt_begun:
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -57,13 +57,17 @@
 CALL_LOG = "tests/balsamtally/test_call_log.py"
 DOCUMENTS = "tests/balsamtally/platform/test_documents.py"
 FORWARDING = "tests/balsamtally/test_forwarding.py"
+GRACE_PERIOD = "tests/balsamtally/test_grace_period.py"
 GRID = "tests/standins/test_grid.py"
+STOPS = "tests/standins/test_planned_stops.py"
 PEERS = "tests/balsamtally/test_peers.py"
 PLANS = "tests/balsamtally/test_plans.py"
 RECORDS = "tests/balsamtally/test_records.py"
 CRASH_EVIDENCE = "tests/balsamtally/test_crash_evidence.py"
 QUARANTINE = "tests/balsamtally/test_quarantine.py"
 QUARANTINE_EXCHANGE = "tests/balsamtally/test_quarantine_exchange.py"
+STREAMS = "tests/balsamtally/test_streams.py"
+STORE = "tests/balsamtally/platform/test_store.py"
 TERMINATIONS = "tests/balsamtally/test_terminations.py"
 ASKS = "tests/balsamtally/test_asks.py"
 RESERVATIONS = "tests/balsamtally/test_reservations.py"
@@ -104,7 +108,10 @@
     Mutation("chats", "and progress.failed_starts < MAX_FAILED_STARTS", "", CHATS),
     Mutation("callers", "if self.began_answer:", "if False:", CALLERS),
     Mutation("entry", "if not self.headers_sent:", "if True:", ENTRY),
+    Mutation("backends", "except (AnswerCut, NoAnswer) as", "except Exception as", FORWARDING),
+    Mutation("forwarding", "except BaseException as", "except BytesWarning as", CALL_LOG),
     Mutation("backends", "if connection.has_late_answer():", "if False:", CALL_LOG),
+    Mutation("callers", "caller.closing = self._closing", "pass", CALLERS),
     Mutation("crash_evidence", "if at_s - last_s >=", "if True or", CRASH_EVIDENCE),
     Mutation("crash_evidence", "if crash.service != service:", "if False:", CRASH_EVIDENCE),
     Mutation("crash_evidence", "set.intersection(", "set.union(", CRASH_EVIDENCE),
@@ -137,7 +144,16 @@
     ),
     Mutation("forwarding", "progress.crashes >= MAX_CRASHES or", "", FORWARDING),
     Mutation(
-        "forwarding", "connection.ends_by_close and self._term", "False and self._term", FORWARDING
+        "forwarding",
+        "except Exception:\n            log",
+        "except LookupError:\n            log",
+        FORWARDING,
+    ),
+    Mutation(
+        "forwarding",
+        "if connection.ends_by_close and not is_still",
+        "if False and not is_still",
+        FORWARDING,
     ),
     Mutation("receipts", "receipt.customer != customer", "False", RECEIPTS),
     Mutation("receipts", "record.digest != digest", "False", RECEIPTS),
@@ -248,6 +264,8 @@
         "found.incarnation != receipt.incarnation",
         SERVICES,
     ),
+    Mutation("services", "if isinstance(error, PeerTimeout) and", "if False and", SERVICES),
+    Mutation("services", " and self._clock() < begun_s + timeout_s", "", SERVICES),
     Mutation("services", "if receipt.vm == self._receipts.vm:", "if True:", SERVICES),
     Mutation("services", "not server.leaving and not", "not", SERVICES),
     Mutation("services", "if is_refusal(answer):", "if False:", SERVICES),
@@ -301,11 +319,48 @@
     Mutation(
         "backends", "len(self.request_ids) >= MAX_REQUESTS", "len(self.request_ids) < 0", FORWARDING
     ),
-    Mutation("backends", "except ConnectionRefusedError:", "except ZeroDivisionError:", FORWARDING),
+    Mutation("backends", "not witness.was_closed_early(self._clock())", "True", FORWARDING),
+    Mutation(
+        "backends",
+        "                continue\n            witness",
+        "            witness",
+        FORWARDING,
+    ),
+    Mutation(
+        "backends", "closed and now_s - self.idle_since_s < self.idle_limit_s", "closed", BACKENDS
+    ),
+    Mutation("backends", "if readable and len(view) > len(body):", "if False:", FORWARDING),
+    Mutation("forwarding", "            progress.sent -= 1\n", "", FORWARDING),
+    Mutation(
+        "backends",
+        "except ConnectionRefusedError:\n            return True",
+        "except ZeroDivisionError:\n            return True",
+        FORWARDING,
+    ),
     Mutation("backlogs", "self.reading[: urgency + 1]", "self.reading", BACKLOGS),
     Mutation("beats", "now - self._last_sent_s >= REFRESH_BEAT_S", "True", PEERS),
     Mutation("beats", "or beat.revision != sent.revision", "", PEERS),
     Mutation("plans", "tier * ROUTE_RANKS + rank", "tier", PLANS),
+    Mutation("grace_period", "if task in self._waiting:", "if True:", GRACE_PERIOD),
+    Mutation("grace_period", "min(self._begun_s, self._clock())", "self._clock()", GRACE_PERIOD),
+    Mutation("grace_period", "end_s < plan.until_s and", "", GRACE_PERIOD),
+    Mutation(
+        "grace_period", "math.inf if plan.route.repeat is Repeat.NEVER else", "", GRACE_PERIOD
+    ),
+    Mutation("grace_period", " - spent_s)", ")", GRACE_PERIOD),
+    Mutation("grace_period", "if plan.route.repeat is Repeat.RESUME", "if False", GRACE_PERIOD),
+    Mutation("grace_period", "if progress.first_event_s:", "if False:", GRACE_PERIOD),
+    Mutation(
+        "forwarding",
+        "if self._hooks.find_end_s(plan) - time.m",
+        "if plan.until_s - time.m",
+        STOPS,
+    ),
+    Mutation("gateway", "not (ends_early and isinstance(failure, NoAnswer))", "True", STOPS),
+    Mutation("gateway", "self._grace_period.check(plan, progress)", "pass", STOPS),
+    Mutation("gateway", "self._grace_period.refuse_waiting()", "pass", STOPS),
+    Mutation("gateway", "self._callers.interrupt(GraceEnded())", "pass", STOPS),
+    Mutation("forwarding", "left_s = self._hooks.find_end_s(plan)", "left_s = plan.until_s", STOPS),
     Mutation("gateway", "            self._wait_for_contracts()\n", "", GRID),
     Mutation("gateway", "is not None and not self.leaving", "is not None", GRID),
     Mutation(
@@ -405,6 +460,7 @@
         "return max(1.0, self._find_factor(key))",
         PACES,
     ),
+    Mutation("reports", "(BackendRefused, ConnectionUnusable)", "BackendRefused", DISPATCH),
     Mutation("dispatch", "if not self._pass_scheduled and any", "if any", DISPATCH),
     Mutation(
         "dedicated_runners",
@@ -451,12 +507,36 @@
         "name, record.value)\n        except ValueError",
         CATALOG,
     ),
+    Mutation("platform/store", "    key: Key\n", "    key: str\n", STORE),
+    Mutation("platform/store", "    revision: Count\n", "    revision: int\n", STORE),
+    Mutation("platform/store", "found[-1].key <= after", "False", STORE),
+    Mutation(
+        "platform/store",
+        "text, validate=True)\n    except ValueError",
+        "text, validate=True)\n    except KeyError",
+        STORE,
+    ),
+    Mutation(
+        "platform/store",
+        "decode(_item, raw)))\n        except ValueError",
+        "decode(_item, raw)))\n        except KeyError",
+        STORE,
+    ),
+    Mutation("peers", "decode(_message, data)", "_message.decode(data)", PEERS),
+    Mutation("peers", "decode(_update, body)", "_update.decode(body)", PEERS),
+    Mutation("peers", "except Exception:", "except ZeroDivisionError:", PEERS),
+    Mutation("decoding", "(ge=-MAX_INTEGER, le=MAX_INTEGER)", "()", PEERS),
+    Mutation("decoding", "(ge=-MAX_SECONDS, le=MAX_SECONDS)", "()", PEERS),
+    Mutation("decoding", "(pattern=rf", "(description=rf", PEERS),
+    Mutation("backlogs", "min(tokens, MAX_INTEGER) for", "tokens for", BACKLOGS),
+    Mutation("backlogs", "min(self.memory_tokens, MAX_INTEGER)", "self.memory_tokens", BACKLOGS),
     Mutation("platform/wire", "| CONNECTION_HEADERS | OWN_HEADERS", "| CONNECTION_HEADERS", WIRE),
     Mutation("platform/wire", "if answered_id is not None and answered_id !=", "if None !=", WIRE),
     Mutation("platform/wire", 'if b"_" in name and', "if False and", WIRE),
     Mutation(
         "waiting", "return waiter.urgency, will_miss_target", "return 0, will_miss_target", WAITING
     ),
+    Mutation("streams", "if answered_id != self.attempt_id:", "if False:", STREAMS),
     Mutation("waiting", "LATE_READ_AHEAD_S if late", "LATE_READ_AHEAD_S if False", WAITING),
     Mutation(
         "pauses",
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -6,10 +6,11 @@
 import gevent
 import pytest
 from gevent import socket
+from gevent.event import Event
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from balsamtally import backends
+from balsamtally import backends, sockets
 from balsamtally.backends import Connections
 from balsamtally.callers import CallerServer
 from balsamtally.calls import Account, Branch, Limits, PromptPart, Repeat
@@ -37,6 +38,7 @@
 STREAM = b"HTTP/1.1 200 OK\r\nId: id1\r\nSigned: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 STREAM_AGAIN = STREAM.replace(b"Signed: a", b"Signed: b")
 END = b"0\r\n\r\n"
+REQUEST = b"POST /a/x?y=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
 OWN_PART = (PromptPart("o", 5),)
 
 
@@ -103,7 +105,7 @@
     def connect(self):
         return socket.create_connection(self._address, timeout=10)
 
-    def send(self, request=b"POST /a/x?y=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"):
+    def send(self, request=REQUEST):
         """Return status, headers and body of the answer, and whether it is complete."""
         with contextlib.closing(self.connect()) as sock:
             sock.sendall(request)
@@ -209,7 +211,7 @@
     with ScriptedBackend(REFUSED, again[0]) as one, ScriptedBackend(reply(), again[1]) as two:
         with ForwarderHarness(make_route(Repeat.NEVER), one, two) as harness:
             assert harness.send()[0] == 200
-            assert harness.send(b"GET /a/x HTTP/1.1\r\nHost: h\r\nId: id2\r\n\r\n")[0] == 200
+            assert harness.send(SECOND)[0] == 200
         assert one.connections == 1
 
 
@@ -326,6 +328,49 @@
             assert [harness.send()[2] for _ in range(2)] == [b"first", b"second"]
 
 
+LATE = b"HTTP/1.1 200 X\r\nId: id0\r\nContent-Length: 4\r\n\r\nlate"
+SECOND = b"GET /a/x HTTP/1.1\r\nHost: h\r\nId: id2\r\n\r\n"
+
+
+@pytest.mark.parametrize("reused", [False, True])
+@pytest.mark.parametrize("late", [b"", LATE], ids=["end", "late answer"])
+def test_call_whose_connection_has_input_before_it_is_sent_goes_elsewhere(reused, late):
+    """The end of the connection, or a late answer, arrives after the connection was chosen.
+
+    This is none of the two attempts.
+    """
+    admitted = []
+
+    def admit(plan, progress):
+        admitted.append(plan)
+        if len(admitted) == (4 if reused else 2):
+            disturb.set()
+            expect_soon(disturbed.is_set)
+
+    def serve(sock):
+        if reused:
+            read_message(sock)
+            reply()(sock, b"")
+        disturb.wait()
+        sock.sendall(late)
+        if late:
+            gevent.spawn_later(0.1, disturbed.set)
+            received.append(sock.recv(65536))
+        sock.close()
+        disturbed.set()
+
+    disturb, disturbed, received = Event(), Event(), []
+    refusal = reply(503, b"", b"Id: id2\r\nNot-Run: 1\r\n")
+    three = ScriptedBackend(reply(200, b"three", b"Id: id2\r\n"))
+    with ScriptedBackend(hang) as one, ScriptedBackend(refusal) as two, three:
+        one._serve = serve
+        with ForwarderHarness(make_route(), one, two, three, admit=admit) as harness:
+            if reused:
+                assert harness.send()[2] == b"answer"
+            assert harness.send(SECOND)[:3:2] == (200, b"three")
+    assert received in ([], [b""])
+
+
 def test_connection_carries_a_bounded_number_of_requests(monkeypatch):
     monkeypatch.setattr(backends, "MAX_REQUESTS", 2)
     with ScriptedBackend(reply()) as one:
@@ -749,6 +794,75 @@
     assert (status, whole) == ((200, False) if streams else (502, True))
 
 
+class RestartingBackend(ScriptedBackend):
+    """A backend server whose process ends after a part of an answer; another one listens at once.
+
+    The second process sends whole answers without a length.
+    """
+
+    def __init__(self, *before):
+        super().__init__(self._restart, send_raw(UNFRAMED, *before, b"whole"))
+        self._before = before
+
+    def _restart(self, sock, request):
+        for piece in self._before:
+            sock.sendall(piece)
+            gevent.sleep(0.02)
+        others = [task for task in self._tasks[1:] if task is not gevent.getcurrent()]
+        gevent.killall(others)
+        return False
+
+
+@pytest.mark.parametrize("streams", [False, True])
+def test_answer_without_a_length_is_cut_if_its_backend_server_has_started_again(streams):
+    text = event(1) if streams else b"short"
+    route = make_route(Repeat.NEVER, streams=streams)
+    with RestartingBackend(UNFRAMED, text) as one:
+        with ForwarderHarness(route, one) as harness:
+            status, _, body, whole = harness.send()
+    assert (status, whole) == ((200, False) if streams else (502, True))
+
+
+@pytest.mark.parametrize("lost", [backends.SILENT_ATTEMPTS, 99])
+@pytest.mark.parametrize("streams", [False, True])
+def test_answer_without_a_length_is_cut_if_its_backend_server_falls_silent(
+    monkeypatch, streams, lost
+):
+    """Its host is cut off, so that attempts to connect have no answer, or a few of them are lost.
+
+    The first one is for the witness.
+    """
+
+    def fall_silent(sock, request):
+        attempts.append("sent")
+        return send_raw(UNFRAMED, text)(sock, request)
+
+    def connect(address, timeout_s):
+        if attempts:
+            attempts.append("tried")
+        if 1 < len(attempts) <= 1 + lost:
+            raise TimeoutError
+        return sockets.connect(address, timeout_s)
+
+    attempts, text = [], event(1) if streams else b"short"
+    monkeypatch.setattr(backends, "connect", connect)
+    with ScriptedBackend(fall_silent) as one:
+        with ForwarderHarness(make_route(Repeat.NEVER, streams=streams), one) as harness:
+            status, _, body, whole = harness.send()
+    if lost == backends.SILENT_ATTEMPTS:
+        assert (status, body, whole) == (200, text, True)
+    else:
+        assert (status, whole) == ((200, False) if streams else (502, True))
+
+
+def test_answer_without_a_length_is_cut_if_its_backend_server_ran_just_before():
+    """Another answer without a length ends in order less than RECHECK_S before the crash."""
+    crashing = CrashingBackend(UNFRAMED, b"short")
+    crashing._scripts.insert(0, send_raw(UNFRAMED, b"whole"))
+    with crashing, ForwarderHarness(make_route(), crashing) as harness:
+        assert [harness.send()[0] for _ in range(2)] == [200, 502]
+
+
 def test_stream_without_chunks_and_events_is_cut():
     route = make_route(Repeat.NEVER, streams=True)
     with ScriptedBackend(send_raw(UNFRAMED)) as one:
@@ -858,3 +972,28 @@
                 sock.sendall(b"%s /a/x HTTP/1.1\r\nHost: h\r\n\r\n" % method)
                 [answer] = read_answers(sock.recv(65536), [method])
     assert (answer.status, answer.whole) == (204, True)
+
+
+def test_caller_that_leaves_while_a_refusal_is_drained_has_its_call_sent_nowhere_else():
+    refusal = send_raw(b"HTTP/1.1 503 X\r\nId: id1\r\nNot-Run: 1\r\nContent-Length: 9\r\n\r\n")
+
+    def refuse_slowly(sock, request):
+        refusal(sock, request)
+        hang(sock, request)
+
+    with ScriptedBackend(refuse_slowly) as one, ScriptedBackend(reply()) as two:
+        with ForwarderHarness(make_route(), one, two) as harness:
+            with contextlib.closing(harness.connect()) as sock:
+                sock.sendall(REQUEST)
+                expect_soon(lambda: one.requests)
+                gevent.sleep(0.05)
+            expect_soon(lambda: harness.list_recorded("end"))
+        assert not two.requests
+
+
+def test_call_whose_plan_fails_unexpectedly_is_answered_with_an_error():
+    with ScriptedBackend(reply()) as one:
+        with ForwarderHarness(make_route(), one, find_contracts=lambda: 1 / 0) as harness:
+            status, headers, _, whole = harness.send()
+    assert (status, headers[b"code"], whole) == (500, b"9000", True)
+    assert not one.requests
