Take an odd answer of a runner for a failed attempt

What callers saw: an event nested too deeply, or token counts that are no integers, ended a chat with 500 and code 9000 instead of an attempt at another runner. Usage nested nearly as deep as the stack was read, and failed to be written. A plain service's 503 with a deeply nested body ended a call the same way. The report of one runner, nested too deeply, kept all runners of its failure domain from being read.

Cause: RecursionError and TypeError are none of the failures that an attempt or a report handles.

Change: each is decoded by decoding.decode; an event's usage is checked to be fit to pass on.

--- a/balsamtally/observers.py
+++ b/balsamtally/observers.py
@@ -8,6 +8,7 @@
 import msgspec
 import urllib3
 
+from balsamtally.decoding import Count, decode
 from balsamtally.load import RunnerView
 from balsamtally.machines import BackendServer
 from balsamtally.streams import Runners
@@ -36,17 +37,20 @@
     :ivar loading: whether the runner is executing an order
     """
 
-    running: int
-    waiting: int = 0
+    running: Count
+    waiting: Count = 0
     leaving: bool = False
-    fence: int = 0
-    slots: int = 0
+    fence: Count = 0
+    slots: Count = 0
     model_list: tuple[str, ...] | None = None
     versions: dict[str, str] = {}
     adapters: tuple[str, ...] = ()
     loading: bool = False
 
 
+_report = msgspec.json.Decoder(LoadReport)
+
+
 @dataclass
 class RunnerObservation:
     """The last observed state of a runner; all times are seconds of the monotonic clock.
@@ -151,7 +155,7 @@
         )
         if response.status != 200:
             return None
-        return msgspec.json.decode(response.data, type=LoadReport)
+        return decode(_report, response.data)
     except (urllib3.exceptions.HTTPError, OSError, msgspec.DecodeError):
         return None
 
--- a/balsamtally/services.py
+++ b/balsamtally/services.py
@@ -13,6 +13,7 @@
 from urllib3.connection import HTTPConnection
 
 from balsamtally.contracts import Operation, PlainService
+from balsamtally.decoding import decode
 from balsamtally.errors import (
     BackendFailed,
     BackendUnreachable,
@@ -377,7 +378,7 @@
     if answer.status != 503:
         return False
     try:
-        return _refusal_decoder.decode(answer.body).error.code == REFUSAL
+        return decode(_refusal_decoder, answer.body).error.code == REFUSAL
     except msgspec.DecodeError:
         return False
 
--- a/balsamtally/streams.py
+++ b/balsamtally/streams.py
@@ -8,6 +8,7 @@
 import urllib3
 
 from balsamtally.answers import AnswerCheck
+from balsamtally.decoding import check_levels, decode
 from balsamtally.errors import AnswerCut, BackendFailed
 from balsamtally.settings import split_address
 
@@ -75,6 +76,20 @@
 _decoder = msgspec.json.Decoder(Chunk)
 
 
+def decode_chunk(data: str) -> Chunk:
+    """Decode the data of an event.
+
+    :param data: the data
+    :raises msgspec.DecodeError: if it is no chunk, or its usage can't be passed on
+    """
+    chunk = decode(_decoder, data)
+    check_levels(chunk.usage)
+    tokens = (chunk.usage or {}).get("completion_tokens")
+    if tokens is not None and type(tokens) is not int:
+        raise msgspec.DecodeError("the number of completion tokens is no integer")
+    return chunk
+
+
 def accept_chunk(check: AnswerCheck, chunk: Chunk) -> None:
     """Check the next chunk of an answer.
 
@@ -176,7 +191,7 @@
             for event in sseclient.SSEClient(self._read_bytes()).events():
                 if event.data == END_OF_STREAM:
                     break
-                chunk = _decoder.decode(event.data)
+                chunk = decode_chunk(event.data)
                 accept_chunk(check, chunk)
                 if check.finish_reason is not None:
                     final.append(chunk)
--- a/tests/balsamtally/test_orders.py
+++ b/tests/balsamtally/test_orders.py
@@ -117,3 +117,15 @@
     world = World()
     run_steps(world.make_orders(lambda: False), 8)
     assert not any(runner.orders for runner in world.runners.values())
+
+
+@pytest.mark.parametrize(
+    "report", [b'{"running":0,"x":' + b"[" * 100_000, b'{"running":-1}', b'{"running":1e999}']
+)
+def test_odd_report_of_a_runner_costs_no_other_report(report):
+    world = World()
+    odd = world.runners["10.0.0.0:80"]
+    odd.request = lambda method, path, **_: SimpleNamespace(status=200, data=report)
+    orders = world.make_orders()
+    run_steps(orders, 8)
+    assert sorted(runner.posts for runner in world.runners.values()) == [0, 0, 1]
--- a/tests/balsamtally/test_services.py
+++ b/tests/balsamtally/test_services.py
@@ -369,6 +369,12 @@
         process.calls.call("ana", "filing", "lookup", b"x", None)
 
 
+def test_deeply_nested_answer_with_503_is_passed_on_and_is_no_refusal(process):
+    answer = ServiceAnswer(503, b'{"x":' + b"[" * 100_000)
+    process.world.reply = lambda to: answer
+    assert process.calls.call("ana", "filing", "lookup", b"x", None) == answer
+
+
 def test_runner_drained_by_a_ticket_gets_no_calls(process):
     process.world.reply = lambda to: ServiceAnswer(200, b"")
     process.accept(2, make_server("r0", leaving=True), make_server("r1", leaving=True))
