Refuse a body too deeply nested to be passed on

What callers saw: a chat whose body is nested some 900 levels deep ended with 500 and code 9000. One of more than 1,000 levels got 400 as it should.

Cause: the body is decoded and encoded again at another depth of the stack: 930 levels were decoded, and failed to be encoded 80 frames further down. A token limit of more than 64 bits was taken too, which no message carries.

Change: more than 200 levels are a MalformedBody (1001, 400), and token limits have a range.

--- a/balsamtally/bodies.py
+++ b/balsamtally/bodies.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from balsamtally.decoding import Integer, check_levels, decode
 from balsamtally.errors import MalformedBody
 
 
@@ -31,8 +32,11 @@
     messages: list[ChatMessage]
     stream: bool | None = None
     n: int | None = None
-    max_tokens: int | None = None
-    max_completion_tokens: int | None = None
+    max_tokens: Integer | None = None
+    max_completion_tokens: Integer | None = None
+
+
+_body = msgspec.json.Decoder()
 
 
 def decode_chat(body: bytes) -> tuple[dict, ChatBody]:
@@ -44,9 +48,10 @@
         the path of the invalid field
     """
     try:
-        raw = msgspec.json.decode(body)
+        raw = decode(_body, body)
+        check_levels(raw)
         chat = msgspec.convert(raw, ChatBody)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise MalformedBody(str(error)) from error
     if not chat.messages:
         raise MalformedBody("messages must not be empty - at `$.messages`")
