Let a malformed message of a batch cost only itself

What happened: a message with text that isn't UTF-8 ended its batch and the stream between two daemons, and a deeply nested one raised RecursionError out of the reader; `balsamtally explain` ended at such a log line.

Cause: a batch caught errors of shape, not those of malformed data.

Change: decode_batch leaves out each message that can't be decoded. One that is nested too deeply still costs its batch, a DecodeError that ends the stream: only a daemon that holds the shared key can send it.

--- a/balsamtally/links.py
+++ b/balsamtally/links.py
@@ -17,6 +17,7 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server
 
+from balsamtally.decoding import decode
 from balsamtally.errors import (
     BalsamtallyError,
     LinkError,
@@ -319,7 +320,7 @@
         reply = await stream.recv_message()
         if reply is None:
             raise PeerRefused("the peer closed the stream during the handshake")
-        hello = _hello_decoder.decode(reply)
+        hello = decode(_hello_decoder, reply)
         self._check_proof(hello, nonce)
         if hello.vm != vm:
             raise PeerUnreachable(f"{hello.vm} answers at the address of {vm}")
@@ -387,7 +388,7 @@
         first = await stream.recv_message()
         if first is None:
             raise PeerRefused("the stream was closed before the first handshake message")
-        hello = _hello_decoder.decode(first)
+        hello = decode(_hello_decoder, first)
         nonce = secrets.token_bytes(NONCE_BYTES)
         proof = self._compute_proof(self.settings.vm, hello.nonce)
         await stream.send_message(
@@ -396,7 +397,7 @@
         second = await stream.recv_message()
         if second is None:
             raise PeerRefused("the stream was closed before the proof of the shared key")
-        proved = _hello_decoder.decode(second)
+        proved = decode(_hello_decoder, second)
         self._check_proof(proved, nonce)
         return proved.vm
 
@@ -467,9 +468,9 @@
     :raises msgspec.DecodeError: if the data isn't a MessagePack array
     """
     envelopes = []
-    for body in _batch_decoder.decode(data):
+    for body in decode(_batch_decoder, data):
         try:
-            envelopes.append(_envelope_decoder.decode(body))
-        except msgspec.ValidationError as error:
+            envelopes.append(decode(_envelope_decoder, body))
+        except msgspec.DecodeError as error:
             log.warning("message_unknown", peer=vm, reason=str(error))
     return envelopes
--- a/balsamtally/request_history.py
+++ b/balsamtally/request_history.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from balsamtally.decoding import decode
+
 # Context events are shown from this long before a request's first line until this long after its
 # last line.
 CONTEXT_S = 5.0
@@ -35,6 +37,10 @@
     backend: str = ""
 
 
+_line = msgspec.json.Decoder(LogLine)
+_fields = msgspec.json.Decoder(dict[str, object])
+
+
 @dataclass(frozen=True)
 class HistoryLine:
     """One line of a request's history.
@@ -57,8 +63,8 @@
         return None
     data = text[start:].encode()
     try:
-        return HistoryLine(msgspec.json.decode(data, type=LogLine), msgspec.json.decode(data))
-    except msgspec.MsgspecError:
+        return HistoryLine(decode(_line, data), decode(_fields, data))
+    except msgspec.DecodeError:
         return None
 
 
--- a/tests/balsamtally/test_links.py
+++ b/tests/balsamtally/test_links.py
@@ -6,9 +6,17 @@
 import gevent
 import msgspec
 import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
 
 from balsamtally.errors import LinkError, PeerRefused, PeerTimeout, PeerUnreachable, QueueFull
-from balsamtally.links import RECONNECT_MAX_S, RECONNECT_MIN_S, Links
+from balsamtally.links import (
+    RECONNECT_MAX_S,
+    RECONNECT_MIN_S,
+    Envelope,
+    Links,
+    decode_batch,
+)
 from balsamtally.loops import Loop
 from balsamtally.messages import Done, Withdraw
 from balsamtally.settings import Settings
@@ -34,6 +42,19 @@
         yield open_one
 
 
+@pytest.mark.parametrize("odd", [b"\x93\x01\xc2\x91\xa1\xff", b"\xc0"])
+def test_odd_message_of_a_batch_costs_no_other_message(odd):
+    sound = msgspec.msgpack.encode(Envelope(1, False, Done()))
+    assert len(decode_batch(b"\x93" + sound + odd + sound, "b")) == 2
+
+
+@given(st.binary(max_size=40))
+@example(b"\x91" * 100_000)
+def test_any_batch_is_a_list_of_messages_or_a_decode_error(data):
+    with contextlib.suppress(msgspec.DecodeError):
+        assert isinstance(decode_batch(data, "b"), list)
+
+
 def test_call_reply_error_and_cast(open_links):
     one, two = open_links("one"), open_links("two")
     seen = []
--- a/tests/balsamtally/test_request_history.py
+++ b/tests/balsamtally/test_request_history.py
@@ -36,6 +36,7 @@
 
 def test_text_without_a_log_line_is_ignored():
     assert read_line("no line") is None and read_line("{broken") is None
+    assert read_line('{"event":"x","a":' + "[" * 100_000) is None
     assert read_line('12.0 vm {"event": "x"}').line.event == "x"
 
 
