Read the other rows beside an odd one of the platform's service

What an operator saw elsewhere: one odd entry kept the others from being read. Here the registration of an entry VM without a failure domain, or a key that is no text, made the whole list unavailable at each read, and a port or name of another type was taken.

Evidence: on the code before, the new test failed at the first such row, and a deeply nested answer raised RecursionError.

Change: an unreadable row is left out with a log line (row_refused), each field has its type, and an answer without any readable row is reported as unavailable, as before.

--- a/balsamtally/configuration.py
+++ b/balsamtally/configuration.py
@@ -2,12 +2,16 @@
 
 import base64
 import json
-from typing import Any
+from collections.abc import Callable
+from typing import Annotated, Any, TypeVar
 
+import msgspec
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from balsamtally.decoding import DECODING_ERRORS
 from balsamtally.errors import PlatformUnavailable
+from balsamtally.logs import log
 from balsamtally.machines import EntryVm
 from balsamtally.settings import Settings
 
@@ -17,6 +21,9 @@
 ANSWER_MARGIN_S = 5.0
 MAX_ANSWER_BYTES = 64_000_000
 
+Item = TypeVar("Item")
+Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+
 
 class Configuration:
     """A client that reads the platform's configuration service and waits for changes.
@@ -44,10 +51,7 @@
         :raises PlatformUnavailable: if no valid answer was received
         """
         rows, index = self._read(f"{TICKETS_PATH}?recurse=true", index, wait_s, missing_ok=True)
-        try:
-            return [_read_value(row) for row in rows], index
-        except (KeyError, TypeError, ValueError) as error:
-            raise PlatformUnavailable(f"unexpected answer: {error!r}") from error
+        return _read_rows(rows, _read_value), index
 
     def read_vms(self, index: int = 0, wait_s: float = 0.0) -> tuple[list[EntryVm], int]:
         """Read the platform's list of live entry VMs, which may be out of date.
@@ -58,10 +62,7 @@
         :raises PlatformUnavailable: if no valid answer was received
         """
         rows, index = self._read(f"{VMS_PATH}?", index, wait_s)
-        try:
-            return [_read_vm(row) for row in rows if _is_passing(row)], index
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            raise PlatformUnavailable(f"unexpected answer: {error!r}") from error
+        return _read_rows(rows, _read_vm), index
 
     def _read(self, path: str, index: int, wait_s: float, missing_ok: bool = False):
         self.reads += 1
@@ -82,7 +83,7 @@
             )
         try:
             rows = json.loads(body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise PlatformUnavailable(f"answer is not JSON: {error}") from error
         if not isinstance(rows, list):
             raise PlatformUnavailable("answer is not a list")
@@ -96,22 +97,46 @@
         return 0
 
 
+def _read_rows(rows: list, read_row: Callable[[Any], Item | None]) -> list[Item]:
+    """Return the items of rows; an unreadable row is left out, unless all rows are unreadable.
+
+    :raises PlatformUnavailable: if no row can be read
+    """
+    items = []
+    refused = 0
+    for row in rows:
+        try:
+            items.append(read_row(row))
+        except DECODING_ERRORS as error:
+            refused += 1
+            log.warning("row_refused", why=repr(error))
+    if rows and refused == len(rows):
+        raise PlatformUnavailable("unexpected answer: no row can be read")
+    return [item for item in items if item is not None]
+
+
 def _read_value(row: dict) -> tuple[str, bytes]:
-    return row["Key"], base64.b64decode(row["Value"] or "", validate=True)
+    key = msgspec.convert(row["Key"], str)
+    return key, base64.b64decode(row["Value"] or "", validate=True)
 
 
 def _is_passing(row: dict) -> bool:
     return all(check["Status"] != "critical" for check in row.get("Checks") or ())
 
 
-def _read_vm(row: dict) -> EntryVm:
+def _read_vm(row: dict) -> EntryVm | None:
+    """Return the entry VM of a row, ``None`` if it doesn't pass its health checks."""
+    if not _is_passing(row):
+        return None
     service = row["Service"]
     host = service.get("Address") or row["Node"]["Address"]
     meta = service.get("Meta") or {}
-    return EntryVm(
-        name=service["ID"],
-        address=f"[{host}]:{service['Port']}" if ":" in host else f"{host}:{service['Port']}",
-        domain=meta["domain"],
-        region=meta["region"],
-        leaving=meta.get("leaving", "").lower() in ("true", "1", "yes"),
-    )
+    port = msgspec.convert(service["Port"], Port)
+    fields = {
+        "name": service["ID"],
+        "address": f"[{host}]:{port}" if ":" in host else f"{host}:{port}",
+        "domain": meta["domain"],
+        "region": meta["region"],
+        "leaving": meta.get("leaving", "").lower() in ("true", "1", "yes"),
+    }
+    return msgspec.convert(fields, EntryVm)
--- a/tests/balsamtally/test_configuration.py
+++ b/tests/balsamtally/test_configuration.py
@@ -63,6 +63,23 @@
     ]
 
 
+ODD_PORTS = [None, "8081", 0, 65_536, 10**30]
+ODD_META = [None, {}, {"domain": 3, "region": "r"}, {"domain": "d", "region": "r", "leaving": 1}]
+
+
+def test_odd_row_costs_no_other_row(platform):
+    state, configuration = platform
+    service = VM["Service"]
+    odd = [service | {"Port": port} for port in ODD_PORTS] + [{"ID": "x"}, 5]
+    odd += [service | {"Meta": meta} for meta in ODD_META] + [service | {"ID": 5}]
+    rows = [5, {}, *(VM | {"Service": each} for each in odd), VM | {"Checks": 5}, VM]
+    state["body"] = json.dumps(rows).encode()
+    assert [vm.name for vm in read(configuration, "read_vms")[0]] == ["entry-1"]
+    rows = [{"Key": 5, "Value": ""}, {"Key": "a/0", "Value": "!"}, {"Key": "a/1", "Value": None}]
+    state["body"] = json.dumps(rows).encode()
+    assert read(configuration, "read_tickets")[0] == [("a/1", b"")]
+
+
 @pytest.mark.parametrize("method", ["read_tickets", "read_vms"])
 @pytest.mark.parametrize(
     ("status", "body"),
@@ -72,6 +89,7 @@
         ("200 OK", b"{}"),
         ("200 OK", b'[{"Key": 3, "Value": "!"}]'),
         ("200 OK", b"[3]"),
+        ("200 OK", b"[" * 100_000),
     ],
 )
 def test_invalid_answer_is_reported_as_unavailable(platform, method, status, body):
