Refuse settings that can't be read or hold absurd numbers

What happened: a changed settings file that isn't UTF-8, or is nested too deeply, ended the task that follows it, so that later changes were never applied; a grace period of NaN or infinity, negative budgets and a port of 30 digits were taken.

Cause: UnicodeDecodeError is no OSError, RecursionError no YAMLError, and no amount had a range.

Evidence: on the code before, all 19 new cases of test_settings.py failed, and read_settings raised UnicodeDecodeError and RecursionError for the two new files.

Change: each is SettingsInvalid; the settings before stay in force.

--- a/balsamtally/platform/settings.py
+++ b/balsamtally/platform/settings.py
@@ -7,6 +7,7 @@
 import yaml
 
 from balsamtally.budgets import BudgetRule
+from balsamtally.decoding import DECODING_ERRORS
 from balsamtally.errors import SettingsInvalid
 from balsamtally.gateway_settings import GatewaySettings
 from balsamtally.sockets import parse_address
@@ -15,6 +16,7 @@
 METRICS_FLAG = "--metrics-port"
 METRICS_VARIABLE = "BALSAMTALLY_METRICS_PORT"
 CHECK_FLAG = "--check-settings"
+MAX_AMOUNT = 1e9
 
 
 @dataclass(frozen=True)
@@ -77,7 +79,7 @@
         with open(path, encoding="utf-8") as file:
             fields = yaml.safe_load(file)
         return make_settings(fields)
-    except (OSError, yaml.YAMLError) as error:
+    except (OSError, ValueError, RecursionError, yaml.YAMLError) as error:
         raise SettingsInvalid(f"{path}: {error}") from error
 
 
@@ -97,20 +99,32 @@
             regions={str(zone): str(region) for zone, region in fields["zones"].items()},
             caller_address=parse_address(listen["http"]),
             ready_address=parse_address(listen["readiness"]),
-            peer_address=(ip, int(fields["internal_port_range"][0])),
+            peer_address=parse_address(f"{ip}:{fields['internal_port_range'][0]}"),
             seeds=tuple(parse_address(seed)[0] for seed in fields.get("seeds") or ()),
             platform_address=parse_address(fields["platform"]["address"]),
-            grace_s=float(bounds["grace_s"]),
+            grace_s=read_amount(bounds["grace_s"]),
             budget=BudgetRule(
-                ratio=float(bounds["retry_budget_ratio"]),
-                allowance=float(bounds["budget_extra_retries"]),
-                window_s=float(bounds["budget_window_s"]),
+                ratio=read_amount(bounds["retry_budget_ratio"]),
+                allowance=read_amount(bounds["budget_extra_retries"]),
+                window_s=read_amount(bounds["budget_window_s"]),
             ),
         )
-    except (KeyError, IndexError, TypeError, ValueError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         raise SettingsInvalid(f"settings file: {type(error).__name__}: {error}") from error
 
 
+def read_amount(value: object) -> float:
+    """Return a number of a setting.
+
+    :param value: the value in the file
+    :raises ValueError: if it is no number, negative or larger than ``MAX_AMOUNT``
+    """
+    amount = float(value)
+    if not 0 <= amount <= MAX_AMOUNT:
+        raise ValueError(f"{amount} is not between 0 and {MAX_AMOUNT:g}")
+    return amount
+
+
 def find_stamp(path: str) -> tuple[int, int]:
     """Return modification time and inode, which change when a file is rewritten or replaced.
 
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -47,6 +47,11 @@
 RECEIPTS = "tests/balsamtally/test_receipts.py"
 SERVICES = "tests/balsamtally/test_services.py"
 RETRIES = "tests/balsamtally/test_retries.py"
+BODIES = "tests/balsamtally/test_bodies.py"
+STREAMS = "tests/balsamtally/test_streams.py"
+LINKS = "tests/balsamtally/test_links.py"
+CONFIGURATION = "tests/balsamtally/test_configuration.py"
+SETTINGS = "tests/balsamtally/platform/test_settings.py"
 BUDGETS = "tests/balsamtally/test_budgets.py"
 BACKENDS = "tests/balsamtally/test_backends.py"
 BACKLOGS = "tests/balsamtally/test_backlogs.py"
@@ -420,6 +425,33 @@
     Mutation("decoding", "(pattern=rf", "(description=rf", PEERS),
     Mutation("backlogs", "min(tokens, MAX_INTEGER) for", "tokens for", BACKLOGS),
     Mutation("backlogs", "min(self.memory_tokens, MAX_INTEGER)", "self.memory_tokens", BACKLOGS),
+    Mutation("bodies", "        check_levels(raw)\n", "", BODIES),
+    Mutation("bodies", "    max_tokens: Integer", "    max_tokens: int", BODIES),
+    Mutation("streams", "    check_levels(chunk.usage)\n", "", STREAMS),
+    Mutation("streams", "decode(_decoder, data)", "_decoder.decode(data)", STREAMS),
+    Mutation("streams", "and type(tokens) is not int", "and False", STREAMS),
+    Mutation(
+        "observers", "decode(_report, response.data)", "_report.decode(response.data)", ORDERS
+    ),
+    Mutation(
+        "services",
+        "decode(_refusal_decoder, answer.body)",
+        "_refusal_decoder.decode(answer.body)",
+        SERVICES,
+    ),
+    Mutation(
+        "links",
+        "        except msgspec.DecodeError as error:",
+        "        except KeyError as error:",
+        LINKS,
+    ),
+    Mutation("configuration", "except DECODING_ERRORS", "except ZeroDivisionError", CONFIGURATION),
+    Mutation("configuration", "(ge=1, le=65_535)", "()", CONFIGURATION),
+    Mutation(
+        "configuration", "msgspec.convert(fields, EntryVm)", "EntryVm(**fields)", CONFIGURATION
+    ),
+    Mutation("platform/settings", "ValueError, RecursionError, yaml", "yaml", SETTINGS),
+    Mutation("platform/settings", "if not 0 <= amount <= MAX_AMOUNT:", "if False:", SETTINGS),
     Mutation("platform/wire", "| CONNECTION_HEADERS | OWN_HEADERS", "| CONNECTION_HEADERS", WIRE),
     Mutation("platform/wire", "if answered_id is not None and answered_id !=", "if None !=", WIRE),
     Mutation("platform/wire", 'if b"_" in name and', "if False and", WIRE),
--- a/tests/balsamtally/platform/test_settings.py
+++ b/tests/balsamtally/platform/test_settings.py
@@ -29,6 +29,9 @@
 something_new: {a: 1}
 """
 
+BOUNDS = yaml.safe_load(EXAMPLE)["bounds"]
+ODD_AMOUNTS = [float("nan"), float("inf"), -1, 10**400]
+
 
 def write(tmp_path, change=None):
     fields = yaml.safe_load(EXAMPLE)
@@ -61,6 +64,10 @@
         {"internal_port_range": []},
         {"bounds": {"grace_s": "long"}},
         {"platform": None},
+        {"internal_port_range": [10**30]},
+        {"internal_port_range": [float("inf")]},
+        {"ip": "\u0661.1.0.40"},
+        *({"bounds": BOUNDS | {name: value}} for name in BOUNDS for value in ODD_AMOUNTS),
     ],
 )
 def test_invalid_file_is_refused(tmp_path, change):
@@ -72,9 +79,10 @@
     with pytest.raises(SettingsInvalid):
         read_settings(str(tmp_path / "none"))
     broken = tmp_path / "broken"
-    broken.write_text("a: [")
-    with pytest.raises(SettingsInvalid):
-        read_settings(str(broken))
+    for data in (b"a: [", b"a: \xff", b"a: " + b"[" * 10_000, b"a: \x00"):
+        broken.write_bytes(data)
+        with pytest.raises(SettingsInvalid):
+            read_settings(str(broken))
     with pytest.raises(SettingsInvalid):
         find_path({})
     assert find_stamp(str(tmp_path / "none")) == (0, 0) != find_stamp(str(broken))
