Tell waiting chats and late service calls truly at the end of the grace period

What callers saw: with the chat interface, chats that still waited for a runner as the grace period ended got 3006 and "unknown", though they had not been sent. A service call with a receipt was sent up to the last moment, whatever its operation may take, and then ended with an unknown outcome.

Evidence: in a stop with two chats that run and three that wait, all five got 3006 before; now the three get 2006. The new tests of calls fail with each of the three guards of services.py taken out.

Change: a chat that no runner has got is reported as not run. A call that may not be repeated is refused, and its receipt void, if its operation's timeout exceeds the rest of the grace period; an idempotent one gets what is left.

--- a/balsamtally/chats.py
+++ b/balsamtally/chats.py
@@ -12,6 +12,8 @@
 from balsamtally.errors import (
     AnswerCut,
     BalsamtallyError,
+    GraceEnded,
+    Leaving,
     NoAnswer,
     RetriesExhausted,
     WrongAnswer,
@@ -172,6 +174,8 @@
         except BalsamtallyError as error:
             if progress.reached_runner:
                 raise self._describe_failure(progress, error) from error
+            if isinstance(error, GraceEnded):
+                raise Leaving from error
             raise
         self.record_decision(
             decision="route",
--- a/balsamtally/node.py
+++ b/balsamtally/node.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import hashlib
+import math
 import signal
 import sys
 import time
@@ -87,6 +88,7 @@
         )
         self.leaving = False
         self.refusing = False
+        self._grace_end_s = math.inf
         self._stack = contextlib.ExitStack()
 
     def __enter__(self) -> "Node":
@@ -155,6 +157,7 @@
             send_call,
             self.budget,
             self.observers.is_leaving,
+            lambda: self._grace_end_s - time.monotonic(),
         )
         self.chats = Chats(
             self.slots,
@@ -187,6 +190,7 @@
         self.receipts.stop_issuing()
         log.info("leaving", in_flight=self.entry.admission.in_flight)
         begun = time.monotonic()
+        self._grace_end_s = begun + self.settings.grace_s
         while not self._is_drained():
             waited_s = time.monotonic() - begun
             if waited_s >= self.settings.grace_s:
--- a/balsamtally/services.py
+++ b/balsamtally/services.py
@@ -1,6 +1,7 @@
 """Calls to plain services: routing, at-most-once execution by receipts, and retries."""
 
 import http.client
+import math
 import time
 import uuid
 from collections import Counter
@@ -17,6 +18,7 @@
     BackendFailed,
     BackendUnreachable,
     BalsamtallyError,
+    Leaving,
     NoBackend,
     Outcome,
     OutcomeUnknown,
@@ -104,6 +106,7 @@
         send: Callable[..., ServiceAnswer],
         budget: RetryBudget,
         is_leaving: Callable[[str], bool] = lambda name: False,
+        find_left_s: Callable[[], float] = lambda: math.inf,
         clock: Callable[[], float] = time.monotonic,
         sleep: Callable[[float], None] = gevent.sleep,
         make_id: Callable[[], str] = lambda: uuid.uuid4().hex,
@@ -116,6 +119,8 @@
         :param send: sends one call to a backend server, like :func:`send_call`
         :param budget: the retry budget
         :param is_leaving: returns whether a backend server reported that it is draining, by name
+        :param find_left_s: returns how much is left of the grace period, in seconds, infinite
+            before it
         :param clock: monotonic clock
         :param sleep: sleeps for a number of seconds
         :param make_id: creates the id of a request
@@ -128,6 +133,7 @@
         self._send = send
         self._budget = budget
         self._is_leaving = is_leaving
+        self._find_left_s = find_left_s
         self._clock = clock
         self._sleep = sleep
         self._make_id = make_id
@@ -265,6 +271,8 @@
         for attempt, server in self._pick_servers(call):
             if attempt > 1 and not self._budget.take(SERVICE_CLASS, call.service):
                 raise RetriesExhausted()
+            if operation.timeout_s > self._find_left_s():
+                raise Leaving()
             try:
                 return self._send_to(server, call, attempt, key, operation.timeout_s)
             except BackendUnreachable as error:
@@ -275,7 +283,10 @@
 
     def _call_idempotent(self, call: Call, operation: Operation) -> ServiceAnswer:
         """Send an idempotent call; retry at another backend server after a failure."""
-        until_s = self._clock() + operation.timeout_s
+        time_s = min(operation.timeout_s, self._find_left_s())
+        if time_s <= 0:
+            raise Leaving()
+        until_s = self._clock() + time_s
         self._budget.record_request(SERVICE_CLASS, call.service)
         answer = None
         failure: BalsamtallyError = NoBackend()
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -73,6 +73,12 @@
 
 MUTATIONS = (
     Mutation("admission", "if counted_tier <= tier", "if True", ADMISSION),
+    Mutation("chats", "if isinstance(error, GraceEnded):", "if False:", CHATS),
+    Mutation("services", "if operation.timeout_s > self._find_left_s():", "if False:", SERVICES),
+    Mutation("services", "if time_s <= 0:", "if False:", SERVICES),
+    Mutation(
+        "services", "min(operation.timeout_s, self._f", "max(operation.timeout_s, self._f", SERVICES
+    ),
     Mutation("chats", "while not has_reached_limit(chat, progress):", "while True:", CHATS),
     Mutation("chats", "body[name] -= progress.tokens", "pass", CHATS),
     Mutation("chats", "if stream.cancelled:", "if False:", CHATS),
--- a/tests/balsamtally/test_chats.py
+++ b/tests/balsamtally/test_chats.py
@@ -8,7 +8,7 @@
 from balsamtally import chats as module
 from balsamtally.chats import ChatRequest, Chats, Progress, read_text
 from balsamtally.contracts import Customer, Pool, RequestClass
-from balsamtally.errors import AnswerCut, NoAnswer, RetriesExhausted
+from balsamtally.errors import AnswerCut, GraceEnded, Leaving, NoAnswer, RetriesExhausted
 from balsamtally.machines import BackendServer
 from balsamtally.messages import Grant
 from balsamtally.slots import Slot
@@ -104,6 +104,22 @@
     assert world.retries == 0
 
 
+@pytest.mark.parametrize(("script", "error"), [([], Leaving), ([("cut", 1)], AnswerCut)])
+def test_chat_that_waits_at_the_end_of_the_grace_period_is_told_whether_it_ran(
+    world, monkeypatch, script, error
+):
+    acquire = world.chats.slots.acquire
+
+    def wait(ask, has_vanished):
+        if ask.attempt > len(script):
+            raise GraceEnded
+        return acquire(ask, has_vanished)
+
+    monkeypatch.setattr(world.chats.slots, "acquire", wait)
+    with pytest.raises(error):
+        run(world, script)
+
+
 def test_answer_cut_at_its_token_limit_is_whole(world):
     text, finished, progress = run(world, [("cut", 2)], max_tokens=2)
     assert (text, finished, progress.attempts) == ("ab", ["length"], 1)
--- a/tests/balsamtally/test_services.py
+++ b/tests/balsamtally/test_services.py
@@ -1,6 +1,7 @@
 """Tests of calls to plain services, over several entry VMs and a faulty network."""
 
 import logging
+import math
 from collections import Counter
 from types import SimpleNamespace
 
@@ -62,6 +63,7 @@
         )
         members = SimpleNamespace(own=EntryVm(vm, vm, VMS[vm], "uy"), find=lambda name: None)
         self.accept(1, SERVICE, *map(make_server, SERVERS))
+        self.left_s = math.inf
         self.calls = world.calls_type(
             members,
             self.facts,
@@ -69,6 +71,7 @@
             self.registry,
             self.send,
             RetryBudget(lambda: 1.0, clock=lambda: world.passed),
+            find_left_s=lambda: self.left_s,
             clock=lambda: world.passed,
             sleep=lambda _: None,
             make_id=world.make_id,
@@ -369,6 +372,31 @@
         process.calls.call("ana", "filing", "lookup", b"x", None)
 
 
+def test_call_that_may_outlast_the_grace_period_is_not_run_under_its_receipt(process):
+    process.world.reply = lambda to: ServiceAnswer(200, b"")
+    process.left_s = SERVICE.operations[0].timeout_s - 0.1
+    receipt = process.registry.issue("ana")
+    with pytest.raises(errors.Leaving):
+        process.calls.call("ana", "filing", "record", b"x", receipt)
+    process.left_s = math.inf
+    with pytest.raises(errors.ReceiptVoid):
+        process.calls.call("ana", "filing", "record", b"x", receipt)
+    assert not process.world.sent
+
+
+def test_idempotent_call_gets_what_is_left_of_the_grace_period(process, monkeypatch):
+    given = []
+    monkeypatch.setattr(
+        process.calls, "_send", lambda *fields: given.append(fields[-1]) or ServiceAnswer(200, b"")
+    )
+    process.left_s = 1.5
+    assert process.calls.call("ana", "filing", "lookup", b"x", None).status == 200
+    assert given == [1.5]
+    process.left_s = -0.1
+    with pytest.raises(errors.Leaving):
+        process.calls.call("ana", "filing", "lookup", b"x", None)
+
+
 def test_runner_drained_by_a_ticket_gets_no_calls(process):
     process.world.reply = lambda to: ServiceAnswer(200, b"")
     process.accept(2, make_server("r0", leaving=True), make_server("r1", leaving=True))
--- a/tests/standins/test_coordinators.py
+++ b/tests/standins/test_coordinators.py
@@ -7,12 +7,14 @@
 import pytest
 import urllib3
 
+from balsamtally.errors import EXIT_GRACE_ENDED, GraceEnded, Leaving
 from balsamtally.machines import BackendServer
 from balsamtally.shards import list_coordinators
 from balsamtally.tickets import Ticket
 from standins.answers import answer_tokens, join_prompt
 from standins.callers import make_headers
 from standins.fleet import Fleet
+from tests.polling import expect_soon
 from tests.standins.test_path import CHATS, CLASS, CUSTOMER, make_messages
 
 ANSWER_TOKENS = 40
@@ -120,6 +122,23 @@
         assert '"drained": true' in first.read_log()
 
 
+def test_waiting_chats_are_told_at_the_end_of_the_grace_period_that_they_were_not_run(tmp_path):
+    flags = ("--token-ms", "300")
+    with Fleet(
+        tmp_path, domains=1, vms_per_domain=1, runners_per_domain=1, slots=2, runner_flags=flags
+    ) as fleet:
+        (vm,) = fleet.vms.values()
+        (runner,) = fleet.runners.values()
+        asked = [gevent.spawn(ask_whole, vm, f"late {number}") for number in range(5)]
+        expect_soon(lambda: runner.counts()["running"] == 2)
+        for _ in range(2):
+            vm.leave()
+            gevent.sleep(0.3)
+        codes = sorted(each.get() for each in asked)
+        assert codes == [Leaving.code] * 3 + [GraceEnded.code] * 2
+        assert vm.process.wait(20) == EXIT_GRACE_ENDED
+
+
 def test_live_requests_are_served_through_a_flood_and_a_lost_coordinator(tmp_path):
     with Fleet(tmp_path, domains=1, vms_per_domain=3, slots=SLOTS_IN_ALL // 2) as fleet:
         coordinator, other = find_coordinator(fleet)
