--- a/balsamtally/reports.py
+++ b/balsamtally/reports.py
@@ -5,11 +5,15 @@
 import msgspec
 
 from balsamtally.calls import Backend
+from balsamtally.decoding import Count, Seconds
 from balsamtally.errors import (
     BackendLeaving,
     BackendRefused,
     BackendUnreachable,
     BalsamtallyError,
+    ConnectionUnusable,
+    GraceEnded,
+    Leaving,
     NoAnswer,
     PartQuarantined,
 )
@@ -23,7 +27,8 @@
     """Kind of a report.
 
     ``BEGAN``: an answer began; ``PAUSED``: a stream ended, reports its longest inter-event gap;
-    ``ANSWERED``: an attempt succeeded; ``FULL``: the backend server refused it; ``FAILED``: it
+    ``ANSWERED``: an attempt succeeded; ``FULL``: the backend server refused it, or closed its
+    connection before the request; ``FAILED``: it
     failed by the backend server's fault; ``UNREACHABLE``: the connection could not be opened.
     """
 
@@ -55,9 +60,9 @@
     finding: Finding
     service: str
     backend: str
-    born: int
-    took_s: float
-    expected_s: float = 0.0
+    born: Count
+    took_s: Seconds
+    expected_s: Seconds = 0.0
     tokens: int = 0
     request: str = ""
     code: int = 0
@@ -82,7 +87,7 @@
     """
     if failure is None:
         return Report(Finding.ANSWERED, backend.service, backend.name, backend.born, took_s)
-    if isinstance(failure, BackendRefused):
+    if isinstance(failure, (BackendRefused, ConnectionUnusable)):
         finding = Finding.FULL
     elif not is_backend_fault(failure, plan, took_s):
         return None
@@ -111,6 +116,6 @@
     :param plan: the call's plan
     :param took_s: duration of the attempt, in seconds
     """
-    if isinstance(failure, (BackendLeaving, PartQuarantined)):
+    if isinstance(failure, (BackendLeaving, GraceEnded, Leaving, PartQuarantined)):
         return False
     return not isinstance(failure, NoAnswer) or took_s >= plan.route.target_s * MIN_SILENCE_TARGETS
--- a/balsamtally/sockets.py
+++ b/balsamtally/sockets.py
@@ -16,6 +16,8 @@
 USER_TIMEOUT_MS = 3_000
 BACKLOG = 512
 _NO_LINGER = struct.pack("ii", 1, 0)
+# State of an open connection in the first byte of the kernel's TCP_INFO.
+ESTABLISHED = 1
 
 
 def set_up(sock: socket.socket) -> None:
@@ -94,6 +96,15 @@
         sock.settimeout(before)
 
 
+def is_established(sock: socket.socket) -> bool:
+    """Return whether neither side has closed a connection, whatever input is unread.
+
+    :param sock: a connected socket
+    :raises OSError: if the socket was closed here
+    """
+    return sock.getsockopt(plain.IPPROTO_TCP, plain.TCP_INFO, 1)[0] == ESTABLISHED
+
+
 def close(sock: socket.socket) -> None:
     """Close a socket, ignoring errors.
 
--- a/balsamtally/streams.py
+++ b/balsamtally/streams.py
@@ -8,7 +8,8 @@
 import urllib3
 
 from balsamtally.answers import AnswerCheck
-from balsamtally.errors import AnswerCut, BackendFailed
+from balsamtally.decoding import check_levels, decode
+from balsamtally.errors import AnswerCut, BackendFailed, WrongAnswer
 from balsamtally.settings import split_address
 
 CONNECT_TIMEOUT_S = 1.0
@@ -75,6 +76,20 @@
 _decoder = msgspec.json.Decoder(Chunk)
 
 
+def decode_chunk(data: str) -> Chunk:
+    """Decode the data of an event.
+
+    :param data: the data
+    :raises msgspec.DecodeError: if it is no chunk, or its usage can't be passed on
+    """
+    chunk = decode(_decoder, data)
+    check_levels(chunk.usage)
+    tokens = (chunk.usage or {}).get("completion_tokens")
+    if tokens is not None and type(tokens) is not int:
+        raise msgspec.DecodeError("the number of completion tokens is no integer")
+    return chunk
+
+
 def accept_chunk(check: AnswerCheck, chunk: Chunk) -> None:
     """Check the next chunk of an answer.
 
@@ -133,6 +148,7 @@
     :raises RunnerRefused: if the runner is known not to have run the request
     :raises RunnerFailed: if the runner failed
     :raises BackendFailed: if the runner rejected the request with a client error status
+    :raises WrongAnswer: if the answer carries the id of another request
     :ivar complete: whether the answer was complete and nothing followed its end marker
     :ivar cancelled: whether the stream was aborted by :meth:`cancel`
     :ivar exchanged_bytes: bytes sent and received in bodies
@@ -176,7 +192,7 @@
             for event in sseclient.SSEClient(self._read_bytes()).events():
                 if event.data == END_OF_STREAM:
                     break
-                chunk = _decoder.decode(event.data)
+                chunk = decode_chunk(event.data)
                 accept_chunk(check, chunk)
                 if check.finish_reason is not None:
                     final.append(chunk)
@@ -229,6 +245,10 @@
             raise RunnerRefused(str(error)) from error
         except _FAILURES as error:
             raise RunnerFailed(f"{type(error).__name__}: {error}") from error
+        answered_id = response.headers.get("X-Request-Id", self.attempt_id)
+        if answered_id != self.attempt_id:
+            response.close()
+            raise WrongAnswer(f"an answer to {answered_id!r} came for {self.attempt_id!r}")
         if response.status == 200:
             return response
         self._refuse(response)
@@ -236,7 +256,11 @@
 
     @staticmethod
     def _refuse(response: urllib3.HTTPResponse) -> None:
-        text = response.read(2000).decode(errors="replace")
+        """Raise the error for an answer that is no stream; its body may be incomplete."""
+        try:
+            text = response.read(2000).decode(errors="replace")
+        except _FAILURES as error:
+            text = f"{type(error).__name__}: {error}"
         response.close()
         if response.status == LEAVING_STATUS:
             raise RunnerLeaving(f"status {response.status}: {text}")
--- a/tests/balsamtally/test_services.py
+++ b/tests/balsamtally/test_services.py
@@ -1,6 +1,7 @@
 """Tests of calls to plain services, over several entry VMs and a faulty network."""
 
 import logging
+import math
 from collections import Counter
 from types import SimpleNamespace
 
@@ -62,6 +63,7 @@
         )
         members = SimpleNamespace(own=EntryVm(vm, vm, VMS[vm], "uy"), find=lambda name: None)
         self.accept(1, SERVICE, *map(make_server, SERVERS))
+        self.left_s = math.inf
         self.calls = world.calls_type(
             members,
             self.facts,
@@ -69,6 +71,7 @@
             self.registry,
             self.send,
             RetryBudget(lambda: 1.0, clock=lambda: world.passed),
+            find_left_s=lambda: self.left_s,
             clock=lambda: world.passed,
             sleep=lambda _: None,
             make_id=world.make_id,
@@ -369,6 +372,37 @@
         process.calls.call("ana", "filing", "lookup", b"x", None)
 
 
+def test_deeply_nested_answer_with_503_is_passed_on_and_is_no_refusal(process):
+    answer = ServiceAnswer(503, b'{"x":' + b"[" * 100_000)
+    process.world.reply = lambda to: answer
+    assert process.calls.call("ana", "filing", "lookup", b"x", None) == answer
+
+
+def test_call_that_may_outlast_the_grace_period_is_not_run_under_its_receipt(process):
+    process.world.reply = lambda to: ServiceAnswer(200, b"")
+    process.left_s = SERVICE.operations[0].timeout_s - 0.1
+    receipt = process.registry.issue("ana")
+    with pytest.raises(errors.Leaving):
+        process.calls.call("ana", "filing", "record", b"x", receipt)
+    process.left_s = math.inf
+    with pytest.raises(errors.ReceiptVoid):
+        process.calls.call("ana", "filing", "record", b"x", receipt)
+    assert not process.world.sent
+
+
+def test_idempotent_call_gets_what_is_left_of_the_grace_period(process, monkeypatch):
+    given = []
+    monkeypatch.setattr(
+        process.calls, "_send", lambda *fields: given.append(fields[-1]) or ServiceAnswer(200, b"")
+    )
+    process.left_s = 1.5
+    assert process.calls.call("ana", "filing", "lookup", b"x", None).status == 200
+    assert given == [1.5]
+    process.left_s = -0.1
+    with pytest.raises(errors.Leaving):
+        process.calls.call("ana", "filing", "lookup", b"x", None)
+
+
 def test_runner_drained_by_a_ticket_gets_no_calls(process):
     process.world.reply = lambda to: ServiceAnswer(200, b"")
     process.accept(2, make_server("r0", leaving=True), make_server("r1", leaving=True))
@@ -404,6 +438,28 @@
             process.calls.call("ana", "filing", "record", b"x", receipt)
 
 
+@pytest.mark.parametrize("lost_s", [0.0, 60.0])
+def test_call_is_forwarded_again_after_its_link_broke_but_not_after_its_time(process, lost_s):
+    receipt = ReceiptRegistry("b1", "i2", b"key").issue("ana")
+    answer = ServiceAnswer(200, b"own")
+    forwarded = []
+
+    def call(vm, message, timeout_s):
+        forwarded.append(vm)
+        if len(forwarded) == 1:
+            process.world.passed += lost_s
+            raise errors.PeerTimeout()
+        return CallResult("i2", 1, digest_call("filing", "record", b"x"), answer)
+
+    process.call = call
+    if lost_s:
+        with pytest.raises(errors.OutcomeUnknown):
+            process.calls.call("ana", "filing", "record", b"x", receipt)
+        assert forwarded == ["b1"]
+    else:
+        assert process.calls.call("ana", "filing", "record", b"x", receipt) == answer
+
+
 def test_refusal_before_routing_reports_unknown_outcome_for_a_call_with_a_receipt():
     refused = errors.TooManyRequests()
     assert qualify_refusal(refused, None) is refused
