--- a/balsamtally/call_log.py
+++ b/balsamtally/call_log.py
@@ -2,7 +2,7 @@
 
 import time
 
-from balsamtally.calls import Backend
+from balsamtally.calls import AnswerHead, Attempt, Backend
 from balsamtally.errors import BalsamtallyError, CallerLeft
 from balsamtally.logs import log
 from balsamtally.plans import CallProgress, Plan
@@ -40,6 +40,24 @@
     )
 
 
+def log_foreign_answer(attempt: Attempt, head: AnswerHead, answered: str, exchange: str) -> None:
+    """Write the line of a skipped answer to another request.
+
+    :param attempt: the attempt that waits for its own answer
+    :param head: head of the skipped answer
+    :param answered: id of the request that it names
+    :param exchange: connection of the attempt, and number of its request on this connection
+    """
+    log.info(
+        "foreign_answer",
+        request=attempt.call.id,
+        backend=attempt.backend.name,
+        answered=answered,
+        exchange=exchange,
+        framing=head.framing,
+    )
+
+
 def find_code(error: BaseException | None) -> int:
     """Return the result code of a call, 0 after a complete answer.
 
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -6,7 +6,7 @@
 
 from balsamtally.backends import BackendConnection, Connections
 from balsamtally.backlogs import Work
-from balsamtally.call_log import log_failed_attempt
+from balsamtally.call_log import log_failed_attempt, log_foreign_answer
 from balsamtally.callers import Caller, Request
 from balsamtally.calls import (
     AnswerHead,
@@ -377,14 +377,7 @@
             if verdict is not Verdict.FOREIGN:
                 return head, verdict
             self.foreign_answers += 1
-            log.info(
-                "foreign_answer",
-                request=plan.call.id,
-                backend=attempt.backend.name,
-                answered=self._wire.read_id(head),
-                exchange=connection.exchange,
-                framing=head.framing,
-            )
+            log_foreign_answer(attempt, head, self._wire.read_id(head), connection.exchange)
             connection.skip_answer(plan.until_s)
         raise WrongAnswer(f"received more than {MAX_FOREIGN_ANSWERS} answers to other requests")
 
