Send a request to its end after a late answer to another one

What callers saw: 504 at the route's timeout, where a late answer to an earlier request came while a long body was being sent on the same connection.

Cause: input ends the writing of a request, since it may be an early answer; the late answer was skipped by its id, but the rest of the body wasn't sent, so that the backend server waited for it.

Evidence: test_request_is_sent_to_its_end_after_a_foreign_answer_within_it got 504.

Change: the rest is kept and sent after the foreign answer. The test gets the answer, and fails with the guard taken out (standins.mutate).

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -71,6 +71,7 @@
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._method = b""
         self._whole_request = False
+        self._unsent = b""
         self.request_ids: set[str] = set()
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
@@ -138,6 +139,7 @@
         What arrives before the whole head was sent is no answer to this request.
         """
         view = memoryview(head + body)
+        self._unsent = b""
         try:
             while view:
                 left_s = until_s - time.monotonic()
@@ -147,6 +149,7 @@
                 if readable and len(view) > len(body):
                     raise ConnectionUnusable
                 if readable:
+                    self._unsent = bytes(view)
                     return
                 if writable:
                     self._sock.settimeout(left_s)
@@ -225,7 +228,7 @@
         return True
 
     def skip_answer(self, until_s: float) -> None:
-        """Discard the answer to another request and prepare to read the next head.
+        """Discard the answer to another request, which may have come while this one was being sent.
 
         :param until_s: deadline on the monotonic clock, in seconds
         :raises AnswerCut: if no further answer can be read from the connection
@@ -235,12 +238,14 @@
         rest, closed = self._http.trailing_data
         if not ended or closed or self._http.their_state is not h11.DONE:
             raise AnswerCut("the connection ended with the answer to another request")
-        # The request has been sent already; the new parser only needs its method.
+        # The head of the request has been sent already; the new parser only needs its method.
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._http.send(h11.Request(method=self._method, target=b"/", headers=_NO_BODY))
         self._http.send(h11.EndOfMessage())
         if rest:
             self._http.receive_data(rest)
+        if self._unsent:
+            self._write(b"", self._unsent, until_s)
 
     def _next_event(self, until_s: float):
         ended = False
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -394,6 +394,7 @@
         RAW_CHATS,
     ),
     Mutation("answers", "if chunk_id != self.attempt_id:", "if False:", RAW_CHATS),
+    Mutation("backends", "if self._unsent:", "if False:", FORWARDING),
     Mutation("backends", "self._yield_after(len(data))", "pass", BACKENDS),
     Mutation("backends", "range(MAX_INTERIM_ANSWERS + 1)", "iter(int, 1)", BACKENDS),
     Mutation("backends", "if len(body) > most_bytes:", "if False:", BACKENDS),
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -997,3 +997,22 @@
             status, headers, _, whole = harness.send()
     assert (status, headers[b"code"], whole) == (500, b"9000", True)
     assert not one.requests
+
+
+def test_request_is_sent_to_its_end_after_a_foreign_answer_within_it():
+    size = 3_000_000
+
+    class Late(ScriptedBackend):
+        def _serve(self, sock):
+            read = sock.recv(1000).count(b"\0")
+            sock.sendall(b"HTTP/1.1 200 X\r\nId: other\r\nContent-Length: 3\r\n\r\nbad")
+            while read < size and (piece := sock.recv(65536)):
+                read += piece.count(b"\0")
+            reply()(sock, b"")
+
+    head = b"POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size
+    with (
+        Late(hang) as one,
+        ForwarderHarness(make_route(timeout_s=9.0), one, deadline_s=9.0) as harness,
+    ):
+        assert harness.send(head + bytes(size))[:3:2] == (200, b"answer")
