Insert odd events into the generated streams of chats

The scripts of runners get events that end the stream early, are no JSON or UTF-8, are nested deeply or have counts and texts of other types. A chunk that is sent twice is not among them: chunks have no number, and only a runner's token count shows it.

--- a/tests/balsamtally/misbehaving.py
+++ b/tests/balsamtally/misbehaving.py
@@ -47,6 +47,8 @@
     :ivar cut: the part of its bytes that it sends, in thousandths
     :ivar end: what follows the cut: a close, a reset or a stall
     :ivar after: what follows a whole answer
+    :ivar odd: the event that is inserted into the stream of a chat
+    :ivar odd_at: position of that event
     """
 
     status: int = 200
@@ -60,6 +62,8 @@
     cut: int = 1000
     end: str = "closed"
     after: str = ""
+    odd: str = ""
+    odd_at: int = 0
 
 
 @dataclass
--- a/tests/balsamtally/test_raw_chats.py
+++ b/tests/balsamtally/test_raw_chats.py
@@ -3,7 +3,7 @@
 import contextlib
 import itertools
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from types import SimpleNamespace
 
 import gevent
@@ -76,7 +76,29 @@
     pieces.append({"delta": {}, "finish_reason": "stop"})
     chunk_id = "other" if run.script.head == "other id" else run.id.decode()
     events = [json.dumps({"id": chunk_id, "choices": [piece]}).encode() for piece in pieces]
-    return b"".join(b"data: %s\n\n" % event for event in [*events, b"[DONE]"])
+    events.append(b"[DONE]")
+    odd = ODD_EVENTS[run.script.odd].replace(b"%id", chunk_id.encode())
+    if odd:
+        events.insert(run.script.odd_at % (len(events) + 1), odd)
+    return b"".join(b"data: %s\n\n" % event for event in events)
+
+
+# Data of an event that is inserted into a runner's stream.
+ODD_EVENTS = {
+    "": b"",
+    "end": b"[DONE]",
+    "no JSON": b"{",
+    "no UTF-8": b'{"id": "%id", "x": "\xff"}',
+    "nested": b'{"id": "%id", "x": ' + b"[" * 100_000,
+    "text as count": b'{"id": "%id", "usage": {"completion_tokens": "many"}}',
+    "few tokens": b'{"id": "%id", "usage": {"completion_tokens": 0}}',
+    "large number": b'{"id": "%id", "usage": {"completion_tokens": 1e999}}',
+    "no choice": b'{"id": "%id", "choices": []}',
+    "two choices": b'{"id": "%id", "choices": [{}, {}]}',
+    "number as text": b'{"id": "%id", "choices": [{"delta": {"content": 7}}]}',
+    "comment": b"x\n\n: x",
+    "garbage": b"\x00\xff\r\r\n\n",
+}
 
 
 class ChatHarness:
@@ -218,6 +240,13 @@
         gevent.joinall(tasks, raise_error=True)
 
 
+CHAT_SCRIPTS = SCRIPTS | st.builds(
+    replace,
+    SCRIPTS,
+    status=st.just(200),
+    odd=st.sampled_from(tuple(ODD_EVENTS)),
+    odd_at=st.integers(0, 6),
+)
 CHAT_DEMANDS = st.builds(
     ChatDemand,
     stream=st.booleans(),
@@ -234,7 +263,7 @@
 
 @settings(max_examples=200, suppress_health_check=list(HealthCheck))
 @given(
-    st.lists(st.lists(SCRIPTS, min_size=1, max_size=3), min_size=2, max_size=3),
+    st.lists(st.lists(CHAT_SCRIPTS, min_size=1, max_size=3), min_size=2, max_size=3),
     st.lists(st.lists(CHAT_DEMANDS, min_size=1, max_size=3), min_size=1, max_size=2),
     st.booleans(),
 )
