Let entry VMs compare their refused tickets

An operator could miss a refused ticket: an entry VM that was cut off or paused as the notice of the refusal was passed on never showed it in /state, though it held all later tickets, until its next fallback read of the platform after about 15 minutes.

Notices were pushed once and could be lost. What repairs a lost push is the comparison of digests, and refused tickets weren't part of the digest.

--- a/balsamtally/facts.py
+++ b/balsamtally/facts.py
@@ -172,8 +172,14 @@
                 log.exception("watcher_failed", watcher=repr(watcher))
 
     def digest(self) -> str:
-        """Return a digest of the state; entry VMs with the same state return the same digest."""
+        """Return a digest of the state; entry VMs with the same state return the same digest.
+
+        Refused tickets are left out once some may have been dropped: entry VMs drop different ones.
+        """
         total = 0
+        if len(self.refused) < MAX_REFUSED:
+            for refused in self.refused:
+                total ^= xxhash.xxh3_64_intdigest(refused.encode())
         for bucket in self._buckets:
             total ^= bucket
         return f"{total:016x}"
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -159,6 +159,8 @@
         FACTS,
     ),
     Mutation("facts", 'self._toggle_in_bucket((number, f"conflict {digest}"))', "pass", EXCHANGE),
+    Mutation("facts", "if len(self.refused) < MAX_REFUSED:", "if False:", EXCHANGE),
+    Mutation("facts", "if len(self.refused) < MAX_REFUSED:", "if True:", FACTS),
     Mutation("facts", "if active.uses == 0:", "if False:", FACTS),
     Mutation("members", "self._raise_generation(state.generation)", "pass", EXCHANGE),
     Mutation("members", "if rank_state(state) <= rank_state(record.state):", "if 0:", MEMBERS),
--- a/tests/balsamtally/fake_network.py
+++ b/tests/balsamtally/fake_network.py
@@ -163,9 +163,11 @@
         running = [node for node in self.nodes.values() if not node.paused]
         live = {node.name for node in running if not node.leaving}
         domains = {node.domain for node in running}
-        return len(
-            {(node.facts.digest(), *sorted(node.facts.conflicts)) for node in running}
-        ) == 1 and all(
+        states = {
+            (node.facts.digest(), *sorted(node.facts.conflicts), *sorted(node.facts.refused))
+            for node in running
+        }
+        return len(states) == 1 and all(
             {vm.name for vm in node.members.list_all() if vm.domain in domains} == live
             for node in running
         )
--- a/tests/balsamtally/test_exchange.py
+++ b/tests/balsamtally/test_exchange.py
@@ -124,6 +124,7 @@
         node.name: (
             node.facts.digest(),
             sorted(node.facts.conflicts),
+            sorted(node.facts.refused),
             [vm.name for vm in node.members.list_all()],
             node.members.list_view_digests(),
         )
@@ -152,3 +153,15 @@
     assert found == network.nodes["a1"].facts.refused
     assert len(found) == MAX_REFUSED
     assert sum(len(notice.reason) for notice in found.values()) <= MAX_REFUSED * MAX_REASON_CHARS
+
+
+def test_refused_ticket_is_shown_by_all_though_its_notices_were_lost():
+    network = FakeNetwork({"a1": "a", "a2": "a", "b1": "b"})
+    network.publish(b"{")
+    network.loss = 1.0
+    network.read_platform("a1", len(network.versions) - 1)
+    network.deliver()
+    network.loss = 0.0
+    for _ in range(CONVERGENCE_S):
+        network.step()
+    assert [len(node.facts.refused) for node in network.nodes.values()] == [1, 1, 1]
--- a/tests/balsamtally/test_facts.py
+++ b/tests/balsamtally/test_facts.py
@@ -87,6 +87,16 @@
     assert received == [{("pool", "p"), ("pool", "q")}, {("pool", "r")}]
 
 
+def test_refused_tickets_count_in_the_digest_until_some_may_have_been_dropped(monkeypatch):
+    monkeypatch.setattr("balsamtally.facts.MAX_REFUSED", 3)
+    facts, other = Facts(), Facts()
+    facts.record_refused(TicketNotice("1", "key", "why"))
+    assert facts.digest() != other.digest()
+    for number in (2, 3, 4):
+        facts.record_refused(TicketNotice(str(number), "key", "why"))
+    assert facts.digest() == other.digest()
+
+
 def test_memory_is_bounded(monkeypatch):
     monkeypatch.setattr("balsamtally.facts.MAX_KNOWN_NUMBERS", 20)
     monkeypatch.setattr("balsamtally.facts.MAX_CONFLICTS", 5)
