Skip no late answer where it may be one to HEAD

A caller could get a part of an answer's body as its answer: a late second answer to a HEAD request on the same connection has a length and no body, and was skipped with as many bytes of the next answer. Where these ended with the head, a body in the form of an answer was read as one, with the id of the call if it held that; otherwise the caller got 502.

The parser knows the method of the last request only. A connection that carried both HEAD and other requests now ends with an answer to another request, since it can't be told where that ends. The new test got the forged answer before.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -73,6 +73,8 @@
         self._sock = sock
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._method = b""
+        # For each request, whether it was HEAD, whose answers have no body.
+        self._head_requests: set[bool] = set()
         self._whole_request = False
         self.request_ids: set[str] = set()
         self.idle_since_s = 0.0
@@ -118,6 +120,7 @@
         """
         self._whole_request = False
         self._method = method
+        self._head_requests.add(method == b"HEAD")
         head = self._http.send(h11.Request(method=method, target=target, headers=headers))
         self._http.send(h11.Data(data=body))
         self._http.send(h11.EndOfMessage())
@@ -219,6 +222,8 @@
         :raises AnswerCut: if no further answer can be read from the connection
         """
         self._irregular = True
+        if len(self._head_requests) > 1:
+            raise AnswerCut("the answer to another request may be one without a body, to HEAD")
         ended = self.drain(until_s)
         rest, closed = self._http.trailing_data
         if not ended or closed or self._http.their_state is not h11.DONE:
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -300,6 +300,7 @@
     Mutation(
         "backends", "len(self.request_ids) >= MAX_REQUESTS", "len(self.request_ids) < 0", FORWARDING
     ),
+    Mutation("backends", "if len(self._head_requests) > 1:", "if False:", FORWARDING),
     Mutation("backends", "not witness.was_closed_early(self._clock())", "True", FORWARDING),
     Mutation(
         "backends",
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -357,6 +357,22 @@
     assert received in ([], [b""])
 
 
+def test_late_answer_to_a_head_request_does_not_swallow_the_head_of_the_next_answer():
+    """Such an answer has no body, whatever its length; then a body would be read as an answer."""
+    body = b"HTTP/1.1 200 X\r\nId: id2\r\nContent-Length: 6\r\n\r\nforged"
+    answer = b"HTTP/1.1 200 X\r\nId: id2\r\nContent-Length: %d\r\n\r\n" % len(body)
+    late = b"HTTP/1.1 200 X\r\nId: id1\r\nContent-Length: %d\r\n\r\n" % len(answer)
+    scripts = [
+        lambda sock, _: sock.sendall(late),
+        lambda sock, _: sock.sendall(late + answer + body),
+    ]
+    with ScriptedBackend(*scripts) as one, ForwarderHarness(make_route(), one) as harness:
+        with contextlib.closing(harness.connect()) as sock:
+            sock.sendall(b"HEAD /a/x HTTP/1.1\r\nHost: h\r\n\r\n")
+            assert sock.recv(65536).startswith(b"HTTP/1.1 200")
+        assert harness.send(SECOND)[2] != b"forged"
+
+
 def test_connection_carries_a_bounded_number_of_requests(monkeypatch):
     monkeypatch.setattr(backends, "MAX_REQUESTS", 2)
     with ScriptedBackend(reply()) as one:
