--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -191,6 +191,8 @@
         FACTS,
     ),
     Mutation("facts", 'self._toggle_in_bucket((number, f"conflict {digest}"))', "pass", EXCHANGE),
+    Mutation("facts", "if len(self.refused) < MAX_REFUSED:", "if False:", EXCHANGE),
+    Mutation("facts", "if len(self.refused) < MAX_REFUSED:", "if True:", FACTS),
     Mutation("facts", "if active.uses == 0:", "if False:", FACTS),
     Mutation("members", "self._raise_generation(state.generation)", "pass", EXCHANGE),
     Mutation("members", "if rank_state(state) <= rank_state(record.state):", "if 0:", MEMBERS),
@@ -330,6 +332,7 @@
     Mutation(
         "backends", "len(self.request_ids) >= MAX_REQUESTS", "len(self.request_ids) < 0", FORWARDING
     ),
+    Mutation("backends", "if len(self._head_requests) > 1:", "if False:", FORWARDING),
     Mutation("backends", "not witness.was_closed_early(self._clock())", "True", FORWARDING),
     Mutation(
         "backends",
