--- a/balsamtally/call_metrics.py
+++ b/balsamtally/call_metrics.py
@@ -84,6 +84,9 @@
             "By how much an answer began later than expected as it was sent",
             FIRST_TOKEN_BOUNDS_S,
         )
+        self._set_up_gauges()
+
+    def _set_up_gauges(self) -> None:
         self._waiting = self._gauge("calls_waiting", "Calls that wait for a backend server")
         self._running = self._gauge("backend_running", "Calls at each backend server")
         self._reading = self._gauge("backend_reading_tokens", "Prompt tokens before each runner")
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -135,16 +135,7 @@
             settings.find_region,
             self._process_beat,
         )
-        send = self.peers.send_message
-        self._placement_client = PlacementClient(
-            incarnation, self._dispatch, self.peers.find_coordinator, send
-        )
-        self._reservations = Reservations(self._dispatch, send)
-        self._pauses = Pauses()
-        self._choice = PausingChoice(
-            self._pauses, self.catalog.list_open, self._placement_client.choose
-        )
-        self._connect_placement()
+        self._connect_placement(incarnation)
         self._connect_quarantine()
         self._grace_period = GracePeriod(lambda: self.settings.grace_s)
         self._budget = FleetBudget(settings.budget, self.peers.count_members)
@@ -156,8 +147,17 @@
         )
         self._stack = contextlib.ExitStack()
 
-    def _connect_placement(self) -> None:
-        """Connect placement requests and replies between this entry VM and its peers."""
+    def _connect_placement(self, incarnation: str) -> None:
+        """Create both sides of placement and connect them to the peers."""
+        send = self.peers.send_message
+        self._placement_client = PlacementClient(
+            incarnation, self._dispatch, self.peers.find_coordinator, send
+        )
+        self._reservations = Reservations(self._dispatch, send)
+        self._pauses = Pauses()
+        self._choice = PausingChoice(
+            self._pauses, self.catalog.list_open, self._placement_client.choose
+        )
         self.peers.describe_asks = lambda: (
             self._placement_client.last_number,
             self._placement_client.list_pending(),
