Let a call that was sent before wait for the end of a pause beyond its target

What callers could see: a stream cut with its time unused, or 502 for a repeated call, where the other backend servers paused for a tenth of a second.

Cause: the wait for the end of a pause was bounded by the target of the first event, which had passed.

Evidence: test_call_that_was_sent_before_waits_beyond_its_target, refused before. Change: the deadline is the bound.

--- a/balsamtally/pauses.py
+++ b/balsamtally/pauses.py
@@ -115,7 +115,7 @@
         """Wait for a backend server that doesn't pause.
 
         If all pause, the call waits for the end of a pause where its answer can still begin within
-        the target; else it is refused.
+        the target, and a call that was sent before until its deadline; else it is refused.
 
         :param plan: the call's plan
         :param progress: the call's progress
@@ -128,7 +128,7 @@
             progress.paused = {backend.name for backend in paused}
             choice = self._choose(plan, progress)
             if choice is None and paused:
-                self._wait(plan, paused)
+                self._wait(plan, progress, paused)
             elif choice is None or not self._pauses.is_paused(choice.backend):
                 return choice
             else:
@@ -141,10 +141,12 @@
             backend for backend in backends if backend.name not in progress.avoid
         )
 
-    def _wait(self, plan: Plan, paused: list[Backend]) -> None:
+    def _wait(self, plan: Plan, progress: CallProgress, paused: list[Backend]) -> None:
         """Wait for the end of the first pause, unless the answer would begin too late."""
         wait_s = self._pauses.measure_wait_s(paused)
-        latest_s = min(plan.call.arrived_s + plan.route.target_s, plan.until_s)
+        latest_s = plan.until_s
+        if not progress.sent:
+            latest_s = min(plan.call.arrived_s + plan.route.target_s, latest_s)
         if self._clock() + wait_s >= latest_s:
             raise BackendsPaused(retry_after_s=wait_s)
         self._sleep(wait_s)
--- a/tests/balsamtally/test_pauses.py
+++ b/tests/balsamtally/test_pauses.py
@@ -86,6 +86,14 @@
     assert world.now == pytest.approx(0.1 + MIN_SPREAD_S)
 
 
+def test_call_that_was_sent_before_waits_beyond_its_target(world):
+    for backend in world.open:
+        world.pauses.record(backend, 0.7)
+    with pytest.raises(BackendsPaused):
+        world.choose()
+    assert world.choose(sent=1) is not None
+
+
 def test_call_is_refused_until_the_first_pause_ends_if_all_pause_beyond_its_target(world):
     world.pauses.record(world.one, 9.0)
     world.pauses.record(world.two, 3.0)
