Answer HEAD requests that are refused within their head without a body

What callers saw: a body behind the head of a refusal (too large a head, bad lines), which a client reads as the next answer.

Cause: the method was known only after the head was parsed.

Evidence: test_head_request_refused_within_its_head_gets_an_answer_without_a_body failed in its three cases. Change: the method is the first word of the input, and the parser is told of it.

--- a/balsamtally/callers.py
+++ b/balsamtally/callers.py
@@ -39,6 +39,7 @@
 # Time for which the rest of a refused request is read: closing a socket with unread input sends a
 # reset, and the caller could lose the refusal.
 LINGER_S = 0.5
+_HEAD_REQUEST = b"HEAD / HTTP/1.1\r\nHost: caller\r\nConnection: close\r\n\r\n"
 HEAD_END = b"\r\n\r\n"
 
 
@@ -178,7 +179,11 @@
             if not self._wait_for_bytes(limits.idle_timeout_s) or not self._inbox or self._ended:
                 return None
         self.idle = False
-        head = self._read_head(limits)
+        try:
+            head = self._read_head(limits)
+        except BalsamtallyError:
+            self._method = bytes(self._inbox.partition(b" ")[0])
+            raise
         if head is None:
             return None
         arrived_s = self._first_byte_s
@@ -304,6 +309,10 @@
         response = h11.Response(status_code=status, headers=[*headers, *close_header])
         if self._http is None or self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self._http = h11.Connection(h11.SERVER)
+            if self._method == b"HEAD":
+                # The parser must know that the answer has no body.
+                self._http.receive_data(_HEAD_REQUEST)
+                self._http.next_event()
         head = self._http.send(response) or b""
         self.began_answer = True
         self._announced_close = self.closing
--- a/tests/balsamtally/test_callers.py
+++ b/tests/balsamtally/test_callers.py
@@ -378,6 +378,13 @@
     assert found.status == 400
 
 
+@pytest.mark.parametrize("line", [b"X: " + b"a" * 3000, b"X: a\nY: b", b"X: a\r\n folded"])
+def test_head_request_refused_within_its_head_gets_an_answer_without_a_body(line):
+    _, [code], answer = exchange(b"HEAD /a HTTP/1.1\r\nHost: h\r\n%s\r\n\r\n" % line)
+    [found] = read_answers(answer, [b"HEAD"], "closed")
+    assert found.status == {1009: 400, 1010: 431}[code]
+
+
 @pytest.mark.parametrize("whole", [False, True])
 def test_answer_whose_headers_cannot_be_sent_is_replaced_by_an_error(whole):
     def handle(caller, request):
