Let a witness belong to its answer, and count only an end in order

What callers saw: 502, or a cut stream, for a whole answer without a length, where the backend server resets connections beyond its limit, or where another call used the witness; and a cut answer as a whole one, where the pool had closed the witness after a quick restart.

Cause: the witness stayed in the pool, and any closed state counted.

Evidence: test_answer_without_a_length_is_whole_if_its_backend_server_resets_further_connections failed for both kinds. Change: the witness is opened for one answer and closed with it; a reset doesn't count.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -16,7 +16,7 @@
 from balsamtally.calls import BODILESS, AnswerHead, Backend, Headers
 from balsamtally.errors import AnswerCut, BackendUnreachable, ConnectionUnusable, NoAnswer
 from balsamtally.logs import log
-from balsamtally.sockets import close, connect, has_input, is_established, is_idle
+from balsamtally.sockets import close, connect, has_input, is_idle, was_closed_in_order
 
 READ_BYTES = 65_536
 SEND_BYTES = 16_384
@@ -60,8 +60,8 @@
     :ivar idle_limit_s: longest idle time after which the connection is reused, in seconds
     :ivar ends_by_close: whether the last answer has neither a length nor chunks, so that it ends
         with the connection
-    :ivar witness: another connection that ends if the backend server's process ends within such an
-        answer, ``None`` if there is none
+    :ivar witness: another connection to the backend server's process, which ends with the process
+        within such an answer; ``None`` if there is none
     """
 
     def __init__(self, sock: socket.socket, number: int = 0):
@@ -78,7 +78,8 @@
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
         self.ends_by_close = False
-        self.witness: BackendConnection | None = None
+        self.witness: socket.socket | None = None
+        self._witness_since_s = 0.0
         self._irregular = False
         self._read_bytes = 0
 
@@ -88,8 +89,10 @@
         return f"{self._number}.{self._requests}"
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection, and its witness."""
         close(self._sock)
+        if self.witness is not None:
+            close(self.witness)
 
     def is_usable(self, now_s: float) -> bool:
         """Return whether an idle connection may be reused.
@@ -104,16 +107,25 @@
             return False
         return bool(self._http.trailing_data[0]) or has_input(self._sock)
 
-    def was_closed_early(self, now_s: float) -> bool:
-        """Return whether the backend server closed the connection before its idle timeout.
+    def watch_process(self, witness: socket.socket, now_s: float) -> None:
+        """Set the witness of an answer that ends with its connection.
 
+        :param witness: a new connection to the same process, closed with this connection
         :param now_s: monotonic clock in seconds
         """
-        try:
-            closed = not is_established(self._sock)
-        except OSError:
-            return False  # closed by this side
-        return closed and now_s - self.idle_since_s < self.idle_limit_s
+        self.witness, self._witness_since_s = witness, now_s
+
+    def has_lost_witness(self, now_s: float) -> bool:
+        """Return whether the witness shows the end of the backend server's process.
+
+        A reset doesn't: a backend server resets connections beyond its limit. Nor does an end after
+        the idle timeout.
+
+        :param now_s: monotonic clock in seconds
+        """
+        if self.witness is None or now_s - self._witness_since_s >= self.idle_limit_s:
+            return False
+        return was_closed_in_order(self.witness)
 
     def send(self, method: bytes, target: bytes, headers: Headers, body: bytes, until_s: float):
         """Send a request.
@@ -375,33 +387,26 @@
         connection.close()
 
     def add_witness(self, backend: Backend, connection: BackendConnection) -> None:
-        """Find a witness for an answer without a length: an idle connection, or else a new one.
-
-        The witness stays in the pool.
+        """Open a witness for an answer without a length.
 
         :param backend: the backend server
         :param connection: a connection on which an answer has begun
         """
         if not connection.ends_by_close:
             return
-        idle = self._idle.setdefault(backend.key, deque())
-        now_s = self._clock()
-        connection.witness = next((each for each in reversed(idle) if each.is_usable(now_s)), None)
-        if connection.witness is None:
-            try:
-                connection.witness = BackendConnection(connect(backend.address, REFUSAL_TIMEOUT_S))
-            except OSError as error:
-                log.info("no_witness", backend=backend.name, why=str(error))
-                return
-            self.opened += 1
-            connection.witness.idle_since_s = self._clock()
-            idle.append(connection.witness)
+        try:
+            witness = connect(backend.address, REFUSAL_TIMEOUT_S)
+        except OSError as error:
+            log.info("no_witness", backend=backend.name, why=str(error))
+            return
+        self.opened += 1
+        connection.watch_process(witness, self._clock())
 
     def is_still_running(self, backend: Backend, connection: BackendConnection) -> bool:
         """Return whether the process that sent an answer runs after the end of its connection.
 
-        Its address must accept a connection, and the witness must be open: a process that has taken
-        its place accepts connections too. A host that doesn't answer counts as ended.
+        Its address must accept a connection, and the witness must not have ended: a process that
+        has taken its place accepts connections too. A host that doesn't answer counts as ended.
 
         :param backend: the backend server
         :param connection: the connection that ended
@@ -414,8 +419,7 @@
             except OSError as error:
                 log.info("backend_silent", backend=backend.name, why=str(error))
                 continue
-            witness = connection.witness
-            return witness is None or not witness.was_closed_early(self._clock())
+            return not connection.has_lost_witness(self._clock())
         return False
 
     def refuses_connections(self, backend: Backend) -> bool:
--- a/balsamtally/sockets.py
+++ b/balsamtally/sockets.py
@@ -16,8 +16,6 @@
 USER_TIMEOUT_MS = 3_000
 BACKLOG = 512
 _NO_LINGER = struct.pack("ii", 1, 0)
-# State of an open connection in the first byte of the kernel's TCP_INFO.
-ESTABLISHED = 1
 
 
 def set_up(sock: socket.socket) -> None:
@@ -96,13 +94,16 @@
         sock.settimeout(before)
 
 
-def is_established(sock: socket.socket) -> bool:
-    """Return whether neither side has closed a connection, whatever input is unread.
+def was_closed_in_order(sock: socket.socket) -> bool:
+    """Return whether the other side closed a connection in order, and not by a reset.
 
-    :param sock: a connected socket
-    :raises OSError: if the socket was closed here
+    :param sock: a connected socket without unread input
     """
-    return sock.getsockopt(plain.IPPROTO_TCP, plain.TCP_INFO, 1)[0] == ESTABLISHED
+    sock.settimeout(0)
+    try:
+        return sock.recv(1, plain.MSG_PEEK) == b""
+    except OSError:
+        return False
 
 
 def close(sock: socket.socket) -> None:
--- a/tests/balsamtally/test_backends.py
+++ b/tests/balsamtally/test_backends.py
@@ -186,7 +186,7 @@
         assert connections.is_still_running(backend, connection)
         expect_soon(lambda: server.connections == 3)
         gevent.killall(server._tasks[1:])
-        expect_soon(lambda: connection.witness.was_closed_early(now_s[0]))
+        expect_soon(lambda: connection.has_lost_witness(now_s[0]))
         assert not connections.is_still_running(backend, connection)
         now_s[0] += DEFAULT_IDLE_S
         assert connections.is_still_running(backend, connection)
