Pass on no second answer that follows an answer without a length

What callers could see: within a stream, the head of the same backend server's second answer and its events again, as whole; a plain answer without a length with a second one behind it, as one body with a length; after a resumption, events that they had already.

Cause: an answer without a length ends with its connection, so that a repeated answer is part of its bytes. Events were split at blank lines, and neither their lines nor the order of their ids were looked at.

Change: a line that is no field ends the attempt, and so does an id that isn't above the last one; valid events before it are passed on. So does a status line in an answer without a length.

--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -36,9 +36,16 @@
     QueueTimeout,
     WrongAnswer,
 )
-from balsamtally.events import EventReader
+from balsamtally.events import Event, EventReader, holds_answer_head
 from balsamtally.logs import log
-from balsamtally.plans import CallProgress, Plan, make_final_error, make_plan, may_repeat
+from balsamtally.plans import (
+    CallProgress,
+    Plan,
+    find_last_event,
+    make_final_error,
+    make_plan,
+    may_repeat,
+)
 from balsamtally.terminations import Terminations
 
 # Attempts of a call that aren't counted because their backend server terminated.
@@ -235,7 +242,7 @@
                 self._report_crash(plan, progress, failure)
                 reason = self._find_stop_reason(plan, progress, failure)
             log_failed_attempt(plan, progress, backend, failure, reason)
-            if reason and progress.failed_answer is not None and not progress.begun:
+            if reason and progress.failed_answer is not None and not caller.began_answer:
                 self._answer_whole(caller, progress, *progress.failed_answer)
                 return
             if reason:
@@ -347,7 +354,7 @@
         self, plan: Plan, progress: CallProgress, backend: Backend, connection: BackendConnection
     ) -> Attempt:
         call = plan.call
-        last_event = progress.last_event if progress.last_event is not None else call.last_event
+        last_event = find_last_event(call, progress)
         left_s = self._hooks.find_end_s(plan) - time.monotonic()
         attempt = Attempt(call, backend, plan.customer, plan.urgency, left_s, last_event)
         if not progress.sent:
@@ -421,6 +428,8 @@
         if progress.begun:
             raise BackendFailed(f"the stream could not be resumed: {head.status}")
         body = connection.read_whole(plan.until_s, MAX_WHOLE_BYTES)
+        if connection.ends_by_close and holds_answer_head(body):
+            raise WrongAnswer("the answer has no length, and another answer follows it")
         self._check_end(progress, connection)
         progress.answer_attempt = progress.sent
         if head.status >= 500:
@@ -452,23 +461,15 @@
 
         Only whole events are sent, so that a resumed stream continues between two events.
         """
-        reader = EventReader()
+        last_event = find_last_event(plan.call, progress)
+        reader = EventReader(last_event if last_event is not None else -1)
         for piece in connection.read_body(lambda: plan.until_s):
             events = reader.read(piece)
-            if not events:
-                continue
-            work.record_answer_start()
-            self._record_begun(plan, progress)
-            now = time.monotonic()
-            if not progress.begun:
-                progress.first_event_s = progress.last_piece_s = now
-                self._begin_stream(caller, progress, head)
-            progress.longest_gap_s = max(progress.longest_gap_s, now - progress.last_piece_s)
-            progress.last_piece_s = now
-            caller.send(b"".join(event.text for event in events))
-            ids = [event.id for event in events if event.id is not None]
-            if ids:
-                progress.last_event = ids[-1]
+            if events:
+                work.record_answer_start()
+                self._record_begun(plan, progress)
+                self._pass_events(caller, progress, head, events)
+            reader.check()
         if reader.rest:
             raise AnswerCut("the stream ended in the middle of an event")
         if connection.ends_by_close and not progress.attempt_begun:
@@ -478,6 +479,20 @@
             self._begin_stream(caller, progress, head)
         caller.end()
 
+    def _pass_events(
+        self, caller: Caller, progress: CallProgress, head: AnswerHead, events: list[Event]
+    ) -> None:
+        now = time.monotonic()
+        if not progress.begun:
+            progress.first_event_s = progress.last_piece_s = now
+            self._begin_stream(caller, progress, head)
+        progress.longest_gap_s = max(progress.longest_gap_s, now - progress.last_piece_s)
+        progress.last_piece_s = now
+        caller.send(b"".join(event.text for event in events))
+        ids = [event.id for event in events if event.id is not None]
+        if ids:
+            progress.last_event = ids[-1]
+
     def _check_end(self, progress: CallProgress, connection: BackendConnection) -> None:
         """Check an answer that ended with its connection.
 
--- a/balsamtally/plans.py
+++ b/balsamtally/plans.py
@@ -158,6 +158,15 @@
     return plan.route.repeat is Repeat.RESUME
 
 
+def find_last_event(call: Call, progress: CallProgress) -> int | None:
+    """Return the id of the last event that the caller has, ``None`` if it has none.
+
+    :param call: the call
+    :param progress: progress of the call
+    """
+    return progress.last_event if progress.last_event is not None else call.last_event
+
+
 def make_final_error(failure: BalsamtallyError, progress: CallProgress) -> BalsamtallyError:
     """Return the error that is sent to a caller after the last attempt.
 
