Ask the caller's connection alone whether an answer has begun

Change: the copy in the call's progress is gone; the stored answer, repetitions and resumed streams ask the connection.

--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -233,9 +233,9 @@
                 progress.avoid.add(backend.name)
                 progress.may_have_run |= failure.outcome is not Outcome.NOT_RUN
                 self._report_crash(plan, progress, failure)
-                reason = self._find_stop_reason(plan, progress, failure)
+                reason = self._find_stop_reason(plan, progress, failure, caller.began_answer)
             log_failed_attempt(plan, progress, backend, failure, reason)
-            if reason and progress.failed_answer is not None and not progress.begun:
+            if reason and progress.failed_answer is not None and not caller.began_answer:
                 self._answer_whole(caller, progress, *progress.failed_answer)
                 return
             if reason:
@@ -286,7 +286,7 @@
         return True
 
     def _find_stop_reason(
-        self, plan: Plan, progress: CallProgress, failure: BalsamtallyError
+        self, plan: Plan, progress: CallProgress, failure: BalsamtallyError, begun: bool
     ) -> str:
         """Return why a call isn't retried after a failure, empty if it is retried."""
         if self._hooks.find_end_s(plan) - time.monotonic() < MIN_LEFT_S:
@@ -294,7 +294,7 @@
         if isinstance(failure, BackendUnreachable):
             # Each backend server is tried once, so that the number of attempts is bounded.
             return ""
-        if failure.outcome is not Outcome.NOT_RUN and not may_repeat(plan, progress):
+        if failure.outcome is not Outcome.NOT_RUN and not may_repeat(plan, begun):
             return "the call may have run and is not repeatable"
         if progress.crashes >= MAX_CRASHES or self._is_suspect(plan, progress):
             return "the prompt is suspected of crashing backend servers"
@@ -418,7 +418,7 @@
 
         A server error is stored as the answer to fall back on if no retry succeeds.
         """
-        if progress.begun:
+        if caller.began_answer:
             raise BackendFailed(f"the stream could not be resumed: {head.status}")
         body = connection.read_whole(plan.until_s, MAX_WHOLE_BYTES)
         self._check_end(progress, connection)
@@ -460,7 +460,7 @@
             work.record_answer_start()
             self._record_begun(plan, progress)
             now = time.monotonic()
-            if not progress.begun:
+            if not caller.began_answer:
                 progress.first_event_s = progress.last_piece_s = now
                 self._begin_stream(caller, progress, head)
             progress.longest_gap_s = max(progress.longest_gap_s, now - progress.last_piece_s)
@@ -474,7 +474,7 @@
         if connection.ends_by_close and not progress.attempt_begun:
             raise AnswerCut("the connection ended before the first event")
         self._check_end(progress, connection)
-        if not progress.begun:
+        if not caller.began_answer:
             self._begin_stream(caller, progress, head)
         caller.end()
 
@@ -493,7 +493,6 @@
             self._hooks.record_begun(plan)
 
     def _begin_stream(self, caller: Caller, progress: CallProgress, head: AnswerHead) -> None:
-        progress.begun = True
         progress.answer_attempt = progress.sent
         progress.status = head.status
         caller.begin(head.status, self._wire.pick_headers(head))
--- a/balsamtally/grace_period.py
+++ b/balsamtally/grace_period.py
@@ -90,7 +90,7 @@
             return math.inf if plan.route.repeat is Repeat.NEVER else 0.0
         # A stream that is cut is resumed elsewhere, so that the risk of a cut is taken for it.
         took_s = known.mean_s if plan.route.repeat is Repeat.RESUME else known.longest_s
-        spent_s = self._clock() - progress.first_event_s if progress.begun else 0.0
+        spent_s = self._clock() - progress.first_event_s if progress.first_event_s else 0.0
         return max(0.0, took_s * DURATION_MARGIN - spent_s)
 
     def wait(self, plan: Plan, progress: CallProgress, choose: Callable) -> object:
--- a/balsamtally/plans.py
+++ b/balsamtally/plans.py
@@ -58,7 +58,6 @@
     :ivar last_event: id of the last event sent to the caller, ``None`` before the first
     :ivar may_have_run: whether a backend server may have run the call
     :ivar failed_answer: a backend server's error answer, returned if no attempt succeeds
-    :ivar begun: whether the head of an answer was sent to the caller
     :ivar attempt_sent_s: monotonic clock when the last attempt was sent, in seconds
     :ivar attempt_begun: whether the backend server of the last attempt began to answer it
     :ivar probed_parts: quarantined groups of prompt parts that the next attempt probes
@@ -84,7 +83,6 @@
     last_event: int | None = None
     may_have_run: bool = False
     failed_answer: tuple[AnswerHead, bytes] | None = None
-    begun: bool = False
     attempt_sent_s: float = 0.0
     attempt_begun: bool = False
     probed_parts: set[tuple[str, ...]] = field(default_factory=set)
@@ -147,14 +145,14 @@
     return route.branches[-1].service
 
 
-def may_repeat(plan: Plan, progress: CallProgress) -> bool:
+def may_repeat(plan: Plan, begun: bool) -> bool:
     """Return whether a call that may have run may be sent again.
 
     :param plan: the call's plan
-    :param progress: progress of the call
+    :param begun: whether the head of an answer was sent to the caller
     """
     if plan.route.repeat is Repeat.ALWAYS:
-        return not progress.begun
+        return not begun
     return plan.route.repeat is Repeat.RESUME
 
 
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -149,7 +149,7 @@
     ),
     Mutation(
         "forwarding",
-        "and not progress.begun:\n                self",
+        "and not caller.began_answer:\n                self",
         ":\n                self",
         FORWARDING,
     ),
@@ -304,7 +304,7 @@
     Mutation("forwarding", "if verdict is not Verdict.FOREIGN:", "if True:", FORWARDING),
     Mutation(
         "forwarding",
-        "if failure.outcome is not Outcome.NOT_RUN and not may_repeat(plan, progress):",
+        "if failure.outcome is not Outcome.NOT_RUN and not may_repeat(plan, begun):",
         "if False:",
         FORWARDING,
     ),
@@ -389,7 +389,7 @@
     # Both guards against a second answer in a stream.
     Mutation(
         "forwarding",
-        "and not progress.begun:\n                self",
+        "and not caller.began_answer:\n                self",
         ":\n                caller.began_answer = False\n                self",
         RAW_ANSWERS,
     ),
--- a/tests/balsamtally/test_grace_period.py
+++ b/tests/balsamtally/test_grace_period.py
@@ -82,7 +82,7 @@
     grace_period = make_grace_period(*[7.0] * MIN_SAMPLES, clock=clock)
     grace_period.begin()
     plan = plan_call(Repeat.RESUME, arrived_s=clock.now_s)
-    progress = CallProgress(begun=True, first_event_s=clock.now_s - 5.0)
+    progress = CallProgress(first_event_s=clock.now_s - 5.0)
     assert is_passed_on(grace_period, plan, progress)
     assert not is_passed_on(grace_period, plan)
 
