--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -306,7 +306,7 @@
     Mutation("forwarding", "if verdict is not Verdict.FOREIGN:", "if True:", FORWARDING),
     Mutation(
         "forwarding",
-        "if failure.outcome is not Outcome.NOT_RUN and not may_repeat(plan, progress):",
+        "if failure.outcome is not Outcome.NOT_RUN and not may_repeat(plan, begun):",
         "if False:",
         FORWARDING,
     ),
