--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -61,6 +61,7 @@
 DISPATCH = "tests/balsamtally/test_dispatch.py"
 CALL_LOG = "tests/balsamtally/test_call_log.py"
 DOCUMENTS = "tests/balsamtally/platform/test_documents.py"
+EVENTS = "tests/balsamtally/test_events.py"
 FORWARDING = "tests/balsamtally/test_forwarding.py"
 GRACE_PERIOD = "tests/balsamtally/test_grace_period.py"
 GRID = "tests/standins/test_grid.py"
@@ -343,7 +344,7 @@
     Mutation("backends", " or now_s - self._witness_since_s >= self.idle_limit_s", "", BACKENDS),
     Mutation("sockets", 'sock.recv(1, plain.MSG_PEEK) == b""', "True", FORWARDING),
     Mutation("events", "if event_id <= self._last_id:", "if False:", FORWARDING),
-    Mutation("events", "if not all(_FIELD.fullmatch(line)", "if not any(True", FORWARDING),
+    Mutation("events", "if not all(_FIELD.fullmatch(line)", "if not any(True", EVENTS),
     Mutation("forwarding", "and holds_answer_head(body):", "and False:", FORWARDING),
     Mutation("backends", "if readable and len(view) > len(body):", "if False:", FORWARDING),
     Mutation("forwarding", "            progress.sent -= 1\n", "", FORWARDING),
