Tell the runs of requests with one id apart by their targets in the generated test

In one whole run the test failed once: two pipelined requests had the same id, the first one's 504 was counted as a run of the second one, which had been refused, and its 503 was taken for an untrue 'not run'. Which runs belong to a request was told by time, and both had been sent at once.

Each request has a target of its own now, and its runs are those with it. The check is stricter: repeats are checked for requests with one id too, and an answer must be of a run of this very request.

--- a/tests/balsamtally/misbehaving.py
+++ b/tests/balsamtally/misbehaving.py
@@ -70,6 +70,7 @@
 class Run:
     """What a backend server sent to one attempt.
 
+    :ivar target: path and query of the request, which tell requests with one id apart
     :ivar status: status of its answer
     :ivar body: body as far as it was sent
     :ivar may_be_whole: whether a caller may get the answer as a whole one
@@ -78,6 +79,7 @@
     label: bytes
     id: bytes
     script: Script
+    target: bytes = b""
     body: bytes = b""
     may_be_whole: bool = False
 
@@ -164,6 +166,7 @@
             head, _, data = data.partition(b"\r\n\r\n")
             script = self._scripts.pop(0) if len(self._scripts) > 1 else self._scripts[0]
             run = self._record.add(find_header(head, self.id_header), script)
+            run.target = head.split(b" ", 2)[1]
             sock.sendall(copies)
             size = int(find_header(head, b"Content-Length") or 0)
             body = data if script.early else data + self._read_body(sock, size - len(data))
--- a/tests/balsamtally/test_raw_answers.py
+++ b/tests/balsamtally/test_raw_answers.py
@@ -46,10 +46,13 @@
     last_event: int | None = None
     body_bytes: int = 4
 
-    def make_head(self, request_id: bytes) -> bytes:
+    def make_target(self, number: bytes) -> bytes:
+        return b"/%s/x?%s" % (self.route.encode(), number)
+
+    def make_head(self, number: bytes, request_id: bytes) -> bytes:
         last = b"Last-Event-Id: %d\r\n" % self.last_event if self.last_event else b""
-        head = b"%s /%s/x HTTP/%s\r\nHost: host.example\r\nAttempt-Id: %s\r\n%s"
-        return head % (self.method, self.route.encode(), self.version, request_id, last)
+        head = b"%s %s HTTP/%s\r\nHost: host.example\r\nAttempt-Id: %s\r\n%s"
+        return head % (self.method, self.make_target(number), self.version, request_id, last)
 
     @property
     def body(self) -> bytes:
@@ -82,13 +85,10 @@
     return frame(run, b"".join([*lines, HEADS[script.head]]), method)
 
 
-def check_answer(answer, demand: Demand, request_id: bytes, record: Record, earlier: int) -> None:
-    """Check that an answer has no byte but of the runs of its request, or is an error of ours.
-
-    :param earlier: number of runs before the request was sent
-    """
+def check_answer(answer, demand: Demand, number: bytes, record: Record) -> None:
+    """Check that an answer has no byte but of the runs of its request, or is an error of ours."""
     headers = answer.headers
-    runs = [run for run in [*record.runs.values()][earlier:] if run.id == request_id]
+    runs = list_runs(demand, number, record)
     if answer.status == 200 and demand.route in ("stream", "again", "resume"):
         check_stream(answer, demand, runs)
         return
@@ -106,6 +106,11 @@
         assert headers[b"content-length"] == b"%d" % run.script.size
 
 
+def list_runs(demand: Demand, number: bytes, record: Record) -> list[Run]:
+    target = demand.make_target(number)
+    return [run for run in record.runs.values() if run.target == target]
+
+
 def check_own_error(answer, demand: Demand, runs: list[Run]) -> None:
     """Check an error of ours; a status that promises "not run" is true."""
     assert b"response-signature" not in answer.headers
@@ -141,9 +146,9 @@
     return run.script.framing == "unframed" and run.body.endswith(make_event(run.label, last))
 
 
-def check_repeats(demand: Demand, request_id: bytes, record: Record) -> None:
+def check_repeats(demand: Demand, number: bytes, record: Record) -> None:
     """Check that what may not be repeated is sent on only after a refusal."""
-    runs = [run for run in record.runs.values() if run.id == request_id]
+    runs = list_runs(demand, number, record)
     if demand.route in ("never", "stream"):
         for run in runs[:-1]:
             assert run.script.head == "refused" or run.script.status == 421
@@ -158,24 +163,22 @@
         return True
 
     def call(number, demands):
-        ids = [b"c%d.%d" % (number, 0 if same_id else n) for n in range(len(demands))]
-        earlier = []
+        numbers = [b"c%d.%d" % (number, n) for n in range(len(demands))]
         with contextlib.closing(harness.connect()) as sock:
             caller = RawCaller(sock)
-            for count, (demand, request_id) in enumerate(zip(demands, ids, strict=True), 1):
-                earlier.append(len(record.runs))
-                caller.send(demand.make_head(request_id), demand.body)
+            for count, (demand, token) in enumerate(zip(demands, numbers, strict=True), 1):
+                request_id = numbers[0] if same_id else token
+                caller.send(demand.make_head(token, request_id), demand.body)
                 answers = caller.read(0 if pipelined else count)
                 if answers and answers[-1].closes:
                     break
             caller.read(len(demands))
             answers = caller.finish()
         found.extend(answers)
-        for answer, demand, request_id, runs in zip(answers, demands, ids, earlier, strict=False):
-            check_answer(answer, demand, request_id, record, runs)
-        for demand, request_id in zip(demands, ids, strict=True):
-            if not same_id:
-                check_repeats(demand, request_id, record)
+        for answer, demand, token in zip(answers, demands, numbers, strict=False):
+            check_answer(answer, demand, token, record)
+        for demand, token in zip(demands, numbers, strict=True):
+            check_repeats(demand, token, record)
 
     routes = [replace(route, timeout_s=TIMEOUT_S, public=True) for route in ROUTES.values()]
     with contextlib.ExitStack() as stack:
