Find departures, pauses and unpassed headers once instead of at each heartbeat or call

Each heartbeat, up to 40 a second, looked through all recorded departures, up to 4,096; they are found now as the backend servers or departures change. Each call listed the open backend servers of its service to find those that pause, also where none does. Each answer compared its headers with two sets. The check for an incarnation in force stood twice in the catalog.

--- a/balsamtally/catalog.py
+++ b/balsamtally/catalog.py
@@ -108,6 +108,7 @@
         self._decoder = decoder
         self._clock = clock
         self._departures = Departures()
+        self._present_departures: tuple[Incarnation, ...] = ()
         self._lapsed: dict[str, float] = {}
         self._grace_until_s = 0.0
 
@@ -165,6 +166,7 @@
                 self._apply_backend(name, record, source)
             else:
                 self._apply_contracts(record, source)
+        self._update_departures()
 
     def _apply_contracts(self, record: Record, source: str) -> None:
         try:
@@ -226,6 +228,7 @@
             del self._lapsed[name]
             if self.backends.pop(name, None) is not None:
                 log.info("backend_removed", backend=name, source="lapsed")
+                self._update_departures()
 
     def mark_leaving(self, backend: Backend, why: str) -> None:
         """Mark a backend server as draining, so that it gets no new work.
@@ -236,9 +239,8 @@
         :param backend: the incarnation
         :param why: reason for the log
         """
-        known = self.backends.get(backend.name)
-        if known is not None and known.key == backend.key and not known.leaving:
-            self.backends[backend.name] = replace(known, leaving=True)
+        if self._is_known(backend.key) and not self.backends[backend.name].leaving:
+            self.backends[backend.name] = replace(self.backends[backend.name], leaving=True)
             log.info("backend_leaving", backend=backend.name, source=why)
 
     def record_departure(self, incarnation: Incarnation, source: str) -> bool:
@@ -254,11 +256,16 @@
             return False
         if self._is_known(incarnation):
             self.mark_leaving(self.backends[incarnation[0]], source)
+        self._update_departures()
         return True
 
     def list_departures(self) -> tuple[Incarnation, ...]:
         """Return the latest leaving incarnations whose entries are still there."""
-        return self._departures.list_latest(self._is_known)
+        return self._present_departures
+
+    def _update_departures(self) -> None:
+        """Find the departures for heartbeats, which are sent far more often than these change."""
+        self._present_departures = self._departures.list_latest(self._is_known)
 
     def _is_known(self, incarnation: Incarnation) -> bool:
         known = self.backends.get(incarnation[0])
--- a/balsamtally/pauses.py
+++ b/balsamtally/pauses.py
@@ -60,6 +60,11 @@
         """
         return self._until_s.get(backend.key, 0.0) > self._clock()
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no pause is recorded; those that have ended may still be."""
+        return not self._until_s
+
     def list_paused(self, backends: Iterable[Backend]) -> list[Backend]:
         """Return those backend servers that want no new calls now.
 
@@ -136,6 +141,8 @@
                 choice.work.cancel()
 
     def _list_paused(self, plan: Plan, progress: CallProgress) -> list[Backend]:
+        if self._pauses.is_empty:
+            return []
         backends = self._list_open(plan.service)
         return self._pauses.list_paused(
             backend for backend in backends if backend.name not in progress.avoid
--- a/balsamtally/platform/wire.py
+++ b/balsamtally/platform/wire.py
@@ -30,6 +30,8 @@
     (b"authorization", b"tenant", b"hold", b"pin-ms", b"kv-backup", b"kv-from", b"kv-fetch")
     + (b"request-priority", b"expect-instance", b"expect-version", b"deadline-ms", LAST_EVENT)
 )
+# Headers of answers that concern the entry VM alone.
+UNPASSED_HEADERS = CONNECTION_HEADERS | {LEAVING}
 # Headers that a caller can't strip by naming them in its Connection header.
 KEPT_HEADERS = frozenset((ATTEMPT_ID, b"host", b"model", b"token-usage", b"prompt-prefix"))
 RETRY_AFTER_DIGITS = 2
@@ -246,14 +248,10 @@
 def pick_headers(head: AnswerHead) -> Headers:
     """Return the headers of an answer that are passed on to the caller.
 
-    That the backend server is leaving concerns the entry VM alone.
-
     :param head: head of the answer
     """
     return tuple(
-        (name, value)
-        for name, value in head.headers
-        if name.lower() not in CONNECTION_HEADERS and name.lower() != LEAVING
+        (name, value) for name, value in head.headers if name.lower() not in UNPASSED_HEADERS
     )
 
 
