--- a/standins/grid.py
+++ b/standins/grid.py
@@ -110,6 +110,7 @@
         the answer), ``"cut"`` (closes it within a stream) or ``"error"`` (status 500)
     :ivar leaving: whether its answers say that it is leaving
     :ivar retry_after: value of ``Retry-After`` in its refusals, empty for none
+    :ivar limits: values of ``Server-Limit`` in its answers, one header each
     :ivar running: number of requests in progress
     :ivar deadly_part: the server crashes as it begins to answer a prompt with this part, and starts
         again after ``RESTART_S``; empty for none
@@ -124,6 +125,7 @@
         self.fault = ""
         self.leaving = False
         self.retry_after = ""
+        self.limits: tuple[str, ...] = ()
         self.running = 0
         self.deadly_part = ""
         self.crashes: list[float] = []
@@ -192,6 +194,7 @@
         echo = [(b"Attempt-Id", attempt_id.encode())]
         if self.leaving:
             echo.append((b"Server-Leaving", b"1"))
+        echo += [(b"Server-Limit", value.encode()) for value in self.limits]
         self.arrivals.append((attempt_id, time.monotonic()))
         if headers.get("expect-instance", self.name) != self.name:
             caller.answer(421, [*echo, (b"Instance-Id", self.name.encode())], b"")
