Read the limit that a backend server names, and log when it begins, changes or ends

The record of 21 requests in 4 s at a runner with a limit of 2.5 couldn't tell whether VMs differed about the limit, since no line showed what the runner had named. Server-Limit is read now; a line server_limit tells each change and its source, notice_refused an invalid value. Placement doesn't use it yet.

--- a/balsamtally/calls.py
+++ b/balsamtally/calls.py
@@ -244,10 +244,16 @@
 
     :ivar leaving: whether it is leaving and wants no further calls
     :ivar pause_s: time for which it wants no calls from this entry VM, in seconds, 0 for none
+    :ivar limit_per_s: requests per second that it takes from all entry VMs together, ``None`` if it
+        names no limit
+    :ivar states_limit: whether the head tells the limit, or that there is none; false if the limit
+        that it names is invalid
     """
 
     leaving: bool = False
     pause_s: float = 0.0
+    limit_per_s: float | None = None
+    states_limit: bool = True
 
 
 @dataclass(frozen=True)
--- a/balsamtally/catalog.py
+++ b/balsamtally/catalog.py
@@ -239,7 +239,7 @@
         :param backend: the incarnation
         :param why: reason for the log
         """
-        if self._is_known(backend.key) and not self.backends[backend.name].leaving:
+        if self.is_known(backend.key) and not self.backends[backend.name].leaving:
             self.backends[backend.name] = replace(self.backends[backend.name], leaving=True)
             log.info("backend_leaving", backend=backend.name, source=why)
 
@@ -254,7 +254,7 @@
         """
         if not self._departures.record(incarnation):
             return False
-        if self._is_known(incarnation):
+        if self.is_known(incarnation):
             self.mark_leaving(self.backends[incarnation[0]], source)
         self._update_departures()
         return True
@@ -265,9 +265,13 @@
 
     def _update_departures(self) -> None:
         """Find the departures for heartbeats, which are sent far more often than these change."""
-        self._present_departures = self._departures.list_latest(self._is_known)
+        self._present_departures = self._departures.list_latest(self.is_known)
 
-    def _is_known(self, incarnation: Incarnation) -> bool:
+    def is_known(self, incarnation: Incarnation) -> bool:
+        """Return whether an incarnation of a backend server is published.
+
+        :param incarnation: name and start of the backend server
+        """
         known = self.backends.get(incarnation[0])
         return known is not None and known.key == incarnation
 
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -115,7 +115,8 @@
     :ivar record_request: counts a request to a service
     :ivar take_retry: takes a retry from the service's retry budget; returns whether one was left
     :ivar record_outcome: records the result and duration of an attempt at a backend server
-    :ivar record_notice: records what a backend server said about itself in an answer
+    :ivar record_notice: records what a backend server said about itself in an answer to a request
+        sent at a time on the monotonic clock
     :ivar mark_leaving: records that a backend server is draining or was replaced by another one
     :ivar record_end: records how a call ended
     """
@@ -131,7 +132,7 @@
     record_request: Callable[[str], None]
     take_retry: Callable[[str], bool]
     record_outcome: Callable[[Backend, Plan, BalsamtallyError | None, float], None]
-    record_notice: Callable[[Backend, Notice], None]
+    record_notice: Callable[[Backend, Notice, float], None]
     mark_leaving: Callable[[Backend, str], None]
     record_end: Callable[[Plan, CallProgress, BaseException | None], None]
 
@@ -341,7 +342,7 @@
             attempt = self._send(plan, progress, backend, connection)
             head, verdict = self._read_head(plan, attempt, connection)
             progress.framing = head.framing
-            self._check_verdict(plan, backend, head, verdict, connection)
+            self._check_verdict(plan, progress, head, verdict, connection)
             self._connections.add_witness(backend, connection)
             if plan.route.streams and head.status == 200 and plan.call.method != b"HEAD":
                 self._pass_stream(caller, plan, progress, head, connection, work)
@@ -391,7 +392,7 @@
     def _check_verdict(
         self,
         plan: Plan,
-        backend: Backend,
+        progress: CallProgress,
         head: AnswerHead,
         verdict: Verdict,
         connection: BackendConnection,
@@ -400,10 +401,12 @@
 
         A refusal is read to its end, so that the connection can be reused.
         """
+        backend = progress.backend
         if verdict is Verdict.INVALID:
             raise WrongAnswer(f"{backend.name} sent an invalid answer")
         if verdict in (Verdict.ANSWER, Verdict.NOT_RUN):
-            self._hooks.record_notice(backend, self._wire.read_notice(head))
+            notice = self._wire.read_notice(head)
+            self._hooks.record_notice(backend, notice, progress.attempt_sent_s)
         if verdict is Verdict.ANSWER:
             return
         connection.drain(plan.until_s)
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -39,6 +39,7 @@
 from balsamtally.quarantine_messages import QuarantineUpdate
 from balsamtally.reports import Report
 from balsamtally.reservations import Reservations
+from balsamtally.server_limits import ServerLimits
 from balsamtally.sockets import listen
 from balsamtally.tasks import spawn_repeating
 from balsamtally.terminations import Terminations
@@ -155,6 +156,7 @@
         )
         self._reservations = Reservations(self._dispatch, send)
         self._pauses = Pauses()
+        self._server_limits = ServerLimits(self.catalog.is_known)
         self._choice = PausingChoice(
             self._pauses, self.catalog.list_open, self._placement_client.choose
         )
@@ -231,12 +233,14 @@
     def _is_open(self, backend: Backend) -> bool:
         return self._dispatch.is_open(backend) and not self._pauses.is_paused(backend)
 
-    def _record_notice(self, backend: Backend, notice: Notice) -> None:
+    def _record_notice(self, backend: Backend, notice: Notice, sent_s: float) -> None:
         if notice.leaving and self._record_departure(backend.key, "its answer"):
             self.peers.announce_change()
         if notice.pause_s:
             self._pauses.record(backend, notice.pause_s)
             self._metrics.count_pause(backend.name)
+        if notice.states_limit:
+            self._server_limits.record_answer(backend, notice.limit_per_s, sent_s)
 
     def _record_departure(self, incarnation: tuple[str, int], source: str) -> bool:
         """Stop sending calls to a leaving backend server; return whether this was news."""
@@ -337,6 +341,7 @@
         self._connections.keep_only(self.catalog.backends.values())
         self._dispatch.forget_removed()
         self._pauses.forget_removed(self.catalog.backends.values())
+        self._server_limits.forget_removed()
         self._terminations.check_pending(self.catalog.backends)
         if self.catalog.contracts is not None:
             routes = {route.name for route in self.catalog.contracts.routes}
--- a/balsamtally/platform/wire.py
+++ b/balsamtally/platform/wire.py
@@ -7,12 +7,14 @@
 from balsamtally.errors import BalsamtallyError, MalformedHeader, MalformedRequest
 from balsamtally.forwarding import Wire
 from balsamtally.logs import log
+from balsamtally.server_limits import MAX_LIMIT_PER_S
 
 ATTEMPT_ID = b"attempt-id"
 SIGNATURE = b"response-signature"
 NOT_EXECUTED = b"not-executed"
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+SERVER_LIMIT = b"server-limit"
 LAST_EVENT = b"last-event-id"
 SCHEME = b"token"
 # Deadline of a call without a Deadline-Ms header; the route's timeout applies as well.
@@ -35,8 +37,8 @@
 # Headers that a caller can't strip by naming them in its Connection header.
 KEPT_HEADERS = frozenset((ATTEMPT_ID, b"host", b"model", b"token-usage", b"prompt-prefix"))
 RETRY_AFTER_DIGITS = 2
-# A time in seconds, possibly with a fraction.
-_SECONDS = re.compile(rb"[0-9]{1,15}(?:\.[0-9]{1,15})?")
+# A number without a sign, possibly with a fraction.
+_DECIMAL = re.compile(rb"[0-9]{1,15}(?:\.[0-9]{1,15})?")
 _HEXADECIMAL = re.compile(rb"[0-9a-fA-F]+")
 
 
@@ -236,13 +238,37 @@
             valid = text in (b"0", b"1")
             leaving |= text == b"1"
         elif name.lower() == RETRY_AFTER and head.status == 503:
-            valid = _SECONDS.fullmatch(text) is not None
+            valid = _DECIMAL.fullmatch(text) is not None
             pause_s = max(pause_s, float(text)) if valid else pause_s
         else:
             continue
         if not valid:
-            log.info("notice_refused", header=name.decode("latin-1"), value=repr(text[:64]))
-    return Notice(leaving, pause_s)
+            log_refused_notice(name, text)
+    limit_per_s, states_limit = read_limit(head)
+    return Notice(leaving, pause_s, limit_per_s, states_limit)
+
+
+def read_limit(head: AnswerHead) -> tuple[float | None, bool]:
+    """Return the limit that a head names, in requests per second, and whether the head is valid.
+
+    :param head: head of the answer
+    """
+    values = [value.strip() for name, value in head.headers if name.lower() == SERVER_LIMIT]
+    if not values:
+        return None, True
+    if len(values) == 1 and _DECIMAL.fullmatch(values[0]):
+        return min(float(values[0]), MAX_LIMIT_PER_S), True
+    log_refused_notice(b"Server-Limit", b", ".join(values))
+    return None, False
+
+
+def log_refused_notice(name: bytes, value: bytes) -> None:
+    """Log an invalid value of a header in which a backend server tells something about itself.
+
+    :param name: name of the header
+    :param value: the value
+    """
+    log.info("notice_refused", header=name.decode("latin-1"), value=repr(value[:64]))
 
 
 def pick_headers(head: AnswerHead) -> Headers:
--- /dev/null
+++ b/balsamtally/server_limits.py
@@ -0,0 +1,196 @@
+"""Request rate limits that backend servers named in their answers.
+
+A limit holds for one incarnation, for the requests of all entry VMs together, until an answer names
+none. Each statement has a time, and the latest one holds: for a limit, when the answer arrived; for
+an answer without one, when its request was sent, since the head of a long answer may have been
+written before the limit was named. Entry VMs have no common clock and tell each other ages.
+"""
+
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from itertools import islice
+from typing import Annotated
+
+import msgspec
+
+from balsamtally.calls import Backend
+from balsamtally.decoding import Count, Seconds
+from balsamtally.departures import Incarnation
+from balsamtally.logs import log
+
+# Largest limit that has an effect, in requests per second.
+MAX_LIMIT_PER_S = 1e9
+# Limits told in one heartbeat, the latest ones.
+MAX_TOLD = 64
+# An ended limit is told for this time, so that all entry VMs hear of its end.
+ENDED_TTL_S = 30.0
+# Time that a message between entry VMs may take. A told end counts as older by this, so that it
+# doesn't cancel a limit that was named after it.
+TRANSIT_S = 0.3
+# Incarnations whose last answer without a limit is recorded; the oldest are dropped beyond this.
+MAX_INCARNATIONS = 4_096
+
+Limit = Annotated[float, msgspec.Meta(ge=0, le=MAX_LIMIT_PER_S)]
+
+
+class ToldLimit(msgspec.Struct, frozen=True, array_like=True):
+    """A limit as entry VMs tell it to each other.
+
+    :ivar name: name of the backend server
+    :ivar born: start of its incarnation in Unix milliseconds
+    :ivar limit_per_s: requests per second, ``None`` if the limit has ended
+    :ivar age_s: time since the statement, in seconds
+    """
+
+    name: str
+    born: Count
+    limit_per_s: Limit | None
+    age_s: Seconds
+
+    @property
+    def key(self) -> Incarnation:
+        """Identity of the backend server's incarnation."""
+        return (self.name, self.born)
+
+
+@dataclass(frozen=True)
+class Statement:
+    """What a backend server last said about its limit.
+
+    :ivar limit_per_s: requests per second, ``None`` for no limit
+    :ivar at_s: monotonic clock at the statement, in seconds
+    """
+
+    limit_per_s: float | None
+    at_s: float
+
+
+class ServerLimits:
+    """The limits that answers and peers reported.
+
+    :param is_known: returns whether an incarnation is published
+    :param clock: monotonic clock in seconds
+    """
+
+    def __init__(
+        self,
+        is_known: Callable[[Incarnation], bool],
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self._is_known = is_known
+        self._clock = clock
+        self._statements: dict[Incarnation, Statement] = {}
+        self._unlimited_s: dict[Incarnation, float] = {}
+        self._limits: dict[Incarnation, float] = {}
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no backend server has a limit."""
+        return not self._limits
+
+    def find(self, key: Incarnation) -> float | None:
+        """Return the limit of a backend server in requests per second, ``None`` if it has none.
+
+        :param key: identity of its incarnation
+        """
+        return self._limits.get(key)
+
+    def list_limited(self) -> list[Incarnation]:
+        """Return the incarnations that have a limit."""
+        return list(self._limits)
+
+    def record_answer(self, backend: Backend, limit_per_s: float | None, sent_s: float) -> bool:
+        """Record what an answer says; return whether the limit has changed.
+
+        :param backend: the incarnation that answered
+        :param limit_per_s: the limit that it names, ``None`` for none
+        :param sent_s: monotonic clock when the request was sent, in seconds
+        """
+        key = backend.key
+        if limit_per_s is not None:
+            return self._record(key, Statement(limit_per_s, self._clock()), "its answer")
+        self._unlimited_s[key] = max(sent_s, self._unlimited_s.pop(key, sent_s))
+        while len(self._unlimited_s) > MAX_INCARNATIONS:
+            del self._unlimited_s[next(iter(self._unlimited_s))]
+        if key not in self._statements:
+            return False
+        return self._record(key, Statement(None, sent_s), "its answer")
+
+    def merge(self, told: Iterable[ToldLimit], source: str) -> None:
+        """Merge what a peer tells about published backend servers.
+
+        :param told: the limits that the peer knows
+        :param source: name of the peer, for the log
+        """
+        for item in told:
+            if not self._is_known(item.key):
+                continue
+            at_s = self._clock() - max(0.0, item.age_s)
+            if item.limit_per_s is not None or item.key in self._statements:
+                self._record(item.key, Statement(item.limit_per_s, at_s), source)
+
+    def _record(self, key: Incarnation, statement: Statement, source: str) -> bool:
+        held = self._statements.get(key)
+        if held is not None and not is_later(statement, held):
+            return False
+        unlimited_s = self._unlimited_s.get(key)
+        if unlimited_s is not None and is_later(Statement(None, unlimited_s), statement):
+            # The peer is told that the limit has ended meanwhile.
+            statement = Statement(None, unlimited_s)
+        self._statements[key] = statement
+        return self._apply(key, statement, source)
+
+    def _apply(self, key: Incarnation, statement: Statement, source: str) -> bool:
+        before = self._limits.pop(key, None)
+        if statement.limit_per_s is not None:
+            self._limits[key] = statement.limit_per_s
+        if statement.limit_per_s == before:
+            return False
+        log.info(
+            "server_limit",
+            backend=key[0],
+            born=key[1],
+            limit_per_s=statement.limit_per_s,
+            before=before,
+            source=source,
+        )
+        return True
+
+    def list_told(self) -> tuple[ToldLimit, ...]:
+        """Return the limits for a heartbeat, the latest statements first."""
+        now = self._clock()
+        latest = sorted(self._statements.items(), key=lambda item: -item[1].at_s)
+        return tuple(
+            ToldLimit(
+                *key,
+                statement.limit_per_s,
+                now - statement.at_s + (TRANSIT_S if statement.limit_per_s is None else 0.0),
+            )
+            for key, statement in islice(latest, MAX_TOLD)
+        )
+
+    def forget_removed(self) -> None:
+        """Drop the limits of removed incarnations, and those that ended some time ago."""
+        oldest_s = self._clock() - ENDED_TTL_S
+        self._statements = {
+            key: statement
+            for key, statement in self._statements.items()
+            if self._is_known(key)
+            and (statement.limit_per_s is not None or statement.at_s >= oldest_s)
+        }
+        self._unlimited_s = {
+            key: at for key, at in self._unlimited_s.items() if self._is_known(key)
+        }
+        self._limits = {key: self._limits[key] for key in self._limits if key in self._statements}
+
+
+def is_later(statement: Statement, other: Statement) -> bool:
+    """Return whether a statement replaces another one; of two at one time, a limit does.
+
+    :param statement: a statement
+    :param other: the other one
+    """
+    if statement.at_s == other.at_s:
+        return other.limit_per_s is None and statement.limit_per_s is not None
+    return statement.at_s > other.at_s
--- a/tests/balsamtally/platform/test_wire.py
+++ b/tests/balsamtally/platform/test_wire.py
@@ -223,12 +223,27 @@
         (503, b"Retry-After", b"9" * 5000, Notice()),
         (503, b"Retry-After", "\u0663".encode(), Notice()),
         (503, b"Retry-After", b"nan", Notice()),
+        (200, b"Server-Limit", b"2.5", Notice(limit_per_s=2.5)),
+        (503, b"server-limit", b" 0 ", Notice(limit_per_s=0.0)),
+        (500, b"Server-Limit", b"9" * 15, Notice(limit_per_s=1e9)),
+        (200, b"Server-Limit", b"-1", Notice(states_limit=False)),
+        (200, b"Server-Limit", b"nan", Notice(states_limit=False)),
+        (200, b"Server-Limit", b"inf", Notice(states_limit=False)),
+        (200, b"Server-Limit", b"1e999", Notice(states_limit=False)),
+        (200, b"Server-Limit", b"9" * 5000, Notice(states_limit=False)),
+        (200, b"Server-Limit", b"two", Notice(states_limit=False)),
+        (200, b"Server-Limit", b"", Notice(states_limit=False)),
     ],
 )
 def test_notices_are_read_and_odd_values_have_no_effect(status, name, value, notice):
     assert read_notice(AnswerHead(status, ((name, value),))) == notice
 
 
+def test_two_limits_in_one_head_are_invalid():
+    head = AnswerHead(200, ((b"Server-Limit", b"1"), (b"Server-Limit", b"1")))
+    assert read_notice(head) == Notice(states_limit=False)
+
+
 def test_departure_of_a_backend_server_is_not_passed_on_to_callers():
     head = AnswerHead(200, ((b"Server-Leaving", b"1"), (b"A", b"b")))
     assert pick_headers(head) == ((b"A", b"b"),)
--- /dev/null
+++ b/tests/balsamtally/test_server_limits.py
@@ -0,0 +1,165 @@
+"""Limits that backend servers named: what holds after answers and messages in any order."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from balsamtally.server_limits import ENDED_TTL_S, MAX_TOLD, TRANSIT_S, ServerLimits, ToldLimit
+from tests.balsamtally.scripted import make_backend
+
+SERVER = make_backend("one")
+
+
+class Vm:
+    """The limits that an entry VM knows, with a clock that is shared by all."""
+
+    now = 100.0
+
+    def __init__(self, known=True):
+        self.limits = ServerLimits(lambda key: known, lambda: Vm.now)
+
+    def hear(self, limit, sent_s):
+        return self.limits.record_answer(SERVER, limit, sent_s)
+
+    def tell(self, other):
+        other.limits.merge(self.limits.list_told(), "peer")
+
+    @property
+    def limit(self):
+        return self.limits.find(SERVER.key)
+
+
+@pytest.fixture(autouse=True)
+def start():
+    Vm.now = 100.0
+
+
+def test_answer_to_a_later_request_ends_a_limit():
+    vm = Vm()
+    assert vm.hear(2.5, 99.0)
+    assert vm.limit == 2.5
+    Vm.now = 101.0
+    assert not vm.hear(2.5, 99.5)
+    Vm.now = 102.0
+    assert vm.hear(None, 101.5)
+    assert vm.limit is None
+
+
+def test_late_head_of_a_request_sent_before_the_limit_does_not_end_it():
+    vm = Vm()
+    vm.hear(2.5, 99.0)
+    Vm.now = 105.0
+    assert not vm.hear(None, 99.5)
+    assert vm.limit == 2.5
+
+
+def test_limit_of_zero_is_a_limit():
+    vm = Vm()
+    vm.hear(0.0, 99.0)
+    assert vm.limit == 0.0
+    assert not vm.limits.is_empty
+
+
+def test_new_incarnation_has_no_limit():
+    vm = Vm()
+    vm.hear(2.5, 99.0)
+    assert vm.limits.find(make_backend("one").key) is None
+
+
+def test_peers_learn_a_limit_and_its_end():
+    vm, peer = Vm(), Vm()
+    vm.hear(2.5, 99.0)
+    vm.tell(peer)
+    assert peer.limit == 2.5
+    Vm.now = 102.0
+    vm.hear(None, 101.0)
+    vm.tell(peer)
+    assert peer.limit is None
+
+
+def test_peer_that_tells_an_ended_limit_is_corrected():
+    vm, peer = Vm(), Vm()
+    peer.hear(2.5, 99.0)
+    Vm.now = 103.0
+    vm.hear(None, 102.0)
+    assert not vm.limits.list_told()
+    peer.tell(vm)
+    assert vm.limit is None
+    vm.tell(peer)
+    assert peer.limit is None
+
+
+def test_told_end_does_not_cancel_a_limit_named_at_about_the_same_time():
+    vm, peer = Vm(), Vm()
+    for each in (vm, peer):
+        each.hear(2.5, 99.0)
+    Vm.now = 101.0
+    vm.hear(None, 101.0)
+    Vm.now = 101.0 + TRANSIT_S / 2
+    told = vm.limits.list_told()
+    Vm.now = 101.0
+    peer.hear(3.0, 100.5)
+    Vm.now = 101.0 + TRANSIT_S
+    peer.limits.merge(told, "peer")
+    assert peer.limit == 3.0
+
+
+def test_limit_of_a_server_that_is_not_published_is_not_merged():
+    vm, peer = Vm(), Vm(known=False)
+    vm.hear(2.5, 99.0)
+    vm.tell(peer)
+    assert peer.limit is None
+
+
+def test_ended_limits_are_told_for_a_time_and_others_until_they_end():
+    vm = Vm()
+    vm.hear(2.5, 99.0)
+    Vm.now = 1_000.0
+    vm.limits.forget_removed()
+    assert vm.limit == 2.5
+    vm.hear(None, 1_000.0)
+    vm.limits.forget_removed()
+    assert len(vm.limits.list_told()) == 1
+    Vm.now += ENDED_TTL_S + 1
+    vm.limits.forget_removed()
+    assert not vm.limits.list_told()
+
+
+def test_told_limits_are_bounded():
+    vm = Vm()
+    for number in range(MAX_TOLD + 10):
+        Vm.now += 1
+        vm.limits.record_answer(make_backend(f"s{number}"), 1.0, Vm.now)
+    told = vm.limits.list_told()
+    assert len(told) == MAX_TOLD
+    assert told[0].name == f"s{MAX_TOLD + 9}"
+
+
+@pytest.mark.parametrize("limit", [-1.0, float("nan"), float("inf"), 1e10])
+def test_invalid_told_limit_is_refused(limit):
+    data = msgspec.msgpack.encode(("one", 1, limit, 0.0))
+    with pytest.raises(msgspec.ValidationError):
+        msgspec.msgpack.decode(data, type=ToldLimit)
+
+
+ANSWERS = st.lists(
+    st.tuples(st.integers(0, 2), st.sampled_from([None, 1.0, 2.0])), min_size=1, max_size=12
+)
+
+
+@given(ANSWERS, st.randoms(use_true_random=False))
+def test_all_vms_agree_on_the_last_statement_after_all_have_told_each_other(answers, random):
+    Vm.now = 100.0
+    vms = [Vm() for _ in range(3)]
+    for index, limit in answers:
+        Vm.now += 1.0
+        vms[index].hear(limit, Vm.now - 0.1)
+        if random.random() < 0.5:
+            vms[random.randrange(3)].tell(vms[random.randrange(3)])
+    Vm.now += 0.5
+    for _ in range(3):
+        for vm in vms:
+            for other in vms:
+                vm.tell(other)
+    assert {vm.limit for vm in vms} == {answers[-1][1]}
