Send limited backend servers no more than they name, by permits of one VM each

Cause: the limit, a sum over all VMs, was unread, so that each VM placed as without it. In the record most requests to one of the two servers came from VMs of other regions.

Change: the coordinator of the service in the server's region decides on its requests. It fills a token bucket at the limit, uses tokens for the calls that it places, and grants permits to VMs that ask as calls wait; no call is sent without one, so that VMs that place by themselves, retry or resume count too. Members that aren't heard keep their part of the rate for 60 s. Limits go to all VMs in heartbeats, by incarnation and age. If all servers of a service are limited its calls wait by urgency, or are refused with a return time each.

The generated test of cuts, freezes and returns found, before this was committed, that a permit granted to a repeated ask was lost (a third of the rate) and that a decider with waiting asks got no tokens itself.

--- a/balsamtally/assessment.py
+++ b/balsamtally/assessment.py
@@ -29,6 +29,7 @@
     :ivar close: whether the answer is a stream with a tight inter-event latency bound
     :ivar at_home: whether it is in the region of the entry VM that placed the call
     :ivar told_by: peers and coordinators whose reported work that VM took into account
+    :ivar permitted: whether that VM used a permit, as the backend server limits its requests
     """
 
     backend: str
@@ -44,6 +45,7 @@
     close: bool
     at_home: bool
     told_by: int = 0
+    permitted: bool = False
 
     @property
     def key(self) -> tuple[str, int]:
@@ -51,12 +53,15 @@
         return (self.backend, self.born)
 
 
-def make_placement_target(candidate: Candidate, close: bool, told_by: int) -> PlacementTarget:
+def make_placement_target(
+    candidate: Candidate, close: bool, told_by: int, permitted: bool = False
+) -> PlacementTarget:
     """Return the placement target for a chosen backend server.
 
     :param candidate: the chosen backend server
     :param close: whether the answer is a stream with a tight inter-event latency bound
     :param told_by: peers and coordinators whose reported work was taken into account
+    :param permitted: whether a permit was used
     """
     first_event_s = predict_first_event_s(candidate)
     measured = candidate.at_home and candidate.slow_factor < NORMAL_FACTOR
@@ -74,6 +79,7 @@
         close=close,
         at_home=candidate.at_home,
         told_by=told_by,
+        permitted=permitted,
     )
 
 
--- a/balsamtally/beats.py
+++ b/balsamtally/beats.py
@@ -10,6 +10,7 @@
 from balsamtally.backlogs import Load
 from balsamtally.decoding import Count, Integer, IpNumber
 from balsamtally.reports import Report
+from balsamtally.server_limits import ToldLimit
 
 # Prompt reads in one beat; the oldest are dropped beyond this.
 MAX_READS_PER_BEAT = 64
@@ -50,6 +51,7 @@
     :ivar pending_asks: numbers of its placement requests without a final reply
     :ivar reports: its recent reports on backend servers
     :ivar departures: incarnations of backend servers that announced that they are leaving
+    :ivar limits: limits that backend servers named
     """
 
     vm: str
@@ -67,6 +69,7 @@
     pending_asks: tuple[Count, ...] = ()
     reports: tuple[Report, ...] = ()
     departures: tuple[tuple[str, Count], ...] = ()
+    limits: tuple[ToldLimit, ...] = ()
 
 
 @dataclass
@@ -166,6 +169,7 @@
             or beat.leaving != sent.leaving
             or beat.read_state != sent.read_state
             or beat.departures != sent.departures
+            or list_rates(beat.limits) != list_rates(sent.limits)
         )
 
     def list_ips(self, alive: list[Peer]) -> set[str]:
@@ -199,3 +203,11 @@
         taken = tuple(self.reads[-MAX_READS_PER_BEAT:])
         self.reads.clear()
         return taken
+
+
+def list_rates(limits: tuple[ToldLimit, ...]) -> set[tuple[str, int, float | None]]:
+    """Return limits without their ages, which differ in each beat.
+
+    :param limits: the limits in a beat
+    """
+    return {(*limit.key, limit.limit_per_s) for limit in limits}
--- a/balsamtally/call_metrics.py
+++ b/balsamtally/call_metrics.py
@@ -32,6 +32,7 @@
     :ivar late_answers: connections closed since the start because bytes followed a whole answer
     :ivar dropped_lines: log lines dropped since the start
     :ivar quarantined: groups of prompt parts in quarantine
+    :ivar limited: backend servers that limit the rate of requests
     """
 
     waiting: Mapping[str, int] = field(default_factory=dict)
@@ -48,6 +49,7 @@
     late_answers: int = 0
     dropped_lines: int = 0
     quarantined: int = 0
+    limited: int = 0
 
 
 class CallMetrics(Collectors):
@@ -112,6 +114,9 @@
             "quarantined": self._gauge(
                 "quarantined_prompt_parts", "Groups of prompt parts in quarantine"
             ),
+            "limited": self._gauge(
+                "limited_backends", "Backend servers that limit the rate of requests"
+            ),
         }
         self._memory = self._gauge("resident_bytes", "Resident memory of the process")
 
--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -23,10 +23,13 @@
 from balsamtally.errors import BalsamtallyError, TargetHopeless
 from balsamtally.forwarding import Choice
 from balsamtally.logs import log
+from balsamtally.permits import MIN_RATE_PER_S, Permits
 from balsamtally.plans import CallProgress, Plan
 from balsamtally.reports import Finding, Report, report_outcome
+from balsamtally.returns import ReturnSchedule
 from balsamtally.runners import Runners
 from balsamtally.selection import Candidate, choose, predict_first_event_s
+from balsamtally.server_limits import ServerLimits
 from balsamtally.waiting import (
     TOKEN_S,
     Waiter,
@@ -95,6 +98,7 @@
     :param observe_lag: records by how many seconds an answer began later than expected, by route
     :param forward_report: sends a finding of this entry VM to the entry VM that places its calls
     :param on_work_change: called with the name of a service when this entry VM's work at it changes
+    :param permits: permits for backend servers that limit the rate of requests
     """
 
     def __init__(
@@ -108,8 +112,11 @@
         observe_lag: Callable[[str, float], None] = ignore,
         forward_report: Callable[[Report], None] = ignore,
         on_work_change: Callable[[str], None] = ignore,
+        permits: Permits | None = None,
     ):
-        self.runners = Runners(catalog, backlogs, find_region, region, clock)
+        self._permits = permits or Permits(ServerLimits(catalog.is_known))
+        self.runners = Runners(catalog, backlogs, find_region, region, self._permits, clock)
+        self._returns = ReturnSchedule(clock)
         self._catalog = catalog
         self._backlogs = backlogs
         self._announce_read = announce_read
@@ -149,6 +156,9 @@
         backend = self._find_open(target.key)
         if backend is None:
             return None
+        if self._permits.is_limited(target.key) and not target.permitted:
+            log.info("permit_missing", request=demand.request, backend=target.backend)
+            return None
         work = self._count(demand, target)
         self.runners.find_cache(demand.service, target.key).record_read(demand.parts)
         log_placement(demand, target, self._clock(), placed_by)
@@ -163,11 +173,21 @@
         :raises TargetHopeless: if the answer can't be complete by the call's deadline
         """
         prefill_s = self.runners.record_demand(demand)
-        if self.runners.find_engine(demand.service) is None:
+        if self.runners.find_engine(demand.service) is None and not self._waits(demand):
             chosen = self._choose_among(demand, self.runners.list_candidates(demand))
             return self._reserve(demand, chosen) if chosen is not None else None
         return self._wait(Waiting(demand, make_waiter(demand, prefill_s), Event()), on_wait)
 
+    def _waits(self, demand: Demand) -> bool:
+        """Return whether a call of a plain service waits for a limited backend server."""
+        if self._waiting.get(demand.service):
+            return True
+        return bool(
+            self._permits.has_limits
+            and not self.runners.list_candidates(demand)
+            and self.runners.list_limited(demand)
+        )
+
     def _wait(self, waiting: Waiting, on_wait: Callable[[], None]) -> Reservation | None:
         queue = self._waiting.setdefault(waiting.demand.service, {})
         queue[id(waiting)] = waiting
@@ -178,10 +198,14 @@
                 on_wait()
             while waiting.reservation is None:
                 candidates = self.runners.list_candidates(waiting.demand)
-                if not candidates:
+                limited = [] if candidates else self.runners.list_limited(waiting.demand)
+                if not candidates and not limited:
                     return None
-                self._check_deadline(waiting, candidates)
-                waiting.chosen.wait(RECHECK_INTERVAL_S)
+                if limited:
+                    self._wait_for_permit(waiting, limited)
+                else:
+                    self._check_deadline(waiting, candidates)
+                    waiting.chosen.wait(RECHECK_INTERVAL_S)
             taken = True
             return waiting.reservation
         finally:
@@ -203,6 +227,37 @@
                 retry_after_s=first_event_s + random.uniform(0, RETRY_JITTER_S),
             )
 
+    def _wait_for_permit(self, waiting: Waiting, limited: list[Candidate]) -> None:
+        """Wait for a permit for one of some backend servers, the only ones that are left.
+
+        :raises TargetHopeless: if the answer can't be complete by the call's deadline
+        """
+        backends = [candidate.backend for candidate in limited]
+        before = self._count_before(waiting)
+        rate_per_s = max(self._permits.find_rate(backends), MIN_RATE_PER_S)
+        wait_s = before / rate_per_s
+        first_event_s = predict_first_event_s(min(limited, key=predict_first_event_s))
+        now = self._clock()
+        if cannot_meet_deadline(waiting.waiter, wait_s + first_event_s, TOKEN_S, now):
+            queue = (waiting.demand.service, waiting.demand.urgency)
+            raise TargetHopeless(
+                f"all backend servers limit their requests, together to {rate_per_s:.2f} a second,"
+                f" and {before} calls go first",
+                retry_after_s=self._returns.reserve(queue, wait_s + 1 / rate_per_s, rate_per_s),
+            )
+        self._permits.request(backends, before + 1)
+        if not waiting.chosen.wait(RECHECK_INTERVAL_S):
+            self._schedule_pass()
+
+    def _count_before(self, waiting: Waiting) -> int:
+        """Return how many waiting calls of the same service are placed before a call."""
+        queue = self._waiting[waiting.demand.service].values()
+        rank = (waiting.demand.urgency, waiting.waiter.target_at_s)
+        return sum(
+            other.reservation is None and (other.demand.urgency, other.waiter.target_at_s) < rank
+            for other in queue
+        )
+
     def _predict_token_s(self, demand: Demand, candidate: Candidate) -> float:
         """Return the expected time per answer token at a runner under its present load, in seconds.
 
@@ -301,7 +356,8 @@
         open_now = [
             candidate
             for candidate in candidates
-            if has_capacity(
+            if engine is None
+            or has_capacity(
                 make_capacity(candidate, engine), demand.tier, demand.memory_tokens, late
             )
         ]
@@ -333,7 +389,10 @@
     def _reserve(self, demand: Demand, chosen: Candidate) -> Reservation:
         """Count a call at its backend server and announce the prompt that is read for it."""
         target = make_placement_target(
-            chosen, self.runners.has_tight_bound(demand), self._backlogs.count_reporting_peers()
+            chosen,
+            self.runners.has_tight_bound(demand),
+            self._backlogs.count_reporting_peers(),
+            self._permits.take(chosen.backend),
         )
         self._last_placed_s[demand.tier] = self._clock()
         work = self._count(demand, target)
@@ -495,6 +554,7 @@
         ),
         close=target.close,
         at_home=target.at_home,
+        permitted=target.permitted,
         told_by=target.told_by,
         attempt=demand.attempt,
         placed_by=placed_by,
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -33,6 +33,7 @@
 from balsamtally.logs import log
 from balsamtally.pauses import Pauses, PausingChoice
 from balsamtally.peers import RECORDS_PATH, Peers
+from balsamtally.permits import PermitAsk, PermitGrant, Permits
 from balsamtally.plans import CallProgress, Plan
 from balsamtally.quarantine import Quarantine
 from balsamtally.quarantine_exchange import QuarantineExchange
@@ -48,6 +49,8 @@
 QUARANTINE_PATH = "/quarantine"
 RELEASE_PATH = "/quarantine/release"
 HOUSEKEEPING_INTERVAL_S = 0.5
+# Interval at which the asks of other entry VMs for permits are served.
+PERMITS_INTERVAL_S = 0.05
 # Requests that arrive before the contracts are known wait until this time after the start. Reading
 # the store over the longest network path takes 0.15 s, fetching from a peer instead 0.4 s.
 CONTRACTS_WAIT_S = 0.6
@@ -117,6 +120,13 @@
         self._count_dropped = count_dropped
         self._metrics = CallMetrics(self._read_gauges)
         self._backlogs = Backlogs()
+        self._server_limits = ServerLimits(self.catalog.is_known)
+        self._permits = Permits(
+            self._server_limits,
+            lambda backend: self.peers.find_decider(backend),
+            lambda: self.peers.find_share(),
+            lambda message, ip: self.peers.send_message(message, ip),
+        )
         self._dispatch = Dispatch(
             self.catalog,
             self._backlogs,
@@ -126,6 +136,7 @@
             observe_lag=self._metrics.observe_lag,
             forward_report=self._forward_report,
             on_work_change=self._announce_work,
+            permits=self._permits,
         )
         self.peers = Peers(
             make_initial_beat(settings, incarnation),
@@ -156,7 +167,6 @@
         )
         self._reservations = Reservations(self._dispatch, send)
         self._pauses = Pauses()
-        self._server_limits = ServerLimits(self.catalog.is_known)
         self._choice = PausingChoice(
             self._pauses, self.catalog.list_open, self._placement_client.choose
         )
@@ -169,6 +179,9 @@
         self.peers.handlers[Ask] = self._reservations.handle_ask
         self.peers.handlers[Withdrawal] = self._reservations.handle_withdrawal
         self.peers.handlers[Reply] = self._placement_client.handle_reply
+        self.peers.list_limits = self._server_limits.list_told
+        self.peers.handlers[PermitAsk] = self._permits.handle_ask
+        self.peers.handlers[PermitGrant] = self._handle_grant
 
     def _connect_quarantine(self) -> None:
         """Create the quarantine of prompt parts and connect it to the peers."""
@@ -186,6 +199,7 @@
         self._dispatch.record_beat(beat)
         for incarnation in beat.departures:
             self._record_departure(incarnation, beat.vm)
+        self._server_limits.merge(beat.limits, beat.vm)
         self._quarantine_exchange.greet(beat)
 
     def _list_peer_ips(self) -> list[str]:
@@ -240,7 +254,12 @@
             self._pauses.record(backend, notice.pause_s)
             self._metrics.count_pause(backend.name)
         if notice.states_limit:
-            self._server_limits.record_answer(backend, notice.limit_per_s, sent_s)
+            self._record_limit(backend, notice.limit_per_s, sent_s)
+
+    def _record_limit(self, backend: Backend, limit_per_s: float | None, sent_s: float) -> None:
+        if self._server_limits.record_answer(backend, limit_per_s, sent_s):
+            self.peers.announce_change()
+            self._dispatch.dispatch_soon()
 
     def _record_departure(self, incarnation: tuple[str, int], source: str) -> bool:
         """Stop sending calls to a leaving backend server; return whether this was news."""
@@ -274,8 +293,11 @@
         if self.settings.metrics_port:
             enter(self._serve_pages((self.settings.caller_address[0], self.settings.metrics_port)))
         enter(self._callers)
-        housekeeping = spawn_repeating("housekeeping", self._run_housekeeping)
-        self._stack.callback(housekeeping.kill, block=False)
+        for name, step in (
+            ("housekeeping", self._run_housekeeping),
+            ("permits", self._serve_permits),
+        ):
+            self._stack.callback(spawn_repeating(name, step).kill, block=False)
         return self
 
     def __exit__(self, *exc_info) -> None:
@@ -347,6 +369,14 @@
             routes = {route.name for route in self.catalog.contracts.routes}
             self._grace_period.durations.keep_only(routes)
 
+    def _serve_permits(self) -> None:
+        gevent.sleep(PERMITS_INTERVAL_S if self._permits.has_limits else HOUSEKEEPING_INTERVAL_S)
+        self._permits.serve_asks(self.catalog.backends.values())
+
+    def _handle_grant(self, grant: PermitGrant, ip: str) -> None:
+        self._permits.handle_grant(grant, ip)
+        self._dispatch.dispatch_soon()
+
     def _read_gauges(self) -> CallGauges:
         contracts = self.catalog.contracts
         names = list(self.catalog.backends)
@@ -367,6 +397,7 @@
             late_answers=self._connections.late_answers,
             dropped_lines=self._count_dropped(),
             quarantined=len(self._quarantine.list_entries()),
+            limited=len(self._server_limits.list_limited()),
         )
 
     def _record_outcome(
--- a/balsamtally/peers.py
+++ b/balsamtally/peers.py
@@ -18,6 +18,7 @@
 from balsamtally.backends import fetch
 from balsamtally.backlogs import PEER_LOAD_TTL_S, Backlogs, Load
 from balsamtally.beats import MAX_REPORTS_PER_BEAT, Beat, BeatTargets, Peer, PeerGroup, PromptRead
+from balsamtally.calls import Backend
 from balsamtally.catalog import Catalog
 from balsamtally.coordination import (
     Ask,
@@ -30,10 +31,12 @@
 from balsamtally.decoding import decode
 from balsamtally.errors import BalsamtallyError
 from balsamtally.logs import log
+from balsamtally.permits import PermitAsk, PermitGrant
 from balsamtally.quarantine_messages import QuarantineUpdate
 from balsamtally.readers import PlatformReadState, should_read
 from balsamtally.records import Update
 from balsamtally.reports import Report
+from balsamtally.server_limits import ToldLimit
 from balsamtally.sockets import close
 from balsamtally.tasks import spawn_repeating
 
@@ -80,7 +83,7 @@
 RECORDS_PATH = b"/records"
 # Stands for the service of unknown backend servers.
 UNKNOWN_SERVICE = ""
-Message = Ask | Withdrawal | Reply | QuarantineUpdate
+Message = Ask | Withdrawal | Reply | QuarantineUpdate | PermitAsk | PermitGrant
 
 _message = msgspec.msgpack.Decoder(Beat | Message)
 _update = msgspec.msgpack.Decoder(Update)
@@ -94,6 +97,7 @@
     :ivar describe_asks: returns the number of the last placement request and those of the pending
         ones
     :ivar list_waiting_loads: returns the load of queued calls by backend server
+    :ivar list_limits: returns the limits of backend servers for a beat
     :ivar was_asked_recently: tells whether peers recently sent placement requests for a service
 
     :param own: first beat of this entry VM
@@ -138,6 +142,8 @@
         self.describe_asks: Callable[[], tuple[int, tuple[int, ...]]] = lambda: (0, ())
         self.was_asked_recently: Callable[[str], bool] = lambda service: False
         self.list_waiting_loads: Callable[[], dict[str, Load]] = dict
+        self.list_limits: Callable[[], tuple[ToldLimit, ...]] = tuple
+        self._started_s = time.monotonic()
         self._new_peers: set[str] = set()
         self._new_ips: set[str] = set()
         self._wake = Event()
@@ -209,8 +215,35 @@
         """
         return 1 + len(self._known_s) if self._peers else 0
 
+    def find_share(self) -> float:
+        """Return the part of a fleet-wide rate that this entry VM and those it hears may spend.
+
+        Silent VMs keep their part for ``FORGET_S``, as they may spend it behind a partition. A VM
+        that has heard none since its start spends nothing for that time, unless it is the only one.
+        """
+        isolated = not self._peers and set(self.seeds) - {self.own.ip}
+        if isolated and time.monotonic() - self._started_s < FORGET_S:
+            return 0.0
+        heard = 1 + len(self.list_alive())
+        return heard / max(heard, 1 + len(self._known_s))
+
     # Coordinators.
 
+    def find_decider(self, backend: Backend) -> Beat | None:
+        """Return the last beat of the VM that decides on the requests to a backend server.
+
+        It is the coordinator of the service in the region of the backend server, or if no VM is
+        heard there the one among all VMs.
+
+        :param backend: the backend server
+        :return: the beat, ``None`` if it is this entry VM
+        """
+        beats = [peer.beat for peer in self.list_alive()] + [self._make_own_beat()]
+        region = self._find_region(backend.domain)
+        local = [beat for beat in beats if self._find_region(beat.domain) == region]
+        first = next(iter(rank_coordinators(backend.service, local or beats)), None)
+        return None if first is None or first.vm == self.own.vm else first
+
     def find_coordinator(self, service: str, excluded: Collection[str] = ()) -> Beat | None:
         """Return the last beat of the VM that coordinates a service in the local region.
 
@@ -404,6 +437,7 @@
             last_ask_number=last_ask_number,
             pending_asks=pending_asks,
             departures=self._catalog.list_departures(),
+            limits=self.list_limits(),
         )
 
     def _send(self, beat: Beat, ips: set[str]) -> None:
--- /dev/null
+++ b/balsamtally/permits.py
@@ -0,0 +1,293 @@
+"""Permits for requests to backend servers that limit the rate of all entry VMs together.
+
+One entry VM, the decider, gives out the permits of a limited backend server: the coordinator of the
+service in the server's region, or one VM of all regions if none is heard there. It fills a token
+bucket at the limit. The calls that it places take tokens at once; other VMs ask it for permits as
+their calls wait, and a call isn't sent without one. Without a vote two VMs may decide for a moment;
+the tokens that a bucket holds are few, a new decider begins with none, and members that aren't
+heard keep their share of the rate until they are forgotten.
+"""
+
+import time
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+
+import msgspec
+
+from balsamtally.beats import Beat
+from balsamtally.calls import Backend
+from balsamtally.decoding import Count
+from balsamtally.departures import Incarnation
+from balsamtally.server_limits import ServerLimits
+
+# Least rate at which a limited backend server is sent requests, so that the end of a limit of zero
+# is noticed.
+MIN_RATE_PER_S = 0.1
+# Tokens that a bucket holds beyond one, in seconds of its rate.
+BURST_S = 0.1
+# Interval at which permits are asked for while calls wait.
+ASK_INTERVAL_S = 0.1
+# A permit that isn't used for this time is no longer valid.
+PERMIT_TTL_S = 1.0
+# An ask that can't be served at once is kept for this time; the entry VM repeats it.
+ASK_TTL_S = 0.3
+MAX_PERMITS_PER_ASK = 8
+# Time for which a view of the membership is reused.
+MEMBERSHIP_TTL_S = 0.1
+# Part of the rate that a waiting call counts on at backend servers of other deciders.
+FOREIGN_RATE_SHARE = 0.5
+
+
+class PermitAsk(msgspec.Struct, frozen=True, array_like=True, tag="permit_ask"):
+    """Asks the decider of a backend server for permits.
+
+    :ivar number: number of the ask, counted by the sender
+    :ivar name: name of the backend server
+    :ivar born: start of its incarnation in Unix milliseconds
+    :ivar count: calls that wait
+    """
+
+    number: Count
+    name: str
+    born: Count
+    count: Count
+
+    @property
+    def key(self) -> Incarnation:
+        """Identity of the backend server's incarnation."""
+        return (self.name, self.born)
+
+
+class PermitGrant(msgspec.Struct, frozen=True, array_like=True, tag="permit_grant"):
+    """The decider's answer to an ask.
+
+    :ivar number: number of the ask
+    :ivar count: permits that it grants
+    """
+
+    number: Count
+    count: Count
+
+
+@dataclass
+class Bucket:
+    """The token bucket of a backend server that this entry VM decides for.
+
+    :ivar filled_s: monotonic clock at the last refill, in seconds
+    :ivar tokens: tokens held
+    :ivar asks: the last ask of each entry VM that was not served, by IP number, with its time
+    :ivar serves_asks: whether the next token is for such an ask; it is if the last one was used
+        here, or if this entry VM leaves a token unused
+    :ivar had_token: whether a token was left when asks were last served
+    """
+
+    filled_s: float
+    tokens: float = 0.0
+    asks: dict[str, tuple[PermitAsk, float]] = field(default_factory=dict)
+    serves_asks: bool = False
+    had_token: bool = False
+
+    def fill(self, rate_per_s: float, now: float) -> None:
+        """Add the tokens of the time since the last refill.
+
+        :param rate_per_s: tokens per second
+        :param now: monotonic clock in seconds
+        """
+        most = 1.0 + rate_per_s * BURST_S
+        self.tokens = min(most, self.tokens + rate_per_s * (now - self.filled_s))
+        self.filled_s = now
+
+
+@dataclass
+class Purse:
+    """Permits that a decider granted to this entry VM.
+
+    :ivar count: permits left
+    :ivar until_s: monotonic clock until which they are valid, in seconds
+    :ivar asked_s: monotonic clock at the last ask, in seconds
+    :ivar pending_s: monotonic clock at each ask that isn't answered, by its number
+    """
+
+    count: int = 0
+    until_s: float = 0.0
+    asked_s: float = float("-inf")
+    pending_s: dict[int, float] = field(default_factory=dict)
+
+
+class Permits:
+    """Gives out and uses the permits for limited backend servers.
+
+    :param limits: the limits that are known
+    :param find_decider: returns the last beat of the entry VM that decides for a backend server,
+        ``None`` if it is this one
+    :param find_share: returns the part of a limit that this entry VM and those that it hears may
+        spend, from 0 to 1
+    :param send: sends a message to an IP number; it may be lost
+    :param clock: monotonic clock in seconds
+    """
+
+    def __init__(
+        self,
+        limits: ServerLimits,
+        find_decider: Callable[[Backend], Beat | None] = lambda backend: None,
+        find_share: Callable[[], float] = lambda: 1.0,
+        send: Callable[[PermitAsk | PermitGrant, str], None] = lambda message, ip: None,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self._limits = limits
+        self._find_decider = find_decider
+        self._find_share = find_share
+        self._send = send
+        self._clock = clock
+        self._buckets: dict[Incarnation, Bucket] = {}
+        self._purses: dict[Incarnation, Purse] = {}
+        self._deciders: dict[Incarnation, tuple[Beat | None, float]] = {}
+        self._share = (0.0, float("-inf"))
+        self._last_number = 0
+
+    @property
+    def has_limits(self) -> bool:
+        """Whether any backend server has a limit."""
+        return not self._limits.is_empty
+
+    def is_limited(self, key: Incarnation) -> bool:
+        """Return whether a backend server has a limit.
+
+        :param key: identity of its incarnation
+        """
+        return self._limits.find(key) is not None
+
+    def is_sendable(self, backend: Backend) -> bool:
+        """Return whether a call may be sent to a backend server now.
+
+        :param backend: the incarnation
+        """
+        if not self.is_limited(backend.key):
+            return True
+        bucket = self._fill_bucket(backend)
+        if bucket is None:
+            purse = self._purses.get(backend.key)
+            return purse is not None and purse.count > 0 and purse.until_s > self._clock()
+        return bucket.tokens >= 1 and not (bucket.serves_asks and bucket.asks)
+
+    def take(self, backend: Backend) -> bool:
+        """Use a permit for a backend server to which a call may be sent now.
+
+        :param backend: the incarnation
+        :return: whether it needed one
+        """
+        if not self.is_limited(backend.key):
+            return False
+        bucket = self._fill_bucket(backend)
+        if bucket is None:
+            self._purses[backend.key].count -= 1
+        else:
+            bucket.tokens -= 1
+            bucket.serves_asks = True
+        return True
+
+    def request(self, backends: Collection[Backend], count: int) -> None:
+        """Ask the deciders of limited backend servers for permits, unless they were asked lately.
+
+        :param backends: the incarnations
+        :param count: calls that wait
+        """
+        now = self._clock()
+        for backend in backends:
+            decider = self._look_up_decider(backend)
+            purse = self._purses.setdefault(backend.key, Purse())
+            if decider is None or now - purse.asked_s < ASK_INTERVAL_S:
+                continue
+            self._last_number += 1
+            oldest_s = now - PERMIT_TTL_S
+            purse.pending_s = {
+                number: asked_s for number, asked_s in purse.pending_s.items() if asked_s > oldest_s
+            }
+            purse.pending_s[self._last_number] = purse.asked_s = now
+            self._send(PermitAsk(self._last_number, *backend.key, count), decider.ip)
+
+    def find_rate(self, backends: Collection[Backend]) -> float:
+        """Return the requests per second that waiting calls can count on at limited servers.
+
+        :param backends: the incarnations
+        """
+        rate_per_s = 0.0
+        for backend in backends:
+            own = self._look_up_decider(backend) is None
+            rate_per_s += self._find_own_rate(backend.key) * (1.0 if own else FOREIGN_RATE_SHARE)
+        return rate_per_s
+
+    def handle_ask(self, ask: PermitAsk, ip: str) -> None:
+        """Queue an ask; it is served with the tokens that :meth:`serve_asks` finds.
+
+        :param ask: the ask
+        :param ip: IP number of the sender
+        """
+        bucket = self._buckets.get(ask.key)
+        if bucket is not None:
+            bucket.asks[ip] = (ask, self._clock())
+
+    def handle_grant(self, grant: PermitGrant, _: str) -> None:
+        """Record permits, unless the ask was made too long ago or was answered before.
+
+        :param grant: the grant
+        """
+        now = self._clock()
+        for purse in self._purses.values():
+            asked_s = purse.pending_s.pop(grant.number, None)
+            if asked_s is not None and now - asked_s < PERMIT_TTL_S:
+                held = purse.count if purse.until_s > now else 0
+                purse.count = min(held + grant.count, MAX_PERMITS_PER_ASK)
+                purse.until_s = asked_s + PERMIT_TTL_S
+
+    def serve_asks(self, backends: Collection[Backend]) -> None:
+        """Fill the buckets of this entry VM, and grant permits for the asks that wait.
+
+        :param backends: the published backend servers
+        """
+        limited = {backend.key: backend for backend in backends if self.is_limited(backend.key)}
+        self._purses = {key: self._purses[key] for key in self._purses if key in limited}
+        self._buckets = {key: self._buckets[key] for key in self._buckets if key in limited}
+        self._deciders = {key: self._deciders[key] for key in self._deciders if key in limited}
+        for backend in limited.values():
+            bucket = self._fill_bucket(backend)
+            if bucket is not None:
+                self._serve_bucket(bucket)
+
+    def _serve_bucket(self, bucket: Bucket) -> None:
+        now = self._clock()
+        for ip, (ask, asked_s) in list(bucket.asks.items()):
+            if now - asked_s > ASK_TTL_S:
+                del bucket.asks[ip]
+            elif bucket.tokens >= 1 and bucket.serves_asks:
+                count = min(ask.count, int(bucket.tokens), MAX_PERMITS_PER_ASK)
+                bucket.tokens -= count
+                bucket.serves_asks = False
+                del bucket.asks[ip]
+                self._send(PermitGrant(ask.number, count), ip)
+        bucket.serves_asks |= bucket.had_token and bucket.tokens >= 1
+        bucket.had_token = bucket.tokens >= 1
+
+    def _fill_bucket(self, backend: Backend) -> Bucket | None:
+        """Return the filled bucket of a backend server, ``None`` if another VM decides."""
+        if self._look_up_decider(backend) is not None:
+            self._buckets.pop(backend.key, None)
+            return None
+        bucket = self._buckets.setdefault(backend.key, Bucket(self._clock()))
+        bucket.fill(self._find_own_rate(backend.key), self._clock())
+        return bucket
+
+    def _find_own_rate(self, key: Incarnation) -> float:
+        limit_per_s = self._limits.find(key) or 0.0
+        share, at_s = self._share
+        if self._clock() - at_s > MEMBERSHIP_TTL_S:
+            share = self._find_share()
+            self._share = (share, self._clock())
+        return max(limit_per_s, MIN_RATE_PER_S) * share
+
+    def _look_up_decider(self, backend: Backend) -> Beat | None:
+        decider, at_s = self._deciders.get(backend.key, (None, float("-inf")))
+        if self._clock() - at_s > MEMBERSHIP_TTL_S:
+            decider = self._find_decider(backend)
+            self._deciders[backend.key] = (decider, self._clock())
+        return decider
--- a/balsamtally/runners.py
+++ b/balsamtally/runners.py
@@ -20,6 +20,7 @@
 from balsamtally.health import RunnerHealth, count_ejectable
 from balsamtally.logs import log
 from balsamtally.paces import Paces
+from balsamtally.permits import Permits
 from balsamtally.prefixes import PrefixCache
 from balsamtally.reports import Finding, Report
 from balsamtally.selection import Candidate
@@ -90,6 +91,7 @@
     :param backlogs: work at the backend servers
     :param find_region: returns the region of a failure domain
     :param region: the local region
+    :param permits: permits for backend servers that limit the rate of requests
     :param clock: monotonic clock in seconds
     """
 
@@ -99,12 +101,14 @@
         backlogs: Backlogs,
         find_region: Callable[[str], str],
         region: str,
+        permits: Permits,
         clock: Callable[[], float] = time.monotonic,
     ):
         self._catalog = catalog
         self._backlogs = backlogs
         self._find_region = find_region
         self._region = region
+        self._permits = permits
         self._clock = clock
         self._paces = Paces(clock)
         self._health: dict[tuple[str, int], RunnerHealth] = {}
@@ -163,14 +167,16 @@
         return mean / self.find_statistics(demand.service).speed.tokens_per_s
 
     def list_candidates(self, demand: Demand) -> list[Candidate]:
-        """Return the backend servers that a call may be sent to.
+        """Return the backend servers that a call may be sent to now.
 
         :param demand: requirements of the call
         """
         runners = self._list_runners(demand.service)
+        if self._permits.has_limits:
+            runners = [runner for runner in runners if self._permits.is_sendable(runner.backend)]
         usable = [runner for runner in runners if runner.usable] or runners
         candidates = self._make_candidates(demand, usable)
-        suitable = self._apply_dedication(demand, candidates)
+        suitable = self._filter_suitable(demand, candidates)
         if not demand.avoid:
             return suitable
         # The choice of dedicated runners doesn't depend on the runners that one call avoids.
@@ -182,6 +188,27 @@
                 return left
         return []
 
+    def list_limited(self, demand: Demand) -> list[Candidate]:
+        """Return the backend servers that a call may be sent to as soon as it has a permit.
+
+        :param demand: requirements of the call
+        """
+        limited = [
+            runner
+            for runner in self._list_runners(demand.service)
+            if self._permits.is_limited(runner.backend.key)
+            and runner.backend.name not in demand.avoid
+        ]
+        return self._make_candidates(demand, limited)
+
+    def _filter_suitable(self, demand: Demand, candidates: list[Candidate]) -> list[Candidate]:
+        """Return the candidates that suit a call; limited ones aren't dedicated to any calls."""
+        if not self._permits.has_limits:
+            return self._apply_dedication(demand, candidates)
+        limited = [each for each in candidates if self._permits.is_limited(each.backend.key)]
+        others = [each for each in candidates if each not in limited]
+        return limited + (self._apply_dedication(demand, others) if others else [])
+
     def list_local(self, service: str) -> list[str]:
         """Return the names of a service's backend servers in the local region that take new work.
 
