Order records by era and revision, so that a store restored from a copy brings nothing older back

Callers got 404 for routes that had been confirmed, and calls were handled by versions 3 s out of date, after the store came back from a copy some seconds old.

Cause: records were ordered by revision alone, and the revision up to which all is known only grew; after a restoration revisions go back and are given out again. After its 410 the listing couldn't lower the known revision, so that watch, 410 and listing followed each other (541 calls in a second against the stand-in).

Change: each record, heartbeat and pull has the era of its revision (Store-Era). A later era, in any answer or heartbeat, means that all is read again. What was known before is compared with the copy by what the values say themselves (version of the contracts; start and count of a backend server): nothing older comes back, what the copy lacks is kept for two seconds, a removed key stays removed. Pages of two eras are read again; answers and updates of former eras are refused; peers of former eras or builds don't count as readers. A store that goes back without telling an era is asked with pauses.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -469,6 +469,20 @@
 def fetch(address: tuple[str, int], target: bytes, timeout_s: float) -> tuple[int, bytes]:
     """Send a ``GET`` request on a new connection and return status and body of the answer.
 
+    :param address: IP number and port
+    :param target: path and query
+    :param timeout_s: longest time for the exchange, in seconds
+    :raises BalsamtallyError: if there is no whole answer by then
+    """
+    head, body = fetch_answer(address, target, timeout_s)
+    return head.status, body
+
+
+def fetch_answer(
+    address: tuple[str, int], target: bytes, timeout_s: float
+) -> tuple[AnswerHead, bytes]:
+    """Send a ``GET`` request on a new connection and return head and body of the answer.
+
     :param address: IP number and port
     :param target: path and query
     :param timeout_s: longest time for the exchange, in seconds
@@ -484,6 +498,6 @@
         headers = ((b"Host", host), (b"Connection", b"close"))
         connection.send(b"GET", target, headers, b"", until_s)
         head = connection.read_head(until_s)
-        return head.status, connection.read_whole(until_s, MAX_FETCHED_BYTES)
+        return head, connection.read_whole(until_s, MAX_FETCHED_BYTES)
     finally:
         connection.close()
--- a/balsamtally/beats.py
+++ b/balsamtally/beats.py
@@ -52,6 +52,7 @@
     :ivar reports: its recent reports on backend servers
     :ivar departures: incarnations of backend servers that announced that they are leaving
     :ivar limits: limits that backend servers named
+    :ivar era: era of the revision
     """
 
     vm: str
@@ -70,6 +71,12 @@
     reports: tuple[Report, ...] = ()
     departures: tuple[tuple[str, Count], ...] = ()
     limits: tuple[ToldLimit, ...] = ()
+    era: Count = 0
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era, and revision up to which the sender holds all published records."""
+        return (self.era, self.revision)
 
 
 @dataclass
@@ -165,7 +172,7 @@
             or beat.reads
             or beat.loads != sent.loads
             or beat.region_loads != sent.region_loads
-            or beat.revision != sent.revision
+            or beat.position != sent.position
             or beat.leaving != sent.leaving
             or beat.read_state != sent.read_state
             or beat.departures != sent.departures
--- a/balsamtally/catalog.py
+++ b/balsamtally/catalog.py
@@ -11,7 +11,7 @@
 from balsamtally.decoding import DECODING_ERRORS
 from balsamtally.departures import Departures, Incarnation
 from balsamtally.logs import log
-from balsamtally.records import Record, Records, Update
+from balsamtally.records import Record, Records, Sequence, Update, read_no_sequence
 
 # Backend servers renew entries that expired during an outage of the platform within two seconds of
 # its return, by the platform's protocol.
@@ -80,11 +80,14 @@
         key
     :ivar read_backend: returns the backend server of an entry; raises one of ``DECODING_ERRORS`` if
         the entry is invalid
+    :ivar read_sequence: returns the sequence that the value of a key contains, the same or a larger
+        one for each later value of its writer; empty for an invalid value
     """
 
     read_contracts: Callable[[Record], Contracts | None]
     read_backend_name: Callable[[str], str | None]
     read_backend: Callable[[str, bytes], Backend]
+    read_sequence: Callable[[str, bytes], Sequence] = read_no_sequence
 
 
 class Catalog:
@@ -100,7 +103,7 @@
     """
 
     def __init__(self, decoder: Decoder, clock: Callable[[], float] = time.monotonic):
-        self.records = Records()
+        self.records = Records(decoder.read_sequence)
         self.contracts: Contracts | None = None
         self.known = Event()
         self.backends: dict[str, Backend] = {}
@@ -112,44 +115,66 @@
         self._lapsed: dict[str, float] = {}
         self._grace_until_s = 0.0
 
-    def merge(self, records: Iterable[Record], source: str, complete_revision: int = 0) -> None:
+    def merge(
+        self, records: Iterable[Record], source: str, complete_revision: int = 0, era: int = 0
+    ) -> None:
         """Merge records and apply those that changed.
 
         :param records: the records
         :param source: source of the records, for the log
         :param complete_revision: revision up to which no change is missing after the merge
+        :param era: era of this revision, the last one that is known
         """
         changed = self.records.merge(records)
-        self.records.record_complete_revision(complete_revision)
+        self.records.record_complete_revision(complete_revision, era)
         self._apply(changed, source)
 
     def merge_update(self, update: Update, source: str) -> None:
         """Merge an update from a peer and adopt its grace period for removals.
 
+        An update of a later era holds all records, and one of a former era is ignored.
+
         :param update: the update
         :param source: name of the peer, for the log
         """
+        if update.era < self.records.era:
+            log.info("update_outdated", source=source, era=update.era, known=self.records.era)
+            return
         self._grace_until_s = max(
             self._grace_until_s, self._clock() + min(update.grace_s, RETURN_GRACE_S)
         )
-        self.merge(update.records, source, update.complete_revision)
+        if update.era > self.records.era:
+            self.merge_listing(update.records, update.complete_revision, source, update.era)
+        else:
+            self.merge(update.records, source, update.complete_revision, update.era)
 
-    def make_update(self, since: int) -> Update:
+    def make_update(self, since: int, era: int | None = None) -> Update:
         """Return an update for a peer that misses no change up to a revision.
 
         :param since: the revision
+        :param era: its era, ``None`` if the peer doesn't know of eras
         """
+        records = self.records
         grace_s = max(0.0, self._grace_until_s - self._clock())
-        return Update(self.records.complete_revision, self.records.list_since(since), grace_s)
+        changed = records.list_since(since) if era in (None, records.era) else records.list_all()
+        return Update(records.complete_revision, changed, grace_s, records.era)
 
-    def merge_listing(self, records: Iterable[Record], at: int, source: str) -> None:
+    def merge_listing(self, records: Iterable[Record], at: int, source: str, era: int = 0) -> None:
         """Merge a complete listing; records that the listing lacks are removed.
 
+        A platform that was restored lacks what was written after its copy, which its writers write
+        again soon: removals are delayed as after an outage.
+
         :param records: all records of the platform
         :param at: revision at the start of the listing
         :param source: source of the listing, for the log
+        :param era: era of the listing
         """
-        self._apply(self.records.merge_listing(records, at), source)
+        if era > self.records.era and self.records.complete_revision:
+            before = self.records.position
+            log.warning("platform_restored", before=before, now=(era, at), source=source)
+            self.start_removal_grace()
+        self._apply(self.records.merge_listing(records, at, era), source)
 
     def record_platform_read(self) -> None:
         """Record that the platform answered just now."""
--- a/balsamtally/peers.py
+++ b/balsamtally/peers.py
@@ -194,13 +194,14 @@
 
     def should_read(self) -> bool:
         """Return whether this entry VM should read the platform itself."""
-        own = msgspec.structs.replace(self.own, read_state=self.read_state)
+        era = self._catalog.records.era
+        own = msgspec.structs.replace(self.own, read_state=self.read_state, era=era)
         heard = [peer.beat for peer in self.list_alive()]
         return should_read(own, heard, self._measure_lag_s(heard))
 
     def _measure_lag_s(self, heard: Sequence[Beat]) -> float:
         """Return the time for which peers have had newer records, in seconds."""
-        if all(beat.revision <= self._catalog.records.complete_revision for beat in heard):
+        if all(beat.position <= self._catalog.records.position for beat in heard):
             self._lagging_since_s = None
             return 0.0
         if self._lagging_since_s is None:
@@ -258,8 +259,8 @@
         return None if first.vm == self.own.vm else first
 
     def _make_own_beat(self) -> Beat:
-        whole = self._catalog.records.complete_revision
-        return msgspec.structs.replace(self.own, revision=whole, leaving=self.leaving)
+        era, revision = self._catalog.records.position
+        return msgspec.structs.replace(self.own, era=era, revision=revision, leaving=self.leaving)
 
     def _coordinates(self, service: str) -> bool:
         return self.was_asked_recently(service) or self.find_coordinator(service) is None
@@ -428,6 +429,7 @@
         return msgspec.structs.replace(
             self.own,
             revision=self._catalog.records.complete_revision,
+            era=self._catalog.records.era,
             leaving=self.leaving,
             read_state=self.read_state,
             loads=loads,
@@ -502,7 +504,7 @@
             self._backlogs.record_region_loads(beat.vm, beat.region_loads)
             self._announced_s[beat.vm] = now
         self._on_beat(beat)
-        if beat.revision > self._catalog.records.complete_revision:
+        if beat.position > self._catalog.records.position:
             self._pull_later()
 
     def _forget_silent(self, now: float) -> None:
@@ -530,19 +532,19 @@
     def _pull(self) -> None:
         """Pull missing records from a peer with newer ones."""
         try:
-            revision = self._catalog.records.complete_revision
+            position = self._catalog.records.position
             alive = self.list_alive()
-            newest = max((peer.beat.revision for peer in alive), default=0)
-            if newest > revision:
+            newest = max((peer.beat.position for peer in alive), default=(0, 0))
+            if newest > position:
                 # A peer that is cut off from the platform may hold records withdrawn since, so only
                 # peers with the newest revision are asked.
-                newest_peers = [peer for peer in alive if peer.beat.revision == newest]
-                self._pull_from(self._random.choice(newest_peers), revision)
+                newest_peers = [peer for peer in alive if peer.beat.position == newest]
+                self._pull_from(self._random.choice(newest_peers), position)
         finally:
             self._pulling = False
 
-    def _pull_from(self, peer: Peer, revision: int) -> None:
-        target = RECORDS_PATH + b"?since=%d" % revision
+    def _pull_from(self, peer: Peer, position: tuple[int, int]) -> None:
+        target = RECORDS_PATH + b"?era=%d&since=%d" % position
         try:
             status, body = fetch((peer.beat.ip, self._port), target, PULL_TIMEOUT_S)
             if status != 200:
@@ -560,5 +562,7 @@
         :return: the update, encoded as MessagePack
         :raises ValueError: if the query isn't valid
         """
-        since = int(parse_qs(query).get("since", ["0"])[0])
-        return msgspec.msgpack.encode(self._catalog.make_update(since))
+        fields = parse_qs(query)
+        since = int(fields.get("since", ["0"])[0])
+        era = int(fields["era"][0]) if "era" in fields else None
+        return msgspec.msgpack.encode(self._catalog.make_update(since, era))
--- a/balsamtally/platform/documents.py
+++ b/balsamtally/platform/documents.py
@@ -7,8 +7,8 @@
 
 from balsamtally.calls import Account, Backend, Branch, Engine, Limits, Repeat, Route, Service
 from balsamtally.catalog import Contracts, Decoder
-from balsamtally.decoding import Count, decode
-from balsamtally.records import Record
+from balsamtally.decoding import DECODING_ERRORS, Count, decode
+from balsamtally.records import Record, Sequence
 from balsamtally.sockets import parse_address
 
 CONTRACTS_KEY = "op/config"
@@ -122,6 +122,15 @@
     cold_remaining_ms: float = 0.0
 
 
+class SequenceDocument(msgspec.Struct, frozen=True):
+    """The fields of an entry that order its values."""
+
+    version: Count = 0
+    born: Count = 0
+    seq: Count = 0
+
+
+_sequence = msgspec.json.Decoder(SequenceDocument)
 _contracts = msgspec.json.Decoder(ContractsDocument)
 _server = msgspec.json.Decoder(ServerDocument)
 
@@ -242,4 +251,21 @@
     )
 
 
-DECODER = Decoder(read_contracts, read_backend_name, read_backend)
+def read_sequence(key: str, value: bytes) -> Sequence:
+    """Return the sequence of an entry: a contracts version, or a server's start and count.
+
+    :param key: key of the entry
+    :param value: value of the entry
+    :return: the sequence, empty if the value is invalid
+    """
+    try:
+        document = decode(_sequence, value)
+    except DECODING_ERRORS:
+        # Refused with a log line as it is applied.
+        return ()
+    if key == CONTRACTS_KEY:
+        return (document.version,)
+    return (document.born, document.seq)
+
+
+DECODER = Decoder(read_contracts, read_backend_name, read_backend, read_sequence)
--- a/balsamtally/platform/store.py
+++ b/balsamtally/platform/store.py
@@ -10,7 +10,8 @@
 import gevent
 import msgspec
 
-from balsamtally.backends import fetch
+from balsamtally.backends import fetch_answer
+from balsamtally.calls import AnswerHead
 from balsamtally.catalog import Catalog
 from balsamtally.decoding import Count, decode
 from balsamtally.errors import BalsamtallyError, HistoryGone, PlatformUnavailable
@@ -37,6 +38,9 @@
 MAX_PAUSE_S = 0.8
 SOURCE = "platform"
 MAX_KEY_CHARS = 200
+# Header with the number of times that the store was restored from a copy.
+ERA = b"store-era"
+MAX_ERA_DIGITS = 15
 NO_VALUE = msgspec.Raw(b"null")
 
 Key = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_KEY_CHARS)]
@@ -75,27 +79,42 @@
 _value = msgspec.json.Decoder(str | None)
 
 
-def decode_items(items: Iterable[msgspec.Raw]) -> list[Record]:
+def read_era(head: AnswerHead) -> int | None:
+    """Return the era that an answer of the store names, ``None`` without a valid one.
+
+    :param head: head of the answer
+    """
+    values = [value.strip() for name, value in head.headers if name.lower() == ERA]
+    if len(values) == 1 and values[0].isdigit() and len(values[0]) <= MAX_ERA_DIGITS:
+        return int(values[0])
+    if values:
+        log.warning("era_refused", values=repr(values)[:64])
+    return None
+
+
+def decode_items(items: Iterable[msgspec.Raw], era: int = 0) -> list[Record]:
     """Return the records of items; an item that names no key or revision is left out.
 
     :param items: the items in JSON, each decoded by itself
+    :param era: era of their revisions
     """
     records = []
     for raw in items:
         try:
-            records.append(decode_item(decode(_item, raw)))
+            records.append(decode_item(decode(_item, raw), era))
         except ValueError as error:
             log.warning("record_refused", key="", revision=0, why=str(error))
     return records
 
 
-def decode_item(item: Item) -> Record:
+def decode_item(item: Item, era: int = 0) -> Record:
     """Return the record of an item.
 
     A value that can't be decoded is replaced by an empty one, which is later refused as malformed,
     so that the other records still take effect.
 
     :param item: the item
+    :param era: era of its revision
     """
     try:
         text = None if item.removed else decode(_value, item.value)
@@ -103,7 +122,7 @@
     except ValueError as error:
         log.warning("record_refused", key=item.key, revision=item.revision, why=str(error))
         value = b""
-    return Record(item.key, item.revision, value)
+    return Record(item.key, item.revision, value, era)
 
 
 class Store:
@@ -189,45 +208,67 @@
         """Read all entries.
 
         The pages are not one snapshot, so that the watch starts at the lowest revision of a page.
+        They are of one era; if the store is restored meanwhile, they are all read again.
         """
+        known = self._catalog.records.position
         records: list[Record] = []
         first_at: int | None = None
+        first_era: int | None = None
         after = ""
         while True:
-            page = self._read_page(after)
+            era, page = self._read_page(after)
+            if first_era is not None and era != first_era:
+                raise HistoryGone(f"the store went from era {first_era} to {era} in a listing")
+            first_era = era
             first_at = page.at if first_at is None else min(first_at, page.at)
-            found = decode_items(page.entries)
+            found = decode_items(page.entries, era)
             records += found
             if not page.has_more or not page.entries:
                 break
             if not found or found[-1].key <= after:
                 raise PlatformUnavailable(f"the listing does not go on after {after!r}")
             after = found[-1].key
+        if (first_era, first_at) < known:
+            raise PlatformUnavailable(f"the listing is of era {first_era} and revision {first_at}")
         self._record_success()
-        self._catalog.merge_listing(records, first_at, SOURCE)
+        self._catalog.merge_listing(records, first_at, SOURCE, first_era)
         self._history_gone = False
 
-    def _read_page(self, after: str) -> Page:
+    def _read_page(self, after: str) -> tuple[int, Page]:
         target = (
             f"/kv-range?path_prefix=&after={quote(after, safe='')}"
             if after
             else ("/kv-range?path_prefix=")
         )
-        return decode(_page, self._read(target, READ_TIMEOUT_S))
+        era, body = self._read(target, READ_TIMEOUT_S)
+        return era, decode(_page, body)
 
     def _watch(self, at: int) -> None:
         # After a failure a short watch shows soon whether the store answers again.
         wait_ms = 1 if self._failures else WATCH_WAIT_MS
         target = f"/kv-watch?path_prefix=&after={at}&wait_ms={wait_ms}"
-        changes = decode(_changes, self._read(target, WATCH_TIMEOUT_S))
+        era, body = self._read(target, WATCH_TIMEOUT_S)
+        changes = decode(_changes, body)
+        known = self._catalog.records.era
+        if era > known:
+            raise HistoryGone(f"the store was restored: era {era} after {known}")
         self._record_success()
-        self._catalog.merge(decode_items(changes.events), SOURCE, changes.at)
+        self._catalog.merge(decode_items(changes.events, era), SOURCE, changes.at, era)
         gevent.sleep(BURST_S)
 
-    def _read(self, target: str, timeout_s: float) -> bytes:
-        status, body = fetch(self.address, target.encode(), timeout_s)
-        if status == 410:
+    def _read(self, target: str, timeout_s: float) -> tuple[int, bytes]:
+        """Return era and body of an answer; without an era it counts as of the last known one.
+
+        :raises HistoryGone: if the store no longer has the history after a revision
+        :raises PlatformUnavailable: if it answered with an error, or from a former era
+        """
+        head, body = fetch_answer(self.address, target.encode(), timeout_s)
+        if head.status == 410:
             raise HistoryGone
-        if status != 200:
-            raise PlatformUnavailable(f"the platform answered {status}")
-        return body
+        if head.status != 200:
+            raise PlatformUnavailable(f"the platform answered {head.status}")
+        known = self._catalog.records.era
+        era = read_era(head)
+        if era is not None and era < known:
+            raise PlatformUnavailable(f"the answer is of era {era}, {known} is known")
+        return known if era is None else era, body
--- a/balsamtally/readers.py
+++ b/balsamtally/readers.py
@@ -35,12 +35,15 @@
 def should_read(own: Beat, heard: Sequence[Beat], lag_s: float) -> bool:
     """Return whether an entry VM should read the platform itself.
 
+    Peers that know only a former era don't count as readers, since nothing is pulled from them.
+
     :param own: its own beat
     :param heard: last beats of the live peers
     :param lag_s: time for which peers have had newer records, in seconds
     """
     if lag_s > MAX_LAG_S:
         return True
+    heard = [beat for beat in heard if beat.era >= own.era]
     readers = [
         beat for beat in heard if beat.read_state == PlatformReadState.READING and not beat.leaving
     ]
--- a/balsamtally/records.py
+++ b/balsamtally/records.py
@@ -1,15 +1,29 @@
-"""Records that the platform publishes, stored by key with their revisions.
+"""Records that the platform publishes, stored by key with their eras and revisions.
 
-Records from the platform and from peers merge by revision, so their order, repeats, stale reads and
-lagging peers don't affect the result.
+Records from the platform and from peers merge by era and revision, so their order, repeats, stale
+reads and lagging peers don't affect the result. A new era begins as the platform is restored from a
+copy: its revisions go back and are given out again. What was known then is compared with the copy
+by the sequences that the values themselves contain, so that the copy brings nothing older back.
 """
 
-from collections.abc import Iterable
+import enum
+from collections.abc import Callable, Iterable
 
 import msgspec
 
 from balsamtally.decoding import Count, Seconds
 
+# Number that a value contains, which increases with each change of it by its writer.
+Sequence = tuple[Count, ...]
+
+
+class Order(enum.IntEnum):
+    """Order of what is known of a key at the same sequence; the last one holds."""
+
+    LOST = 0
+    VALUE = 1
+    REMOVED = 2
+
 
 class Record(msgspec.Struct, frozen=True, array_like=True):
     """One published key and its value.
@@ -17,80 +31,153 @@
     :ivar key: the key
     :ivar revision: revision of the last change
     :ivar value: the value, ``None`` if the key was removed
+    :ivar era: era of the revision
+    :ivar removed_sequence: sequence of the last value of a removed key, empty if it isn't known
+    :ivar lost: whether the key is only missing from a restored copy, so that its writer may write
+        the same value again
     """
 
     key: str
     revision: Count
     value: bytes | None
+    era: Count = 0
+    removed_sequence: Sequence = ()
+    lost: bool = False
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era and revision of the last change."""
+        return (self.era, self.revision)
 
 
 class Update(msgspec.Struct, frozen=True, array_like=True):
     """Answer of one entry VM to another's pull.
 
     :ivar complete_revision: revision up to which the sender missed no change
-    :ivar records: the records that changed after the requested revision
+    :ivar records: the records that changed after the requested revision, or all if the era differs
     :ivar grace_s: time for which the sender still delays removals, since the platform has only just
         become reachable again, in seconds
+    :ivar era: era of the sender
     """
 
     complete_revision: Count
     records: list[Record]
     grace_s: Seconds = 0.0
+    era: Count = 0
+
+
+def read_no_sequence(key: str, value: bytes) -> Sequence:
+    """Return the sequence of a value that contains none."""
+    return ()
 
 
 class Records:
-    """The records that this entry VM knows; the newest revision of a key wins.
+    """The records that this entry VM knows; the newest revision of a key in the last era wins.
 
-    :ivar complete_revision: revision up to which no change was missed; single records may be newer,
-        since the pages of a listing are read one after the other
+    :ivar era: the last known era
+    :ivar complete_revision: revision of this era up to which no change was missed; single records
+        may be newer, since the pages of a listing are read one after the other
+    :param read_sequence: returns the sequence that a value contains, by its key
     """
 
-    def __init__(self):
+    def __init__(self, read_sequence: Callable[[str, bytes], Sequence] = read_no_sequence):
         self._records: dict[str, Record] = {}
+        self._read_sequence = read_sequence
+        self.era = 0
         self.complete_revision = 0
 
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era, and revision up to which no change was missed."""
+        return (self.era, self.complete_revision)
+
     def merge(self, records: Iterable[Record]) -> list[Record]:
-        """Merge records and return those that changed a value.
+        """Merge records and return those that changed a value; those of former eras are ignored.
 
         :param records: records in any order
         """
         changed = []
         for record in records:
+            if record.era < self.era:
+                continue
             held = self._records.get(record.key)
-            if held is None or record.revision > held.revision:
-                self._records[record.key] = record
+            if held is None or self._replaces(record, held):
+                self._records[record.key] = self._keep_sequence(record, held)
                 if held is None or held.value != record.value:
                     changed.append(record)
+            elif record.era > held.era:
+                # The value is newer than the copy, the next change of this era replaces it.
+                self._records[record.key] = msgspec.structs.replace(
+                    held, era=record.era, revision=record.revision
+                )
         return changed
 
-    def merge_listing(self, records: Iterable[Record], at: int) -> list[Record]:
+    def _replaces(self, record: Record, held: Record) -> bool:
+        """Return whether a record replaces the one that is held under its key."""
+        if record.era == held.era and record.revision != held.revision:
+            return record.revision > held.revision
+        if record.era < held.era or record.value == held.value:
+            return record.era > held.era
+        if record.value is None and record.era > held.era:
+            return True
+        # A restored copy, or values that two entry VMs kept in place of its value.
+        return self._rank(record) > self._rank(held)
+
+    def _rank(self, record: Record) -> tuple[Sequence, Order]:
+        """Return the rank of a value or removal among those of its key."""
+        if record.value is not None:
+            return self._read_sequence(record.key, record.value), Order.VALUE
+        return record.removed_sequence, Order.LOST if record.lost else Order.REMOVED
+
+    def _keep_sequence(self, record: Record, held: Record | None) -> Record:
+        """Return a removal with the sequence of the removed value, another record as it is."""
+        if record.value is not None or held is None:
+            return record
+        sequence = max(record.removed_sequence, self._rank(held)[0])
+        return msgspec.structs.replace(record, removed_sequence=sequence)
+
+    def merge_listing(self, records: Iterable[Record], at: int, era: int = 0) -> list[Record]:
         """Merge a complete listing; known keys that it lacks were removed.
 
         :param records: all records of the platform
         :param at: revision at the start of the listing
+        :param era: era of the listing; one of a former era is ignored
         :return: the records that changed a value, removals included
         """
+        if era < self.era:
+            return []
         records = list(records)
         listed = {record.key for record in records}
         removed = [
-            Record(key, at, None)
+            Record(key, at, None, era, lost=held.era < era and self._is_lost(held))
             for key, held in self._records.items()
-            if key not in listed and held.value is not None and held.revision < at
+            if key not in listed
+            and held.position < (era, at)
+            and (held.value is not None or held.era < era)
         ]
         changed = self.merge([*records, *removed])
-        self.record_complete_revision(at)
+        self.record_complete_revision(at, era)
         return changed
 
-    def record_complete_revision(self, revision: int) -> None:
+    def _is_lost(self, held: Record) -> bool:
+        return held.value is not None or held.lost
+
+    def record_complete_revision(self, revision: int, era: int = 0) -> None:
         """Record that all changes up to a revision are known.
 
         :param revision: the revision
+        :param era: its era
         """
-        self.complete_revision = max(self.complete_revision, revision)
+        self.era, self.complete_revision = max(self.position, (era, revision))
 
     def list_since(self, revision: int) -> list[Record]:
-        """Return the records that changed after a revision, removals included.
+        """Return the records that changed after a revision of this era, removals included.
 
         :param revision: the revision
         """
-        return [record for record in self._records.values() if record.revision > revision]
+        since = (self.era, revision)
+        return [record for record in self._records.values() if record.position > since]
+
+    def list_all(self) -> list[Record]:
+        """Return all records, removals included."""
+        return list(self._records.values())
--- a/standins/store.py
+++ b/standins/store.py
@@ -3,6 +3,8 @@
 import base64
 import json
 import time
+from collections.abc import Callable
+from dataclasses import dataclass
 from urllib.parse import parse_qs
 
 import gevent
@@ -17,6 +19,20 @@
 LIMITS = Limits(idle_timeout_s=60.0)
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """The content of a store at one time.
+
+    :ivar items: the items by key
+    :ivar events: the events of its history
+    :ivar revision: its revision
+    """
+
+    items: dict[str, dict]
+    events: list[dict]
+    revision: int
+
+
 class Store:
     """An HTTP server for the store's read API; a context manager.
 
@@ -25,6 +41,8 @@
         ``"garbage"`` (invalid JSON)
     :ivar calls: number of calls received
     :ivar delay_s: delay of each answer, in seconds
+    :ivar era: value of ``Store-Era`` in all answers, empty for none
+    :ivar on_page: called after each page of a listing was sent
     """
 
     def __init__(self, address: tuple[str, int]):
@@ -32,6 +50,8 @@
         self.fault = ""
         self.calls = 0
         self.delay_s = 0.0
+        self.era = ""
+        self.on_page: Callable[[], None] = lambda: None
         self._items: dict[str, dict] = {}
         self._events: list[dict] = []
         self._spoiled: dict[str, dict] = {}
@@ -86,6 +106,17 @@
         self._oldest_revision = self._revision
         self._notify_watches()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the content, from which the store can be restored."""
+        return StoreCopy(dict(self._items), list(self._events), self._revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy: its revisions are given out again, and a new era begins."""
+        self._items, self._events = dict(copy.items), list(copy.events)
+        self._revision = copy.revision
+        self.era = str(int(self.era or 0) + 1)
+        self._notify_watches()
+
     def _append_event(self, event: dict) -> None:
         self._events.append(event)
         self._notify_watches()
@@ -103,7 +134,7 @@
         if self.fault == "silent":
             gevent.sleep(3600)
         if self.fault in ("busy", "many"):
-            caller.answer(503 if self.fault == "busy" else 429, (), b"")
+            caller.answer(503 if self.fault == "busy" else 429, self._make_era(), b"")
             return
         if self.fault == "garbage":
             caller.answer(200, (), b"{]")
@@ -120,20 +151,25 @@
     def _answer(self, caller: Caller, name: str, items: list[dict], **more: object) -> None:
         sent = [item | self._spoiled.get(item["key"], {}) for item in items]
         body = {name: sent, "at": self._revision, **more}
-        caller.answer(200, ((b"Content-Type", b"application/json"),), json.dumps(body).encode())
+        headers = ((b"Content-Type", b"application/json"), *self._make_era())
+        caller.answer(200, headers, json.dumps(body).encode())
+
+    def _make_era(self) -> tuple[tuple[bytes, bytes], ...]:
+        return ((b"Store-Era", self.era.encode()),) if self.era else ()
 
     def _list(self, caller: Caller, fields: dict[str, str]) -> None:
         prefix, after = fields.get("path_prefix", ""), fields.get("after", "")
         keys = sorted(key for key in self._items if key.startswith(prefix) and key > after)
         items = [self._items[key] for key in keys[:PAGE_ITEMS]]
         self._answer(caller, "entries", items, has_more=len(keys) > PAGE_ITEMS)
+        self.on_page()
 
     def _watch(self, caller: Caller, fields: dict[str, str]) -> None:
         prefix, after = fields.get("path_prefix", ""), int(fields["after"])
         until_s = time.monotonic() + int(fields["wait_ms"]) / 1000
         while True:
-            if after < self._oldest_revision:
-                caller.answer(410, (), b"")
+            if not self._oldest_revision <= after <= self._revision:
+                caller.answer(410, self._make_era(), b"")
                 return
             events = [
                 event
--- a/tests/balsamtally/test_peers.py
+++ b/tests/balsamtally/test_peers.py
@@ -222,7 +222,7 @@
     expect_soon(lambda: "b" in first.names)
     monkeypatch.setattr(second.peers, "answer_pull", lambda query: body)
     with capture_logs() as lines:
-        first.peers._pull_from(first.peers._peers["b"], 0)
+        first.peers._pull_from(first.peers._peers["b"], (0, 0))
     assert "pull_failed" in [line["event"] for line in lines]
     assert first.catalog.make_update(0) == Update(0, [])
 
