Place a call although its permit's decider changes between check and use

A scheduling pass would have failed with KeyError, and its calls would have waited for the next one. Whether a VM decides is looked up anew every 0.1 s, which can fall between the check for a permit and its use. Found by reading the diff; the test failed with KeyError before and passes.

--- a/balsamtally/permits.py
+++ b/balsamtally/permits.py
@@ -180,7 +180,8 @@
             return False
         bucket = self._fill_bucket(backend)
         if bucket is None:
-            self._purses[backend.key].count -= 1
+            purse = self._purses.setdefault(backend.key, Purse())
+            purse.count = max(0, purse.count - 1)
         else:
             bucket.tokens -= 1
             bucket.serves_asks = True
--- a/tests/balsamtally/test_permits.py
+++ b/tests/balsamtally/test_permits.py
@@ -228,6 +228,20 @@
     assert not asking.permits.is_sendable(SERVER)
 
 
+def test_permit_is_used_although_another_vm_decides_from_then_on():
+    decider = None
+    now = 100.0
+    limits = ServerLimits(lambda key: True, lambda: now)
+    permits = Permits(limits, lambda backend: decider, clock=lambda: now)
+    limits.record_answer(SERVER, 8.0, now)
+    permits.serve_asks([SERVER])
+    now += 1.0
+    assert permits.is_sendable(SERVER)
+    decider, now = make_beat("other"), now + 1.0
+    assert permits.take(SERVER)
+    assert not permits.is_sendable(SERVER)
+
+
 def test_refused_calls_return_one_after_the_other():
     now = 100.0
     schedule = ReturnSchedule(lambda: now)
