--- a/tests/standins/test_server_limits.py
+++ b/tests/standins/test_server_limits.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import itertools
+import signal
 import time
 from functools import partial
 
@@ -121,6 +122,22 @@
         )
 
 
+def test_limit_holds_while_vms_are_paused_in_turn():
+    with Grid(vms=2, servers=1, domains=2) as grid:
+        servers = grid.list_servers("desk")
+        with load_on(grid.vms, "lookup"):
+            named_s = max(name_limit(server, 2.5) for server in servers)
+            gevent.sleep(SETTLED_S)
+            for vm in grid.vms[:2]:
+                vm.signal(signal.SIGSTOP)
+                gevent.sleep(WINDOW_S)
+                vm.signal(signal.SIGCONT)
+                gevent.sleep(1.0)
+        assert max(find_most(server, named_s + SETTLED_S) for server in servers) <= find_allowed(
+            2.5
+        )
+
+
 def test_limit_ends_with_an_answer_that_names_none():
     with Grid(vms=2, servers=1, domains=2) as grid:
         servers = grid.list_servers("desk")
