--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -58,6 +58,10 @@
 BACKLOGS = "tests/balsamtally/test_backlogs.py"
 CALLERS = "tests/balsamtally/test_callers.py"
 CATALOG = "tests/balsamtally/test_catalog.py"
+SERVER_LIMITS = "tests/balsamtally/test_server_limits.py"
+PERMITS = "tests/balsamtally/test_permits.py"
+RECORDS_ERAS = "tests/balsamtally/test_records_eras.py"
+RESTORED_STORE = "tests/balsamtally/platform/test_restored_store.py"
 DISPATCH = "tests/balsamtally/test_dispatch.py"
 CALL_LOG = "tests/balsamtally/test_call_log.py"
 DOCUMENTS = "tests/balsamtally/platform/test_documents.py"
@@ -536,8 +540,8 @@
     ),
     Mutation(
         "platform/store",
-        "decode(_item, raw)))\n        except ValueError",
-        "decode(_item, raw)))\n        except KeyError",
+        "decode(_item, raw), era))\n        except ValueError",
+        "decode(_item, raw), era))\n        except KeyError",
         STORE,
     ),
     Mutation("peers", "decode(_message, data)", "_message.decode(data)", PEERS),
@@ -594,6 +598,56 @@
     Mutation("pauses", "if self._clock() + wait_s >= latest_s:", "if False:", PAUSES),
     Mutation("pauses", "pause_s = min(pause_s, MAX_PAUSE_S)", "pass", PAUSES),
     Mutation("catalog", "if backend.key in self._departures:", "if False:", CATALOG),
+    Mutation("server_limits", "and not is_later(statement, held)", "and False", SERVER_LIMITS),
+    Mutation(
+        "server_limits",
+        "self._record(key, Statement(None, sent_s)",
+        "self._record(key, " "Statement(None, self._clock())",
+        SERVER_LIMITS,
+    ),
+    Mutation("server_limits", "+ (TRANSIT_S if", "+ (0.0 if", SERVER_LIMITS),
+    Mutation("server_limits", "if unlimited_s is not None and", "if False and", SERVER_LIMITS),
+    Mutation("server_limits", "if not self._is_known(item.key):", "if False:", SERVER_LIMITS),
+    Mutation(
+        "permits",
+        "max(limit_per_s, MIN_RATE_PER_S) * share",
+        "max(limit_per_s, " "MIN_RATE_PER_S)",
+        PERMITS,
+    ),
+    Mutation("permits", "max(limit_per_s, MIN_RATE_PER_S)", "limit_per_s", PERMITS),
+    Mutation("permits", "bucket.tokens -= count", "pass", PERMITS),
+    Mutation("permits", "self.tokens = min(most, ", "self.tokens = max(0.0, ", PERMITS),
+    Mutation("permits", "and bucket.serves_asks:", "and True:", PERMITS),
+    Mutation("permits", "and not (bucket.serves_asks and bucket.asks)", "", PERMITS),
+    Mutation("permits", "and purse.until_s > self._clock()", "", PERMITS),
+    Mutation("permits", "self._buckets.pop(backend.key, None)", "pass", PERMITS),
+    Mutation("records", "if record.era < self.era:", "if False:", RECORDS_ERAS),
+    Mutation("records", "held.era < era and self._is_lost(held)", "False", RECORDS_ERAS),
+    Mutation("records", "and (held.value is not None or held.era < era)", "", RECORDS_ERAS),
+    Mutation(
+        "records",
+        "sequence = max(record.removed_sequence, self._rank(held)[0])",
+        "sequence = ()",
+        RECORDS_ERAS,
+    ),
+    Mutation("records", "elif record.era > held.era:", "elif False:", RECORDS_ERAS),
+    Mutation(
+        "catalog",
+        "            self.start_removal_grace()\n        self._apply",
+        "        " "self._apply",
+        RESTORED_STORE,
+    ),
+    Mutation("catalog", "if update.era < self.records.era:", "if False:", RESTORED_STORE),
+    Mutation("platform/store", "if era > known:", "if False:", RESTORED_STORE),
+    Mutation(
+        "platform/store",
+        "if first_era is not None and era != first_era:",
+        "if False:",
+        RESTORED_STORE,
+    ),
+    Mutation("platform/store", "if era is not None and era < known:", "if False:", RESTORED_STORE),
+    Mutation("platform/store", "if (first_era, first_at) < known:", "if False:", RESTORED_STORE),
+    Mutation("readers", "if beat.era >= own.era", "", RESTORED_STORE),
     Mutation(
         "departures",
         "if not incarnation[1] or incarnation in self._incarnations:",
