Count the calls before a waiting one also among calls of the same instant

A call that waits for a limited backend server counted only calls with an earlier target before it, so that calls that arrived at the same moment each took themselves for the first and waited in vain until their deadline came near. The line of a placement moves to the other lines of calls.

--- a/balsamtally/call_log.py
+++ b/balsamtally/call_log.py
@@ -1,8 +1,10 @@
-"""Log lines about the attempts and the end of a call."""
+"""Log lines about the placement, the attempts and the end of a call."""
 
 import time
 
+from balsamtally.assessment import PlacementTarget
 from balsamtally.calls import AnswerHead, Attempt, Backend
+from balsamtally.demands import Demand
 from balsamtally.errors import BalsamtallyError, CallerLeft
 from balsamtally.logs import log
 from balsamtally.plans import CallProgress, Plan
@@ -104,3 +106,40 @@
         on_time=on_time,
         left=isinstance(error, CallerLeft),
     )
+
+
+def log_placement(
+    demand: Demand, target: PlacementTarget, now_s: float, placed_by: str = ""
+) -> None:
+    """Log the placement of a call with the values that it was based on.
+
+    :param demand: requirements of the call
+    :param target: the placement target
+    :param now_s: monotonic clock in seconds
+    :param placed_by: name of the entry VM that placed the call, empty if it is this one
+    """
+    log.info(
+        "routed",
+        request=demand.request,
+        route=demand.route,
+        version=demand.version,
+        tier=demand.tier,
+        urgency=demand.urgency,
+        backend=target.backend,
+        expected_ms=round(target.first_event_s * 1000),
+        waited_ms=round((now_s - demand.arrived_s) * 1000),
+        running=target.running,
+        reading_tokens=target.reading_tokens,
+        beside_tokens=target.beside_tokens,
+        fresh_tokens=target.fresh_tokens,
+        again_tokens=target.again_tokens,
+        slow=(
+            round(target.first_event_s / target.normal_speed_s, 1) if target.normal_speed_s else 1.0
+        ),
+        close=target.close,
+        at_home=target.at_home,
+        permitted=target.permitted,
+        told_by=target.told_by,
+        attempt=demand.attempt,
+        placed_by=placed_by,
+    )
--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -17,6 +17,7 @@
 )
 from balsamtally.backlogs import URGENCIES, Backlogs, Load, LoadCounter, Size, Work
 from balsamtally.beats import Beat, PromptRead
+from balsamtally.call_log import log_placement
 from balsamtally.calls import Backend, PromptPart
 from balsamtally.catalog import Catalog
 from balsamtally.demands import Demand, make_demand
@@ -252,11 +253,9 @@
     def _count_before(self, waiting: Waiting) -> int:
         """Return how many waiting calls of the same service are placed before a call."""
         queue = self._waiting[waiting.demand.service].values()
-        rank = (waiting.demand.urgency, waiting.waiter.target_at_s)
-        return sum(
-            other.reservation is None and (other.demand.urgency, other.waiter.target_at_s) < rank
-            for other in queue
-        )
+        unplaced = [other for other in queue if other.reservation is None]
+        ranked = sorted(unplaced, key=lambda each: (each.demand.urgency, each.waiter.target_at_s))
+        return ranked.index(waiting)
 
     def _predict_token_s(self, demand: Demand, candidate: Candidate) -> float:
         """Return the expected time per answer token at a runner under its present load, in seconds.
@@ -522,40 +521,3 @@
         reading_tokens=candidate.reading_tokens + tokens,
         beside_tokens=candidate.beside_tokens + tokens,
     )
-
-
-def log_placement(
-    demand: Demand, target: PlacementTarget, now_s: float, placed_by: str = ""
-) -> None:
-    """Log the placement of a call with the values that it was based on.
-
-    :param demand: requirements of the call
-    :param target: the placement target
-    :param now_s: monotonic clock in seconds
-    :param placed_by: name of the entry VM that placed the call, empty if it is this one
-    """
-    log.info(
-        "routed",
-        request=demand.request,
-        route=demand.route,
-        version=demand.version,
-        tier=demand.tier,
-        urgency=demand.urgency,
-        backend=target.backend,
-        expected_ms=round(target.first_event_s * 1000),
-        waited_ms=round((now_s - demand.arrived_s) * 1000),
-        running=target.running,
-        reading_tokens=target.reading_tokens,
-        beside_tokens=target.beside_tokens,
-        fresh_tokens=target.fresh_tokens,
-        again_tokens=target.again_tokens,
-        slow=(
-            round(target.first_event_s / target.normal_speed_s, 1) if target.normal_speed_s else 1.0
-        ),
-        close=target.close,
-        at_home=target.at_home,
-        permitted=target.permitted,
-        told_by=target.told_by,
-        attempt=demand.attempt,
-        placed_by=placed_by,
-    )
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -121,12 +121,7 @@
         self._metrics = CallMetrics(self._read_gauges)
         self._backlogs = Backlogs()
         self._server_limits = ServerLimits(self.catalog.is_known)
-        self._permits = Permits(
-            self._server_limits,
-            lambda backend: self.peers.find_decider(backend),
-            lambda: self.peers.find_share(),
-            lambda message, ip: self.peers.send_message(message, ip),
-        )
+        self._permits = self._make_permits()
         self._dispatch = Dispatch(
             self.catalog,
             self._backlogs,
@@ -159,6 +154,14 @@
         )
         self._stack = contextlib.ExitStack()
 
+    def _make_permits(self) -> Permits:
+        return Permits(
+            self._server_limits,
+            lambda backend: self.peers.find_decider(backend),
+            lambda: self.peers.find_share(),
+            lambda message, ip: self.peers.send_message(message, ip),
+        )
+
     def _connect_placement(self, incarnation: str) -> None:
         """Create both sides of placement and connect them to the peers."""
         send = self.peers.send_message
--- a/tests/balsamtally/test_permits.py
+++ b/tests/balsamtally/test_permits.py
@@ -10,6 +10,7 @@
     ASK_INTERVAL_S,
     MIN_RATE_PER_S,
     PERMIT_TTL_S,
+    PermitAsk,
     PermitGrant,
     Permits,
 )
@@ -228,6 +229,24 @@
     assert not asking.permits.is_sendable(SERVER)
 
 
+def test_decider_leaves_the_token_after_its_own_to_those_that_ask():
+    fleet = Fleet(2, 2.0)
+    asking, deciding = sorted(fleet.vms.values(), key=lambda vm: vm.find_decider(SERVER) is None)
+    deciding.permits.serve_asks([SERVER])
+    fleet.now += 0.6
+    deciding.permits.take(SERVER)
+    asking.permits.request([SERVER], 1)
+    deciding.permits.handle_ask(fleet.in_flight.pop()[3], asking.name)
+    fleet.now += 0.25
+    deciding.permits.handle_ask(PermitAsk(2, *SERVER.key, 1), asking.name)
+    fleet.now += 0.2
+    assert not deciding.permits.is_sendable(SERVER)
+    deciding.permits.serve_asks([SERVER])
+    assert fleet.in_flight.pop()[3] == PermitGrant(2, 1)
+    fleet.now += 0.5
+    assert deciding.permits.is_sendable(SERVER)
+
+
 def test_permit_is_used_although_another_vm_decides_from_then_on():
     decider = None
     now = 100.0
--- a/tests/balsamtally/test_records.py
+++ b/tests/balsamtally/test_records.py
@@ -53,3 +53,28 @@
     held = Records()
     assert held.merge([Record("a", 1, b"1")])
     assert held.merge([Record("a", 2, b"1")]) == []
+
+
+def test_change_after_a_restoration_replaces_what_was_kept_whatever_its_sequence():
+    held = Records(lambda key, value: (int(value),))
+    held.merge([Record("a", 20, b"5")])
+    held.merge_listing([Record("a", 7, b"3", 1)], at=9, era=1)
+    assert [r.value for r in held.list_since(0)] == [b"5"]
+    assert held.merge([Record("a", 10, b"4", 1)])
+    assert [(r.position, r.value) for r in held.list_since(9)] == [((1, 10), b"4")]
+
+
+def test_key_that_two_restorations_lost_returns_with_its_last_value():
+    held = Records(lambda key, value: (int(value),))
+    held.merge([Record("a", 11, b"1")])
+    assert held.merge_listing([], at=10, era=1)
+    assert not held.merge_listing([], at=10, era=2)
+    assert held.merge([Record("a", 11, b"1", 3)])
+
+
+def test_record_of_a_former_era_is_ignored():
+    held = Records()
+    held.merge_listing([Record("a", 3, b"1", 2)], at=5, era=2)
+    assert held.merge([Record("b", 900, b"1", 1)]) == []
+    assert held.merge_listing([Record("b", 900, b"1", 1)], at=900, era=1) == []
+    assert held.position == (2, 5)
