Read the sequence of a backend server's entry although its software version is no number

The sequence of each entry of a backend server was empty: one decoder read the fields of contracts and of entries, and refused the text in an entry's `version`. So after a restoration what was known always won over the copy, and a drain that was written before the restored store was first read would have been passed over: calls would have gone to a server that was leaving. Two decoders now.

--- a/balsamtally/platform/documents.py
+++ b/balsamtally/platform/documents.py
@@ -122,15 +122,21 @@
     cold_remaining_ms: float = 0.0
 
 
-class SequenceDocument(msgspec.Struct, frozen=True):
-    """The fields of an entry that order its values."""
+class ContractsSequence(msgspec.Struct, frozen=True):
+    """The field that orders the published versions of the contracts."""
+
+    version: Count
+
+
+class ServerSequence(msgspec.Struct, frozen=True):
+    """The fields that order the entries of a backend server."""
 
-    version: Count = 0
     born: Count = 0
     seq: Count = 0
 
 
-_sequence = msgspec.json.Decoder(SequenceDocument)
+_contracts_sequence = msgspec.json.Decoder(ContractsSequence)
+_server_sequence = msgspec.json.Decoder(ServerSequence)
 _contracts = msgspec.json.Decoder(ContractsDocument)
 _server = msgspec.json.Decoder(ServerDocument)
 
@@ -259,13 +265,13 @@
     :return: the sequence, empty if the value is invalid
     """
     try:
-        document = decode(_sequence, value)
+        if key == CONTRACTS_KEY:
+            return (decode(_contracts_sequence, value).version,)
+        server = decode(_server_sequence, value)
     except DECODING_ERRORS:
         # Refused with a log line as it is applied.
         return ()
-    if key == CONTRACTS_KEY:
-        return (document.version,)
-    return (document.born, document.seq)
+    return (server.born, server.seq)
 
 
 DECODER = Decoder(read_contracts, read_backend_name, read_backend, read_sequence)
--- a/tests/balsamtally/platform/test_documents.py
+++ b/tests/balsamtally/platform/test_documents.py
@@ -9,7 +9,7 @@
 
 from balsamtally.calls import Repeat
 from balsamtally.catalog import Catalog
-from balsamtally.platform.documents import DECODER, read_backend, read_contracts
+from balsamtally.platform.documents import DECODER, read_backend, read_contracts, read_sequence
 from balsamtally.records import Record
 
 CONFIG = json.loads("""{"version":7,"routes":[{"name":"r-2yhvz3p","hostname":"ficu95.example",
@@ -45,6 +45,14 @@
     return json.dumps(value).encode()
 
 
+def test_entries_are_ordered_by_version_or_by_start_and_count():
+    assert read_sequence("op/config", encode(CONFIG)) == (7,)
+    assert read_sequence("servers/a", encode(SERVER)) == (0, 4)
+    assert read_sequence("servers/a", encode(SERVER | {"born": 9})) == (9, 4)
+    assert read_sequence("servers/a", encode(SERVER | {"seq": "x"})) == ()
+    assert read_sequence("op/config", b"{") == ()
+
+
 def test_example_of_the_configuration():
     contracts = read_contracts(Record("op/config", 9, encode(CONFIG)))
     first, second = contracts.routes
--- a/tests/balsamtally/platform/test_restored_store.py
+++ b/tests/balsamtally/platform/test_restored_store.py
@@ -96,6 +96,17 @@
     world.expect_names()
 
 
+def test_drain_written_before_the_restored_store_is_read_is_known(world):
+    world.register("a", 5)
+    gevent.sleep(0.3)
+    copy = world.store.copy()
+    world.store.fault = "busy"
+    world.store.restore(copy)
+    world.register("a", 6, state="draining")
+    world.store.fault = ""
+    world.expect_names()
+
+
 def test_server_that_was_removed_since_the_copy_does_not_come_back(world):
     world.register("b")
     world.expect_names("a", "b")
--- a/tests/balsamtally/test_permits.py
+++ b/tests/balsamtally/test_permits.py
@@ -247,6 +247,19 @@
     assert deciding.permits.is_sendable(SERVER)
 
 
+def test_vm_that_decides_again_starts_with_no_tokens():
+    decider, now = None, 100.0
+    limits = ServerLimits(lambda key: True, lambda: now)
+    permits = Permits(limits, lambda backend: decider, clock=lambda: now)
+    limits.record_answer(SERVER, 1.0, now)
+    permits.serve_asks([SERVER])
+    decider, now = make_beat("other"), now + 10.0
+    permits.serve_asks([SERVER])
+    decider, now = None, now + 10.0
+    permits.serve_asks([SERVER])
+    assert not permits.is_sendable(SERVER)
+
+
 def test_permit_is_used_although_another_vm_decides_from_then_on():
     decider = None
     now = 100.0
