Remove an unused object from a test of the restored store, and complete a doc comment

Found by reading the change again: the object took no part in what the test checks. No behaviour and no assertion changes; the tests of the restored store and of records pass.

--- a/balsamtally/records.py
+++ b/balsamtally/records.py
@@ -67,7 +67,11 @@
 
 
 def read_no_sequence(key: str, value: bytes) -> Sequence:
-    """Return the sequence of a value that contains none."""
+    """Return the sequence of a value that contains none.
+
+    :param key: key of the value
+    :param value: the value
+    """
     return ()
 
 
--- a/tests/balsamtally/platform/test_restored_store.py
+++ b/tests/balsamtally/platform/test_restored_store.py
@@ -255,7 +255,6 @@
     alone = Catalog(DECODER)
     share(world.catalog, alone)
     copy = world.store.copy()
-    other = World(world.store)
     world.store.fault = "silent"
     alone.merge(
         reader.decode_items([], 0)
@@ -269,7 +268,6 @@
     )  # fmt: skip
     world.store.restore(copy)
     world.store.fault = ""
-    other.catalog = world.catalog
     expect_soon(lambda: world.catalog.records.era > alone.records.era)
     share(world.catalog, alone)
     assert alone.contracts.version == 9
