Read the store at each VM before the records it holds can be too old

Callers: requests reached a draining or removed backend server up to 5.3 s after the store's acknowledgement (3 s allowed), and its end cut one to five of them; withdrawn keys were served up to 5.3 s. The store gave no answer, or one without end, to the VMs that watched it, and answered all others.

Cause: a VM rested as long as it heard that another one was READING, which meant that an earlier call had succeeded. The reader itself gave a silent watch up after 5 s of waiting and 2 s more, and its successor then did the same.

Resets and 503, which end a call at once, never broke the bound.

Change: each VM knows the age of its records, the time since the store had no others, which beats and pulls tell. Once it reaches a half of the shortest bound for changes, the VMs of a failure domain read for themselves, twice as many with each step, all of them at 0.8 of it. Watches last 0.27 of the bound, and an answer that is due 0.17 of it later counts as missing. A reader goes on until one before it in the order reads, so that a VM that comes back silent replaces none. The store's stand-in can withhold answers from single VMs, by three ways.

--- a/balsamtally/beats.py
+++ b/balsamtally/beats.py
@@ -53,6 +53,8 @@
     :ivar departures: incarnations of backend servers that announced that they are leaving
     :ivar limits: limits that backend servers named
     :ivar era: era of the revision
+    :ivar age_ms: time since the platform had no records beyond the sender's, in milliseconds;
+        ``None`` from a sender that doesn't know it
     """
 
     vm: str
@@ -72,6 +74,7 @@
     departures: tuple[tuple[str, Count], ...] = ()
     limits: tuple[ToldLimit, ...] = ()
     era: Count = 0
+    age_ms: Count | None = None
 
     @property
     def position(self) -> tuple[int, int]:
--- a/balsamtally/call_metrics.py
+++ b/balsamtally/call_metrics.py
@@ -26,7 +26,8 @@
     :ivar callers: open connections from callers
     :ivar peers: entry VMs that sent a heartbeat recently
     :ivar version: version of the contracts in force
-    :ivar platform_age_s: time since the platform's store was last read, in seconds
+    :ivar platform_age_s: time since the platform's store had no records beyond the known ones, in
+        seconds
     :ivar opened: connections to backend servers opened since the start
     :ivar foreign_answers: answers to other requests that were skipped since the start
     :ivar late_answers: connections closed since the start because bytes followed a whole answer
--- a/balsamtally/catalog.py
+++ b/balsamtally/catalog.py
@@ -99,7 +99,8 @@
     :ivar contracts: the contracts in force, ``None`` before any are known
     :ivar known: event that is set once contracts are in force
     :ivar backends: the backend servers by name
-    :ivar platform_read_s: monotonic clock at the last answer of the platform, in seconds
+    :ivar current_s: monotonic clock at which the platform last had no records beyond these, as far
+        as this VM or a peer has learnt, in seconds
     """
 
     def __init__(self, decoder: Decoder, clock: Callable[[], float] = time.monotonic):
@@ -107,7 +108,7 @@
         self.contracts: Contracts | None = None
         self.known = Event()
         self.backends: dict[str, Backend] = {}
-        self.platform_read_s = clock()
+        self.current_s = clock()
         self._decoder = decoder
         self._clock = clock
         self._departures = Departures()
@@ -147,6 +148,8 @@
             self.merge_listing(update.records, update.complete_revision, source, update.era)
         else:
             self.merge(update.records, source, update.complete_revision, update.era)
+        if update.age_ms is not None:
+            self.record_current(update.age_ms / 1000)
 
     def make_update(self, since: int, era: int | None = None) -> Update:
         """Return an update for a peer that misses no change up to a revision.
@@ -157,7 +160,7 @@
         records = self.records
         grace_s = max(0.0, self._grace_until_s - self._clock())
         changed = records.list_since(since) if era in (None, records.era) else records.list_all()
-        return Update(records.complete_revision, changed, grace_s, records.era)
+        return Update(records.complete_revision, changed, grace_s, records.era, self.age_ms)
 
     def merge_listing(self, records: Iterable[Record], at: int, source: str, era: int = 0) -> None:
         """Merge a complete listing; records that the listing lacks are removed.
@@ -176,9 +179,22 @@
             self.start_removal_grace()
         self._apply(self.records.merge_listing(records, at, era), source)
 
-    def record_platform_read(self) -> None:
-        """Record that the platform answered just now."""
-        self.platform_read_s = self._clock()
+    @property
+    def age_s(self) -> float:
+        """Time since the platform had no records beyond these, in seconds."""
+        return self._clock() - self.current_s
+
+    @property
+    def age_ms(self) -> int | None:
+        """The age in milliseconds for peers, ``None`` before all records are known."""
+        return int(1000 * self.age_s) if self.records.complete_revision else None
+
+    def record_current(self, age_s: float = 0.0) -> None:
+        """Record that the platform had no records beyond these.
+
+        :param age_s: for how long this has been known, in seconds
+        """
+        self.current_s = max(self.current_s, self._clock() - age_s)
 
     def start_removal_grace(self) -> None:
         """Delay removals: backend servers may renew entries that expired during an outage."""
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -38,6 +38,7 @@
 from balsamtally.quarantine import Quarantine
 from balsamtally.quarantine_exchange import QuarantineExchange
 from balsamtally.quarantine_messages import QuarantineUpdate
+from balsamtally.readers import make_read_times
 from balsamtally.reports import Report
 from balsamtally.reservations import Reservations
 from balsamtally.server_limits import ServerLimits
@@ -142,6 +143,7 @@
             settings.find_region,
             self._process_beat,
         )
+        self.peers.read_times = make_read_times(settings.change_bound_s)
         self._connect_placement(incarnation)
         self._connect_quarantine()
         self._grace_period = GracePeriod(lambda: self.settings.grace_s)
@@ -394,7 +396,7 @@
             callers=len(self._callers.callers),
             peers=len(self.peers.list_alive()),
             version=contracts.version if contracts is not None else 0,
-            platform_age_s=time.monotonic() - self.catalog.platform_read_s,
+            platform_age_s=self.catalog.age_s,
             opened=self._connections.opened,
             foreign_answers=self._forwarder.foreign_answers,
             late_answers=self._connections.late_answers,
@@ -437,11 +439,12 @@
         """
         changed = [
             name
-            for name in ("seeds", "grace_s", "budget", "platform_address")
+            for name in ("seeds", "grace_s", "budget", "platform_address", "change_bound_s")
             if getattr(settings, name) != getattr(self.settings, name)
         ]
         self.settings = settings
         self.peers.seeds = settings.seeds
+        self.peers.read_times = make_read_times(settings.change_bound_s)
         self._budget.rule = settings.budget
         log.info("settings_changed", changed=changed)
 
--- a/balsamtally/gateway_settings.py
+++ b/balsamtally/gateway_settings.py
@@ -5,6 +5,9 @@
 
 from balsamtally.budgets import BudgetRule
 
+# Bound for changes where the settings name none, in seconds.
+DEFAULT_CHANGE_BOUND_S = 3.0
+
 
 @dataclass(frozen=True)
 class GatewaySettings:
@@ -20,6 +23,8 @@
     :ivar platform_address: IP address and port of the platform's store of published records
     :ivar grace_s: maximum time that a draining gateway waits for its calls, in seconds
     :ivar budget: retry budget of the whole fleet
+    :ivar change_bound_s: shortest time within which a published change must be in force at all VMs,
+        in seconds
     :ivar metrics_port: port of a separate metrics listener on the IP address of
         ``caller_address``, 0 for no such listener
     """
@@ -34,6 +39,7 @@
     platform_address: tuple[str, int]
     grace_s: float
     budget: BudgetRule
+    change_bound_s: float = DEFAULT_CHANGE_BOUND_S
     metrics_port: int = 0
 
     def find_region(self, domain: str) -> str:
--- a/balsamtally/peers.py
+++ b/balsamtally/peers.py
@@ -33,7 +33,7 @@
 from balsamtally.logs import log
 from balsamtally.permits import PermitAsk, PermitGrant
 from balsamtally.quarantine_messages import QuarantineUpdate
-from balsamtally.readers import PlatformReadState, should_read
+from balsamtally.readers import DEFAULT_READ_TIMES, PlatformReadState, should_read
 from balsamtally.records import Update
 from balsamtally.reports import Report
 from balsamtally.server_limits import ToldLimit
@@ -98,6 +98,7 @@
         ones
     :ivar list_waiting_loads: returns the load of queued calls by backend server
     :ivar list_limits: returns the limits of backend servers for a beat
+    :ivar read_times: times of reading the platform
     :ivar was_asked_recently: tells whether peers recently sent placement requests for a service
 
     :param own: first beat of this entry VM
@@ -150,6 +151,7 @@
         self._pulling = False
         self._lagging_since_s: float | None = None
         self.read_state = PlatformReadState.RESTING
+        self.read_times = DEFAULT_READ_TIMES
         self._random = random.Random()
 
     def __enter__(self) -> "Peers":
@@ -197,7 +199,8 @@
         era = self._catalog.records.era
         own = msgspec.structs.replace(self.own, read_state=self.read_state, era=era)
         heard = [peer.beat for peer in self.list_alive()]
-        return should_read(own, heard, self._measure_lag_s(heard))
+        lag_s = self._measure_lag_s(heard)
+        return should_read(own, heard, lag_s, self._catalog.age_s, self.read_times)
 
     def _measure_lag_s(self, heard: Sequence[Beat]) -> float:
         """Return the time for which peers have had newer records, in seconds."""
@@ -430,6 +433,7 @@
             self.own,
             revision=self._catalog.records.complete_revision,
             era=self._catalog.records.era,
+            age_ms=self._catalog.age_ms,
             leaving=self.leaving,
             read_state=self.read_state,
             loads=loads,
@@ -506,6 +510,8 @@
         self._on_beat(beat)
         if beat.position > self._catalog.records.position:
             self._pull_later()
+        elif beat.age_ms is not None:
+            self._catalog.record_current(beat.age_ms / 1000)
 
     def _forget_silent(self, now: float) -> None:
         for name, peer in list(self._peers.items()):
--- a/balsamtally/platform/daemon.py
+++ b/balsamtally/platform/daemon.py
@@ -40,7 +40,11 @@
     with Gateway(settings, WIRE, DECODER, incarnation, listener, lambda: lines.dropped) as gateway:
         peers = gateway.peers
         with Store(
-            settings.platform_address, gateway.catalog, peers.should_read, peers.record_read_state
+            settings.platform_address,
+            gateway.catalog,
+            peers.should_read,
+            peers.record_read_state,
+            lambda: peers.read_times,
         ) as store:
             follower = gevent.spawn(follow_settings, path, gateway, store)
             stopping.wait()
--- a/balsamtally/platform/settings.py
+++ b/balsamtally/platform/settings.py
@@ -9,7 +9,7 @@
 from balsamtally.budgets import BudgetRule
 from balsamtally.decoding import DECODING_ERRORS
 from balsamtally.errors import SettingsInvalid
-from balsamtally.gateway_settings import GatewaySettings
+from balsamtally.gateway_settings import DEFAULT_CHANGE_BOUND_S, GatewaySettings
 from balsamtally.sockets import parse_address
 
 VARIABLE = "BALSAMTALLY_NODE_FILE"
@@ -17,6 +17,8 @@
 METRICS_VARIABLE = "BALSAMTALLY_METRICS_PORT"
 CHECK_FLAG = "--check-settings"
 MAX_AMOUNT = 1e9
+# Bounds for the effect of what is published: leaving servers, contracts, withdrawn keys.
+CHANGE_BOUNDS = ("drain_ms", "config_apply_ms", "revoke_ms")
 
 
 @dataclass(frozen=True)
@@ -108,11 +110,22 @@
                 allowance=read_amount(bounds["budget_extra_retries"]),
                 window_s=read_amount(bounds["budget_window_s"]),
             ),
+            change_bound_s=read_change_bound_s(bounds),
         )
     except DECODING_ERRORS as error:
         raise SettingsInvalid(f"settings file: {type(error).__name__}: {error}") from error
 
 
+def read_change_bound_s(bounds: Mapping) -> float:
+    """Return the shortest bound for the effect of a published change, in seconds.
+
+    :param bounds: the bounds in the settings file
+    :raises ValueError: if one of them is no valid number
+    """
+    given_ms = [read_amount(bounds[name]) for name in CHANGE_BOUNDS if name in bounds]
+    return min(given_ms, default=1000 * DEFAULT_CHANGE_BOUND_S) / 1000
+
+
 def read_amount(value: object) -> float:
     """Return a number of a setting.
 
--- a/balsamtally/platform/store.py
+++ b/balsamtally/platform/store.py
@@ -16,16 +16,16 @@
 from balsamtally.decoding import Count, decode
 from balsamtally.errors import BalsamtallyError, HistoryGone, PlatformUnavailable
 from balsamtally.logs import log
-from balsamtally.readers import PlatformReadState
+from balsamtally.readers import DEFAULT_READ_TIMES, PlatformReadState, ReadTimes
 from balsamtally.records import Record
 from balsamtally.tasks import spawn_repeating
 
 # The store answers in 4 ms; this tolerates answers that take a hundred times as long.
 READ_TIMEOUT_S = 2.0
-# A long poll, since each request to the store is billed. A stalled request must still be detected,
-# because other entry VMs rely on this one.
-WATCH_WAIT_MS = 5_000
-WATCH_TIMEOUT_S = WATCH_WAIT_MS / 1000 + READ_TIMEOUT_S
+# Shortest wait of a reader's watch, however slow the store's answers are.
+MIN_WATCH_S = 0.1
+# Factor on the last time of an answer, above which the next answer counts as missing.
+ANSWER_FACTOR = 2.0
 # Pause between two watches, so that one request reads the changes of a burst.
 BURST_S = 0.1
 # Interval at which an entry VM that doesn't read checks whether it should.
@@ -133,6 +133,7 @@
     :param should_read: returns whether this entry VM should read the store itself; otherwise peers
         send the records
     :param record_read_state: records whether this entry VM reads, rests or was refused by the store
+    :param find_times: returns the times of reading the platform
     :param random_source: returns a random number between two limits, for pauses in seconds
     """
 
@@ -142,16 +143,20 @@
         catalog: Catalog,
         should_read: Callable[[], bool] = lambda: True,
         record_read_state: Callable[[PlatformReadState], None] = lambda state: None,
+        find_times: Callable[[], ReadTimes] = lambda: DEFAULT_READ_TIMES,
         random_source: Callable[[float, float], float] = random.uniform,
     ):
         self.address = address
         self._catalog = catalog
         self._should_read = should_read
         self._record_read_state = record_read_state
+        self._find_times = find_times
         self._pause = random_source
         self._history_gone = False
         self._failures = 0
         self._refused_s = 0.0
+        self._watching = False
+        self._answer_s = 0.0
 
     def __enter__(self) -> "Store":
         self._task = spawn_repeating("store", self._step)
@@ -184,11 +189,13 @@
         self._record_read_state(
             PlatformReadState.REFUSED if self._failures else PlatformReadState.RESTING
         )
+        self._watching = False
         gevent.sleep(REST_S)
 
     def _record_failure(self, error: Exception) -> None:
         """Report a failure to peers and pause; the limit of the pause doubles with each one."""
         self._failures += 1
+        self._watching = False
         self._refused_s = time.monotonic()
         self._record_read_state(PlatformReadState.REFUSED)
         if self._failures == 1:
@@ -202,7 +209,6 @@
             self._catalog.start_removal_grace()
         self._failures = 0
         self._record_read_state(PlatformReadState.READING)
-        self._catalog.record_platform_read()
 
     def _list(self) -> None:
         """Read all entries.
@@ -210,6 +216,7 @@
         The pages are not one snapshot, so that the watch starts at the lowest revision of a page.
         They are of one era; if the store is restored meanwhile, they are all read again.
         """
+        asked_s = time.monotonic()
         known = self._catalog.records.position
         records: list[Record] = []
         first_at: int | None = None
@@ -232,6 +239,8 @@
             raise PlatformUnavailable(f"the listing is of era {first_era} and revision {first_at}")
         self._record_success()
         self._catalog.merge_listing(records, first_at, SOURCE, first_era)
+        self._catalog.record_current(time.monotonic() - asked_s)
+        self._watching = True
         self._history_gone = False
 
     def _read_page(self, after: str) -> tuple[int, Page]:
@@ -244,18 +253,44 @@
         return era, decode(_page, body)
 
     def _watch(self, at: int) -> None:
-        # After a failure a short watch shows soon whether the store answers again.
-        wait_ms = 1 if self._failures else WATCH_WAIT_MS
-        target = f"/kv-watch?path_prefix=&after={at}&wait_ms={wait_ms}"
-        era, body = self._read(target, WATCH_TIMEOUT_S)
+        """Wait for changes and merge them.
+
+        A stalled watch delays changes at all VMs that rely on this one, so that its answer is due
+        even if there is no change.
+        """
+        wait_s = self._find_wait_s()
+        target = f"/kv-watch?path_prefix=&after={at}&wait_ms={max(1, round(1000 * wait_s))}"
+        asked_s = time.monotonic()
+        era, body = self._read(target, wait_s + self._find_answer_limit_s())
         changes = decode(_changes, body)
         known = self._catalog.records.era
         if era > known:
             raise HistoryGone(f"the store was restored: era {era} after {known}")
+        if not changes.events:
+            self._answer_s = max(0.0, time.monotonic() - asked_s - wait_s)
         self._record_success()
         self._catalog.merge(decode_items(changes.events, era), SOURCE, changes.at, era)
+        self._catalog.record_current()
+        self._watching = True
         gevent.sleep(BURST_S)
 
+    def _find_wait_s(self) -> float:
+        """Return the time for which the next watch waits for changes, in seconds.
+
+        The first one doesn't wait, so that peers learn soon that the store answers this VM.
+        """
+        if not self._watching:
+            return 0.0
+        return max(MIN_WATCH_S, self._find_times().watch_s - self._answer_s)
+
+    def _find_answer_limit_s(self) -> float:
+        """Return the time after which an answer counts as missing, in seconds.
+
+        It grows with each failure, since the store may be slow.
+        """
+        usual_s = max(self._find_times().answer_s, ANSWER_FACTOR * self._answer_s)
+        return min(READ_TIMEOUT_S, usual_s * 2**self._failures)
+
     def _read(self, target: str, timeout_s: float) -> tuple[int, bytes]:
         """Return era and body of an answer; without an era it counts as of the last known one.
 
--- a/balsamtally/records.py
+++ b/balsamtally/records.py
@@ -58,12 +58,15 @@
     :ivar grace_s: time for which the sender still delays removals, since the platform has only just
         become reachable again, in seconds
     :ivar era: era of the sender
+    :ivar age_ms: time since the platform had no records beyond the sender's, in milliseconds;
+        ``None`` from a sender that doesn't know it
     """
 
     complete_revision: Count
     records: list[Record]
     grace_s: Seconds = 0.0
     era: Count = 0
+    age_ms: Count | None = None
 
 
 def read_no_sequence(key: str, value: bytes) -> Sequence:
--- a/standins/grid.py
+++ b/standins/grid.py
@@ -54,6 +54,8 @@
 LIMITS = Limits(idle_timeout_s=60.0)
 BOUNDS = {
     "grace_s": 8,
+    "drain_ms": 3000,
+    "config_apply_ms": 3000,
     "retry_budget_ratio": 0.2,
     "budget_extra_retries": 56,
     "budget_window_s": 10,
@@ -369,6 +371,7 @@
         self.vms: list[Vm] = []
         self.servers: list[Server] = []
         self._attempts: Counter[str] = Counter()
+        self._store_hosts: dict[str, str] = {}
 
     def __enter__(self) -> "Grid":
         enter = self._stack.enter_context
@@ -407,10 +410,16 @@
 
     def start(self, vm: Vm) -> None:
         """Write the settings of an entry VM and start its daemon."""
-        host, port = self.store.address
-        vm.write_settings([other.host for other in self.vms[:3]], f"{host}:{port}")
+        vm.write_settings([other.host for other in self.vms[:3]], self._find_store_address(vm))
         vm.start()
 
+    def _find_store_address(self, vm: Vm) -> str:
+        """Return the address of the entry VM's own listener of the store, opened if needed."""
+        if vm.name not in self._store_hosts:
+            self._store_hosts[vm.name] = draw_host()
+            self.store.open_listener(vm.name, (self._store_hosts[vm.name], STORE_PORT))
+        return f"{self._store_hosts[vm.name]}:{STORE_PORT}"
+
     def _kill_all(self) -> None:
         for vm in self.vms:
             if vm.is_running():
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -499,6 +499,11 @@
     Mutation("readers", "if lag_s > MAX_LAG_S:", "if False:", READERS),
     Mutation("readers", "if not readers:", "if False:", READERS),
     Mutation("readers", "if own.read_state == PlatformReadState.REFUSED:", "if False:", READERS),
+    Mutation("readers", " or age_s >= times.last_s", "", READERS),
+    Mutation("readers", "age_s >= times.first_s + times.step_s", "False and 1.0", READERS),
+    Mutation("readers", "return find_rank(own, near_readers) == 0", "return True", READERS),
+    Mutation("readers", "if not near_readers and rank == 0:", "if False:", READERS),
+    Mutation("peers", "elif beat.age_ms is not None:", "elif False:", PEERS),
     Mutation("peers", "self._random.choice(newest_peers)", "self._random.choice(alive)", PEERS),
     Mutation("peers", "if peer.beat.vm in self._new_peers:", "if False:", PEERS),
     Mutation(
@@ -645,7 +650,7 @@
     ),
     Mutation("platform/store", "if era is not None and era < known:", "if False:", RESTORED_STORE),
     Mutation("platform/store", "if (first_era, first_at) < known:", "if False:", RESTORED_STORE),
-    Mutation("readers", "if beat.era >= own.era", "", RESTORED_STORE),
+    Mutation("readers", "beat.era >= own.era and ", "", RESTORED_STORE),
     Mutation(
         "departures",
         "if not incarnation[1] or incarnation in self._incarnations:",
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,10 +1,13 @@
 """A stand-in for the platform's key-value store: revisions, paged listings, watches and faults."""
 
 import base64
+import contextlib
 import json
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from urllib.parse import parse_qs
 
 import gevent
@@ -17,6 +20,7 @@
 
 PAGE_ITEMS = 50
 LIMITS = Limits(idle_timeout_s=60.0)
+DRIP_S = 0.4
 
 
 @dataclass(frozen=True)
@@ -43,6 +47,9 @@
     :ivar delay_s: delay of each answer, in seconds
     :ivar era: value of ``Store-Era`` in all answers, empty for none
     :ivar on_page: called after each page of a listing was sent
+    :ivar stalled: listeners whose callers get no whole answer, with ``"mute"`` (no byte),
+        ``"head"`` (no byte of the body) or ``"drip"`` (a byte of the body each ``DRIP_S``)
+    :ivar watching: number of waiting watches by listener
     """
 
     def __init__(self, address: tuple[str, int]):
@@ -52,6 +59,9 @@
         self.delay_s = 0.0
         self.era = ""
         self.on_page: Callable[[], None] = lambda: None
+        self.stalled: dict[str, str] = {}
+        self.watching: Counter[str] = Counter()
+        self._stack = contextlib.ExitStack()
         self._items: dict[str, dict] = {}
         self._events: list[dict] = []
         self._spoiled: dict[str, dict] = {}
@@ -60,14 +70,22 @@
         self._changed = Event()
 
     def __enter__(self) -> "Store":
-        self._server = CallerServer(
-            listen(self.address), lambda: LIMITS, self._serve, self._refuse, time.monotonic
-        )
-        self._server.__enter__()
+        self.open_listener("", self.address)
         return self
 
     def __exit__(self, *exc_info) -> None:
-        self._server.__exit__(*exc_info)
+        self._stack.close()
+
+    def open_listener(self, name: str, address: tuple[str, int]) -> None:
+        """Serve callers at one more address.
+
+        :param name: name of the listener
+        :param address: its IP address and port
+        """
+        serve = partial(self._serve, name)
+        self._stack.enter_context(
+            CallerServer(listen(address), lambda: LIMITS, serve, self._refuse, time.monotonic)
+        )
 
     def put(self, key: str, value: object) -> int:
         """Write an item and return its revision.
@@ -128,8 +146,10 @@
     def _refuse(self, caller: Caller, error: BalsamtallyError) -> None:
         caller.answer(error.status, (), b"")
 
-    def _serve(self, caller: Caller, request: Request) -> None:
+    def _serve(self, listener: str, caller: Caller, request: Request) -> None:
         self.calls += 1
+        if self._stall(listener, caller):
+            return
         gevent.sleep(self.delay_s)
         if self.fault == "silent":
             gevent.sleep(3600)
@@ -144,7 +164,7 @@
         if path == "/kv-range":
             self._list(caller, fields)
         elif path == "/kv-watch":
-            self._watch(caller, fields)
+            self._watch(listener, caller, fields)
         else:
             caller.answer(404, (), b"")
 
@@ -164,13 +184,39 @@
         self._answer(caller, "entries", items, has_more=len(keys) > PAGE_ITEMS)
         self.on_page()
 
-    def _watch(self, caller: Caller, fields: dict[str, str]) -> None:
+    def _stall(self, listener: str, caller: Caller) -> bool:
+        """Withhold an answer while the listener is stalled, and return whether it was."""
+        kind = self.stalled.get(listener)
+        if kind is None:
+            return False
+        if kind != "mute":
+            caller.begin(200, self._make_era())
+        while listener in self.stalled:
+            if kind == "drip":
+                caller.send(b" ")
+            gevent.sleep(DRIP_S)
+        return True
+
+    def _watch(self, listener: str, caller: Caller, fields: dict[str, str]) -> None:
+        self.watching[listener] += 1
+        try:
+            events = self._wait_for_events(fields)
+        finally:
+            self.watching[listener] -= 1
+        if self._stall(listener, caller):
+            return
+        if events is None:
+            caller.answer(410, self._make_era(), b"")
+        else:
+            self._answer(caller, "events", events)
+
+    def _wait_for_events(self, fields: dict[str, str]) -> list[dict] | None:
+        """Return the events of a watch, ``None`` if their history was dropped."""
         prefix, after = fields.get("path_prefix", ""), int(fields["after"])
         until_s = time.monotonic() + int(fields["wait_ms"]) / 1000
         while True:
             if not self._oldest_revision <= after <= self._revision:
-                caller.answer(410, self._make_era(), b"")
-                return
+                return None
             events = [
                 event
                 for event in self._events
@@ -178,6 +224,5 @@
             ]
             left_s = until_s - time.monotonic()
             if events or left_s <= 0:
-                self._answer(caller, "events", events)
-                return
+                return events
             self._changed.wait(left_s)
--- a/tests/balsamtally/platform/test_settings.py
+++ b/tests/balsamtally/platform/test_settings.py
@@ -4,6 +4,7 @@
 import yaml
 
 from balsamtally.errors import SettingsInvalid
+from balsamtally.gateway_settings import DEFAULT_CHANGE_BOUND_S
 from balsamtally.platform.settings import (
     OwnSettings,
     find_path,
@@ -53,6 +54,14 @@
     assert settings.regions["mvd-a"] == "uy-south" and settings.grace_s == 8.0
     assert settings.budget.allowance == 56.0
     assert read_settings(write(tmp_path, {"seeds": []})).seeds == ()
+    assert settings.change_bound_s == DEFAULT_CHANGE_BOUND_S
+
+
+def test_shortest_bound_for_changes_is_read(tmp_path):
+    bounds = BOUNDS | {"drain_ms": 5000, "config_apply_ms": 4000}
+    assert read_settings(write(tmp_path, {"bounds": bounds})).change_bound_s == 4.0
+    with pytest.raises(SettingsInvalid):
+        read_settings(write(tmp_path, {"bounds": bounds | {"revoke_ms": -1}}))
 
 
 @pytest.mark.parametrize(
--- a/tests/balsamtally/platform/test_store.py
+++ b/tests/balsamtally/platform/test_store.py
@@ -10,6 +10,7 @@
 from balsamtally.catalog import Catalog
 from balsamtally.platform import store as reader
 from balsamtally.platform.documents import DECODER
+from balsamtally.readers import PlatformReadState, make_read_times
 from balsamtally.sockets import parse_address
 from standins.fleet import find_addresses
 from standins.store import PAGE_ITEMS, Store
@@ -105,6 +106,40 @@
             expect_soon(lambda: catalog.contracts is not None)
 
 
+@pytest.mark.parametrize("kind", ["mute", "head", "drip"])
+def test_reader_without_an_answer_is_reported_and_learns_of_the_change_after_it(kind):
+    """Guards against readers that wait for a silent store as long as their watch could last."""
+    times, states = make_read_times(3.0), []
+    with Store(draw_address()) as store:
+        store.put("op/config", CONFIG)
+        catalog = Catalog(DECODER)
+        with reader.Store(store.address, catalog, record_read_state=states.append):
+            expect_soon(lambda: store.watching[""])
+            store.stalled[""] = kind
+            store.put("op/config", CONFIG | {"version": 8})
+            expect_soon(
+                lambda: states[-1] == PlatformReadState.REFUSED,
+                times.watch_s + times.answer_s + 0.5,
+            )
+            del store.stalled[""]
+            expect_soon(lambda: catalog.contracts.version == 8, reader.READ_TIMEOUT_S + 1.0)
+            assert states[-1] == PlatformReadState.READING
+
+
+def test_slow_store_is_read_without_failures_once_its_slowness_is_known():
+    times = make_read_times(3.0)
+    with Store(draw_address()) as store:
+        store.put("op/config", CONFIG)
+        catalog = Catalog(DECODER)
+        with reader.Store(store.address, catalog), capture_logs() as lines:
+            expect_soon(lambda: store.watching[""])
+            store.delay_s = 1.5 * times.answer_s
+            gevent.sleep(8.0)
+            lost = [line for line in lines if line["event"] == "platform_lost"]
+            assert len(lost) == 1 and catalog.age_s < 2.5 * store.delay_s
+            store.delay_s = 0.0
+
+
 def test_entries_that_expired_during_an_outage_may_be_renewed(store, catalog):
     store.fault = "busy"
     store.put("servers/b", SERVER)
--- a/tests/balsamtally/test_peers.py
+++ b/tests/balsamtally/test_peers.py
@@ -383,6 +383,35 @@
         assert not vm.peers.should_read()
 
 
+def make_aged_beat(revision, age_ms):
+    return Beat("r", "127.0.0.9", "home", "1", revision, False, {}, (), age_ms=age_ms)
+
+
+def test_age_of_the_records_is_learnt_from_beats_of_peers_that_know_no_more():
+    vm = Vm("a", ())
+    assert vm.peers._make_beat(()).age_ms is None
+    vm.catalog.merge([], "platform", 5)
+    vm.catalog.current_s -= 9.0
+    vm.peers._pulling = True
+    vm.peers._handle_beat(make_aged_beat(6, 0))
+    vm.peers._handle_beat(make_aged_beat(5, None))
+    assert 9.0 <= vm.catalog.age_s < 10.0 and vm.peers._make_beat(()).age_ms >= 9000
+    vm.peers._handle_beat(make_aged_beat(5, 300))
+    vm.peers._handle_beat(make_aged_beat(4, 8000))
+    assert 0.3 <= vm.catalog.age_s < 1.3
+
+
+def test_age_of_the_records_is_learnt_with_a_pull(fleet):
+    first, second, _ = fleet
+    expect_soon(lambda: "b" in first.names)
+    first.peers._pulling = True
+    second.catalog.merge([Record("contracts", 5, b"5")], "platform", 5)
+    second.catalog.record_current()
+    first.catalog.current_s -= 9.0
+    first.peers._pull_from(first.peers._peers["b"], (0, 0))
+    assert first.catalog.age_s < 1.0
+
+
 def test_restarted_vm_learns_from_the_newest_of_its_peers():
     """A peer that is cut off from the platform still holds a key that was withdrawn."""
     with contextlib.ExitStack() as stack:
