Bound the bytes of answers that a process holds, and release those of failed attempts

Callers: a faulty backend server that sent bytes without end, in a head, a body or an event, took the memory of the entry VM that had called it, and with it the requests of all other callers there.

Cause: each answer is bounded by 262,144 bytes, nothing bounded their sum; and a failure that was kept as a value referred by its traceback to the frames of its attempt, with the answer, until a garbage collection.

Change: one account by the memory_mb of the settings file counts unfinished answers. Where little room is left, the backend server whose answers hold the most loses one with 3010, which counts as its failure; small answers and a reserve go on. Failures are kept without tracebacks. A request's body is sent without a copy.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -14,7 +14,14 @@
 from gevent import select, socket
 
 from balsamtally.calls import BODILESS, AnswerHead, Backend, Headers
-from balsamtally.errors import AnswerCut, BackendUnreachable, ConnectionUnusable, NoAnswer
+from balsamtally.errors import (
+    AnswerCut,
+    AnswerTooLarge,
+    BackendUnreachable,
+    ConnectionUnusable,
+    NoAnswer,
+)
+from balsamtally.held_bytes import Holding
 from balsamtally.logs import log
 from balsamtally.sockets import close, connect, has_input, is_idle, was_closed_in_order
 
@@ -62,6 +69,8 @@
         with the connection
     :ivar witness: another connection to the backend server's process, which ends with the process
         within such an answer; ``None`` if there is none
+    :ivar holding: counts the bytes of the current answer, ``None`` if they aren't counted
+    :ivar held_bytes: bytes of the answer's body that the reader holds
     """
 
     def __init__(self, sock: socket.socket, number: int = 0):
@@ -82,6 +91,9 @@
         self._witness_since_s = 0.0
         self._irregular = False
         self._read_bytes = 0
+        self.holding: Holding | None = None
+        self.held_bytes = 0
+        self._unparsed_bytes = 0
 
     @property
     def exchange(self) -> str:
@@ -141,10 +153,12 @@
         """
         self._whole_request = False
         self._requests += 1
+        self.held_bytes = 0
         self._method = method
         self._head_requests.add(method == b"HEAD")
         head = self._http.send(h11.Request(method=method, target=target, headers=headers))
-        self._http.send(h11.Data(data=body))
+        # The parser only counts the body, which is sent without a copy.
+        self._http.send_with_data_passthrough(h11.Data(data=body))
         self._http.send(h11.EndOfMessage())
         self._write(head, body, until_s)
 
@@ -153,24 +167,30 @@
 
         What arrives before the whole head was sent is no answer to this request.
         """
-        view = memoryview(head + body)
+        first = body[: max(0, SEND_BYTES - len(head))]
+        view, rest = memoryview(head + first), memoryview(body)[len(first) :]
         self._unsent = b""
+        sent_bytes = 0
         try:
             while view:
                 left_s = until_s - time.monotonic()
                 if left_s <= 0:
                     raise NoAnswer("the request could not be sent in time")
                 readable, writable, _ = select.select([self._sock], [self._sock], [], left_s)
-                if readable and len(view) > len(body):
+                if readable and sent_bytes < len(head):
                     raise ConnectionUnusable
                 if readable:
-                    self._unsent = bytes(view)
+                    self._unsent = bytes(view) + bytes(rest)
                     return
                 if writable:
                     self._sock.settimeout(left_s)
-                    view = view[self._sock.send(view[:SEND_BYTES]) :]
+                    size = self._sock.send(view[:SEND_BYTES])
+                    sent_bytes += size
+                    view = view[size:]
+                if not view:
+                    view, rest = rest, memoryview(b"")
         except OSError as error:
-            if len(view) > len(body):
+            if sent_bytes < len(head):
                 raise ConnectionUnusable(f"the connection broke: {error}") from error
             raise AnswerCut(f"the connection broke while the request was sent: {error}") from error
         self._whole_request = True
@@ -218,14 +238,16 @@
 
         :param until_s: deadline on the monotonic clock, in seconds
         :param most_bytes: largest size of the body
-        :raises AnswerCut: if the connection breaks before the end, or the body is larger
+        :raises AnswerCut: if the connection breaks before the end
+        :raises AnswerTooLarge: if the body is larger, or too many bytes are held
         :raises NoAnswer: if the deadline passes
         """
         body = bytearray()
         for piece in self.read_body(lambda: until_s):
             body += piece
+            self.held_bytes = len(body)
             if len(body) > most_bytes:
-                raise AnswerCut(f"the answer has more than {most_bytes} bytes")
+                raise AnswerTooLarge(f"the answer has more than {most_bytes} bytes")
         return bytes(body)
 
     def drain(self, until_s: float) -> bool:
@@ -274,6 +296,8 @@
                 self._sock.settimeout(left_s)
                 data = self._sock.recv(READ_BYTES)
                 ended = not data
+                self._unparsed_bytes += len(data)
+                self._count_bytes()
                 self._http.receive_data(data)
                 self._yield_after(len(data))
         except TimeoutError as error:
@@ -286,10 +310,16 @@
             if ended:
                 raise AnswerCut("the connection was closed within the answer") from error
             raise AnswerCut(f"the answer is malformed: {error}") from error
+        self._unparsed_bytes = 0
         if event is h11.PAUSED or type(event) is h11.ConnectionClosed:
             raise AnswerCut("the connection was closed before the answer")
         return event
 
+    def _count_bytes(self) -> None:
+        """Count the bytes of the answer that are held: those of its body, and a part not parsed."""
+        if self.holding is not None:
+            self.holding.resize(self.held_bytes + self._unparsed_bytes)
+
     def _yield_after(self, size: int) -> None:
         """Yield to other greenlets once for every READ_BYTES bytes read.
 
--- a/balsamtally/call_metrics.py
+++ b/balsamtally/call_metrics.py
@@ -34,6 +34,8 @@
     :ivar dropped_lines: log lines dropped since the start
     :ivar quarantined: groups of prompt parts in quarantine
     :ivar limited: backend servers that limit the rate of requests
+    :ivar held_bytes: bytes held for calls in progress
+    :ivar held_bytes_limit: limit of these bytes
     """
 
     waiting: Mapping[str, int] = field(default_factory=dict)
@@ -51,6 +53,8 @@
     dropped_lines: int = 0
     quarantined: int = 0
     limited: int = 0
+    held_bytes: float = 0.0
+    held_bytes_limit: float = 0.0
 
 
 class CallMetrics(Collectors):
@@ -100,7 +104,7 @@
             "peers": self._gauge("peers_alive", "Entry VMs heard lately"),
             "version": self._gauge("contracts_version", "Version of the contracts in force"),
             "platform_age_s": self._gauge(
-                "store_age_seconds", "Time since the platform's store was read"
+                "store_age_seconds", "Time since the store had no records beyond the known ones"
             ),
             "opened": self._gauge(
                 "backend_connections_opened", "Connections to backend servers opened"
@@ -118,6 +122,8 @@
             "limited": self._gauge(
                 "limited_backends", "Backend servers that limit the rate of requests"
             ),
+            "held_bytes": self._gauge("held_bytes", "Bytes held for calls in progress"),
+            "held_bytes_limit": self._gauge("held_bytes_limit", "Limit of the bytes held"),
         }
         self._memory = self._gauge("resident_bytes", "Resident memory of the process")
 
--- a/balsamtally/errors.py
+++ b/balsamtally/errors.py
@@ -71,6 +71,18 @@
         return found(self.message, self.retry_after_s)
 
 
+def drop_traces(error: BalsamtallyError) -> BalsamtallyError:
+    """Return an error without its tracebacks, whose frames would keep what they refer to.
+
+    :param error: the error, which is kept as a value
+    """
+    link: BaseException | None = error
+    while link is not None:
+        link.__traceback__ = None
+        link = link.__cause__ or link.__context__
+    return error
+
+
 class RequestError(BalsamtallyError):
     """The caller's request can't be accepted and was not run."""
 
@@ -428,6 +440,13 @@
     default = "the answer has begun already"
 
 
+class AnswerTooLarge(AnswerCut):
+    """The answer has more bytes than may be held of one, or of all answers together."""
+
+    code = 3010
+    default = "the answer is too large"
+
+
 class OperatorError(BalsamtallyError):
     """An operator's input isn't valid."""
 
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -1,7 +1,8 @@
 """Forwards calls from callers to backend servers, with retries and stream resumption."""
 
+import contextlib
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from balsamtally.backends import BackendConnection, Connections
@@ -20,6 +21,7 @@
 from balsamtally.catalog import Contracts
 from balsamtally.errors import (
     AnswerCut,
+    AnswerTooLarge,
     BackendFailed,
     BackendLeaving,
     BackendRefused,
@@ -35,8 +37,10 @@
     PartQuarantined,
     QueueTimeout,
     WrongAnswer,
+    drop_traces,
 )
 from balsamtally.events import Event, EventReader, holds_answer_head
+from balsamtally.held_bytes import HeldBytes, Holding
 from balsamtally.logs import log
 from balsamtally.plans import (
     CallProgress,
@@ -60,6 +64,8 @@
 DEADLINE_STATUS = 504
 # Answers to other requests that are skipped before the connection is closed.
 MAX_FOREIGN_ANSWERS = 2
+# Name under which stored answers are counted beside those of the backend servers.
+STORED_ANSWERS = "stored"
 
 
 @dataclass(frozen=True)
@@ -144,6 +150,7 @@
     :param wire: the header conventions
     :param connections: connections to backend servers
     :param terminations: tells which backend servers have ended
+    :param account: counts the bytes of answers
     :ivar foreign_answers: answers to other requests that were skipped so far
     """
 
@@ -153,11 +160,13 @@
         wire: Wire,
         connections: Connections,
         terminations: Terminations,
+        account: HeldBytes,
     ):
         self._hooks = hooks
         self._wire = wire
         self._connections = connections
         self._terminations = terminations
+        self._account = account
         self.foreign_answers = 0
 
     def serve(self, caller: Caller, request: Request) -> None:
@@ -179,7 +188,11 @@
             log.exception("request_failed", request=call_id)
             self.refuse(caller, BalsamtallyError(), call_id)
             return
-        progress = CallProgress()
+        with Holding(self._account, STORED_ANSWERS) as stored:
+            self._serve_call(caller, plan, CallProgress(stored_bytes=stored))
+
+    def _serve_call(self, caller: Caller, plan: Plan, progress: CallProgress) -> None:
+        call = plan.call
         error: BaseException | None = None
         try:
             self._hooks.record_request(plan.service)
@@ -201,6 +214,8 @@
         finally:
             progress.answer, progress.sent_bytes = caller.answer_state, caller.sent_bytes
             self._hooks.record_end(plan, progress, error)
+            # Its traceback refers to this frame, which would keep the call until a collection.
+            error = None
 
     def refuse(
         self,
@@ -322,7 +337,7 @@
             except CallerLeft:
                 raise
             except BalsamtallyError as error:
-                failure = error
+                failure = drop_traces(error)
         self._hooks.record_outcome(choice.backend, plan, failure, time.monotonic() - begun_s)
         return failure
 
@@ -334,7 +349,7 @@
         if left_s < MIN_LEFT_S:
             raise QueueTimeout
         connection = self._connections.acquire(backend, left_s, plan.call.id)
-        try:
+        with self._use(backend, connection):
             # The backend server may have begun to drain or to pause as the connection was opened.
             if not self._hooks.is_open(backend):
                 raise BackendLeaving(f"{backend.name} is draining or pauses")
@@ -348,7 +363,15 @@
                 self._pass_stream(caller, plan, progress, head, connection, work)
             else:
                 self._pass_whole(caller, plan, progress, head, connection)
+
+    @contextlib.contextmanager
+    def _use(self, backend: Backend, connection: BackendConnection) -> Iterator[None]:
+        """Count the bytes of an answer within the context, and release the connection after it."""
+        try:
+            with Holding(self._account, backend.name) as connection.holding:
+                yield
         finally:
+            connection.holding = None
             self._connections.release(backend, connection)
 
     def _send(
@@ -436,7 +459,7 @@
         self._check_end(progress, connection)
         progress.answer_attempt = progress.sent
         if head.status >= 500:
-            progress.failed_answer = (head, body)
+            self._store_answer(progress, head, body)
             if head.status == DEADLINE_STATUS:
                 raise NoAnswer(f"the backend server answered {head.status}")
             raise BackendFailed(f"the backend server answered {head.status}")
@@ -444,6 +467,15 @@
             self._record_begun(plan, progress)
         self._answer_whole(caller, progress, head, body)
 
+    def _store_answer(self, progress: CallProgress, head: AnswerHead, body: bytes) -> None:
+        """Store an answer to fall back on, unless there is no room for it."""
+        try:
+            progress.stored_bytes.resize(len(body))
+        except AnswerTooLarge as error:
+            log.info("answer_not_stored", backend=progress.backend.name, why=str(error))
+        else:
+            progress.failed_answer = (head, body)
+
     def _answer_whole(
         self, caller: Caller, progress: CallProgress, head: AnswerHead, body: bytes
     ) -> None:
@@ -472,6 +504,7 @@
                 work.record_answer_start()
                 self._record_begun(plan, progress)
                 self._pass_events(caller, progress, head, events)
+            connection.held_bytes = len(reader.rest)
             reader.check()
         if reader.rest:
             raise AnswerCut("the stream ended in the middle of an event")
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -30,6 +30,7 @@
 from balsamtally.forwarding import Choice, Forwarder, ForwardingHooks, Wire
 from balsamtally.gateway_settings import GatewaySettings
 from balsamtally.grace_period import END_SHARE, TELL_SHARE, GracePeriod, StopCounts
+from balsamtally.held_bytes import HeldBytes, find_limit
 from balsamtally.logs import log
 from balsamtally.pauses import Pauses, PausingChoice
 from balsamtally.peers import RECORDS_PATH, Peers
@@ -59,6 +60,8 @@
 # The balancer removes an entry VM after two failed health checks one second apart. Idle connections
 # stay open until then, so that requests sent on them meanwhile are served.
 CLOSE_IDLE_AFTER_S = 3.0
+# Settings that can change while calls are served.
+CHANGEABLE = ("seeds", "grace_s", "budget", "platform_address", "change_bound_s", "memory_mb")
 # Limits for the health check, peer and metrics pages, whose requests have small heads and no body.
 PAGE_LIMITS = Limits(max_body_bytes=0, idle_timeout_s=30.0)
 
@@ -150,9 +153,16 @@
         self._budget = FleetBudget(settings.budget, self.peers.count_members)
         self._connections = Connections()
         self._terminations = Terminations(self._connections.refuses_connections)
-        self._forwarder = Forwarder(self._make_hooks(), wire, self._connections, self._terminations)
+        self._account = HeldBytes(find_limit(settings.memory_mb))
+        self._forwarder = Forwarder(
+            self._make_hooks(), wire, self._connections, self._terminations, self._account
+        )
         self._callers = CallerServer(
-            listener, self._find_limits, self._serve_call, self._forwarder.refuse, time.monotonic
+            listener,
+            self._find_limits,
+            self._serve_call,
+            self._forwarder.refuse,
+            time.monotonic,
         )
         self._stack = contextlib.ExitStack()
 
@@ -403,6 +413,8 @@
             dropped_lines=self._count_dropped(),
             quarantined=len(self._quarantine.list_entries()),
             limited=len(self._server_limits.list_limited()),
+            held_bytes=self._account.used_bytes,
+            held_bytes_limit=self._account.limit_bytes,
         )
 
     def _record_outcome(
@@ -438,13 +450,12 @@
         :param settings: the new settings
         """
         changed = [
-            name
-            for name in ("seeds", "grace_s", "budget", "platform_address", "change_bound_s")
-            if getattr(settings, name) != getattr(self.settings, name)
+            name for name in CHANGEABLE if getattr(settings, name) != getattr(self.settings, name)
         ]
         self.settings = settings
         self.peers.seeds = settings.seeds
         self.peers.read_times = make_read_times(settings.change_bound_s)
+        self._account.limit_bytes = find_limit(settings.memory_mb)
         self._budget.rule = settings.budget
         log.info("settings_changed", changed=changed)
 
--- a/balsamtally/gateway_settings.py
+++ b/balsamtally/gateway_settings.py
@@ -7,6 +7,8 @@
 
 # Bound for changes where the settings name none, in seconds.
 DEFAULT_CHANGE_BOUND_S = 3.0
+# Memory of the machine where the settings don't state it, that of the smallest machines.
+DEFAULT_MEMORY_MB = 88.0
 
 
 @dataclass(frozen=True)
@@ -25,6 +27,7 @@
     :ivar budget: retry budget of the whole fleet
     :ivar change_bound_s: shortest time within which a published change must be in force at all VMs,
         in seconds
+    :ivar memory_mb: memory that the process may take, in MB
     :ivar metrics_port: port of a separate metrics listener on the IP address of
         ``caller_address``, 0 for no such listener
     """
@@ -40,6 +43,7 @@
     grace_s: float
     budget: BudgetRule
     change_bound_s: float = DEFAULT_CHANGE_BOUND_S
+    memory_mb: float = DEFAULT_MEMORY_MB
     metrics_port: int = 0
 
     def find_region(self, domain: str) -> str:
--- /dev/null
+++ b/balsamtally/held_bytes.py
@@ -0,0 +1,153 @@
+"""Bound on the bytes that a process holds for calls in progress.
+
+Answers of backend servers and bodies of callers share one account, whose limit follows from the
+memory of the machine. Small items are always accepted: their number is bounded by the connections.
+Answers have a reserve beyond the limit, so that large bodies of callers can't fail them. Where the
+limit is reached, the backend server that holds the most loses an answer, the others go on: bytes
+without end come from few backend servers.
+"""
+
+import random
+import time
+from collections import Counter
+from collections.abc import Callable
+
+from balsamtally.errors import AnswerTooLarge, TooManyRequests
+
+# Part of the machine's memory for the account. The process itself takes 25 to 45 MB, and the rest
+# is for what isn't counted: connections, copies in transit and free memory between objects in use.
+ACCOUNT_SHARE = 0.3
+# Part of the account that only answers may use.
+RESERVE_SHARE = 0.25
+BYTES_PER_MB = 1_000_000
+# Items up to this size are always accepted.
+SMALL_BYTES = 16_384
+# Memory that a byte of an unfinished answer takes: the answer, and what its buffers leave unused.
+ANSWER_FACTOR = 2.0
+# Limits of the time after which a caller with a refused body may return, in seconds.
+MIN_RETURN_S = 0.2
+MAX_RETURN_S = 5.0
+# Time over which the rate of released bytes is averaged, in seconds.
+RATE_S = 2.0
+
+
+class HeldBytes:
+    """The account of one process.
+
+    :param limit_bytes: bytes up to which items that aren't small may grow
+    :param clock: monotonic clock in seconds
+    :ivar limit_bytes: this limit
+    :ivar used_bytes: bytes held now
+    """
+
+    def __init__(self, limit_bytes: float, clock: Callable[[], float] = time.monotonic):
+        self.limit_bytes = limit_bytes
+        self.used_bytes = 0.0
+        self._by_backend: Counter[str] = Counter()
+        self._clock = clock
+        self._released_per_s = 0.0
+        self._released_s = clock()
+
+    def has_room(self, size: float) -> bool:
+        """Return whether there is room for more bytes, without the reserve for answers.
+
+        :param size: the bytes
+        """
+        return self.used_bytes + size <= (1.0 - RESERVE_SHARE) * self.limit_bytes
+
+    def has_room_for_answer(self, size: float, backend: str) -> bool:
+        """Return whether there is room for more bytes of an answer.
+
+        Beyond the reserve, the backend server whose answers hold the most gets no more.
+
+        :param size: the bytes
+        :param backend: name of the backend server
+        """
+        if self.has_room(size):
+            return True
+        if self._by_backend.total() + size <= RESERVE_SHARE * self.limit_bytes:
+            return True
+        is_largest = self._by_backend[backend] >= max(self._by_backend.values(), default=0.0)
+        return not is_largest and self.used_bytes + size <= self.limit_bytes
+
+    def add(self, size: float, backend: str = "") -> None:
+        """Count bytes, or release them.
+
+        :param size: the bytes, negative to release them
+        :param backend: backend server of an answer, empty for the body of a caller
+        """
+        self.used_bytes += size
+        if backend:
+            self._by_backend[backend] += size
+            if self._by_backend[backend] <= 0:
+                del self._by_backend[backend]
+        if size < 0:
+            self._record_release(-size)
+
+    def _record_release(self, size: float) -> None:
+        now = self._clock()
+        kept = max(0.0, 1.0 - (now - self._released_s) / RATE_S)
+        self._released_per_s = self._released_per_s * kept + size / RATE_S
+        self._released_s = now
+
+    def estimate_return_s(self, size: float) -> float:
+        """Return the time after which a body of some bytes may find room, in seconds.
+
+        Callers return spread over half of it, so that they don't all find the same room.
+
+        :param size: size of the body
+        """
+        needed = self.used_bytes + size - (1.0 - RESERVE_SHARE) * self.limit_bytes
+        wait_s = needed / max(self._released_per_s, 1.0)
+        return random.uniform(1.0, 1.5) * min(max(wait_s, MIN_RETURN_S), MAX_RETURN_S)
+
+
+class Holding:
+    """The bytes of one item in the account, a context manager that releases them.
+
+    :param account: the account
+    :param backend: backend server of an answer, empty for the body of a caller
+    """
+
+    def __init__(self, account: HeldBytes, backend: str = ""):
+        self._account = account
+        self._backend = backend
+        self._size = 0.0
+
+    def __enter__(self) -> "Holding":
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        self.resize(0)
+
+    def resize(self, size: int) -> None:
+        """Change the size of the item.
+
+        :param size: its bytes
+        :raises TooManyRequests: if there is no room for the body of a caller
+        :raises AnswerTooLarge: if there is none for an answer
+        """
+        counted = size * ANSWER_FACTOR if self._backend else float(size)
+        grown = counted - self._size
+        if grown > 0 and size > SMALL_BYTES:
+            self._check_room(grown, size)
+        self._size = counted
+        self._account.add(grown, self._backend)
+
+    def _check_room(self, grown: float, size: int) -> None:
+        account = self._account
+        if self._backend:
+            if not account.has_room_for_answer(grown, self._backend):
+                raise AnswerTooLarge(f"no memory is left for an answer of {size} bytes or more")
+        elif not account.has_room(grown):
+            raise TooManyRequests(
+                "no memory is left for the body of the request", account.estimate_return_s(grown)
+            )
+
+
+def find_limit(memory_mb: float) -> float:
+    """Return the limit of a process's account, in bytes.
+
+    :param memory_mb: memory of the machine, in MB
+    """
+    return ACCOUNT_SHARE * memory_mb * BYTES_PER_MB
--- a/balsamtally/plans.py
+++ b/balsamtally/plans.py
@@ -16,6 +16,7 @@
     UnknownKey,
     UnknownPath,
 )
+from balsamtally.held_bytes import Holding
 
 # Ranks within a tier, one for each of the tiers 0 to 2 that the operators' routes have.
 ROUTE_RANKS = 3
@@ -58,6 +59,7 @@
     :ivar last_event: id of the last event sent to the caller, ``None`` before the first
     :ivar may_have_run: whether a backend server may have run the call
     :ivar failed_answer: a backend server's error answer, returned if no attempt succeeds
+    :ivar stored_bytes: counts the bytes of that answer, ``None`` where none is stored
     :ivar attempt_sent_s: monotonic clock when the last attempt was sent, in seconds
     :ivar attempt_begun: whether the backend server of the last attempt began to answer it
     :ivar probed_parts: quarantined groups of prompt parts that the next attempt probes
@@ -83,6 +85,7 @@
     last_event: int | None = None
     may_have_run: bool = False
     failed_answer: tuple[AnswerHead, bytes] | None = None
+    stored_bytes: Holding | None = None
     attempt_sent_s: float = 0.0
     attempt_begun: bool = False
     probed_parts: set[tuple[str, ...]] = field(default_factory=set)
--- a/balsamtally/platform/settings.py
+++ b/balsamtally/platform/settings.py
@@ -9,7 +9,7 @@
 from balsamtally.budgets import BudgetRule
 from balsamtally.decoding import DECODING_ERRORS
 from balsamtally.errors import SettingsInvalid
-from balsamtally.gateway_settings import DEFAULT_CHANGE_BOUND_S, GatewaySettings
+from balsamtally.gateway_settings import DEFAULT_CHANGE_BOUND_S, DEFAULT_MEMORY_MB, GatewaySettings
 from balsamtally.sockets import parse_address
 
 VARIABLE = "BALSAMTALLY_NODE_FILE"
@@ -111,6 +111,7 @@
                 window_s=read_amount(bounds["budget_window_s"]),
             ),
             change_bound_s=read_change_bound_s(bounds),
+            memory_mb=read_amount((fields.get("limits") or {}).get("memory_mb", DEFAULT_MEMORY_MB)),
         )
     except DECODING_ERRORS as error:
         raise SettingsInvalid(f"settings file: {type(error).__name__}: {error}") from error
--- a/standins/grid.py
+++ b/standins/grid.py
@@ -52,6 +52,7 @@
 CUSTOMER = "buggy-cabo"
 HOST = "model.example"
 LIMITS = Limits(idle_timeout_s=60.0)
+MEMORY_MB = 150
 BOUNDS = {
     "grace_s": 8,
     "drain_ms": 3000,
@@ -60,6 +61,28 @@
     "budget_extra_retries": 56,
     "budget_window_s": 10,
 }
+_OK = b"HTTP/1.1 200 OK\r\nECHO\r\n"
+_CHUNKED = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
+_FLOOD = b"x" * 16_384
+# Larger bodies aren't sent back.
+MAX_ECHO_BYTES = 100_000
+# Pieces smaller than this are sent with pauses.
+SLOW_BYTES = 100
+SLOW_S = 0.1
+# Beginning and endlessly repeated part of faulty answers; ECHO stands for the usual headers.
+ENDLESS = {
+    "length": (_OK + b"Content-Length: 1000000000000\r\n\r\n", _FLOOD),
+    "chunks": (_CHUNKED, b"4000\r\n" + _FLOOD + b"\r\n"),
+    "close": (_OK + b"\r\n", _FLOOD),
+    "slow body": (_CHUNKED + b"3c000\r\n" + b"x" * 245_760 + b"\r\n", b"1\r\nx\r\n"),
+    "slow header": (_OK + b"Odd: " + b"x" * 60_000, b"x"),
+    "header line": (_OK + b"Odd: ", _FLOOD),
+    "header lines": (_OK, b"Odd: x\r\n" * 2_000),
+    "interim heads": (b"", b"HTTP/1.1 103 Early Hints\r\nOdd: x\r\n\r\n" * 400),
+    "event": (_CHUNKED, b"4000\r\n" + _FLOOD + b"\r\n"),
+    "chunk extension": (_CHUNKED + b"4000;odd=", _FLOOD),
+    "trailers": (_CHUNKED + b"0\r\n", b"Odd: x\r\n" * 2_000),
+}
 ROUTES = (
     {"name": "draft", "path_prefix": "/draft/", "type": "streaming", "service": "model",
      "resumable": True, "max_attempts": 2, "priority": 2, "timeout_ms": 5000},
@@ -117,6 +140,8 @@
     :ivar deadly_part: the server crashes as it begins to answer a prompt with this part, and starts
         again after ``RESTART_S``; empty for none
     :ivar crashes: times of these crashes
+    :ivar endless: part of an answer that is sent without end, one of ``ENDLESS``, empty for none
+    :ivar slots: number of slots in the registration
     """
 
     def __init__(self, store: Store, name: str, service: str, domain: str, attempts: Counter[str]):
@@ -131,6 +156,8 @@
         self.running = 0
         self.deadly_part = ""
         self.crashes: list[float] = []
+        self.endless = ""
+        self.slots = 8
         self._store = store
         self._domain = domain
         self._attempts = attempts
@@ -164,7 +191,7 @@
             "service": self.service,
             "address": f"{self._host}:{SERVER_PORT}",
             "zone": self._domain,
-            "slots": 8,
+            "slots": self.slots,
             "state": state,
             "born": self._born,
             "seq": next(self._numbers),
@@ -214,13 +241,25 @@
         echo.append((b"Response-Signature", sign(self.name, attempt_id).encode()))
         self.running += 1
         try:
-            if step.isdigit():
+            if self.endless:
+                self._flood(caller, echo)
+            elif step.isdigit():
                 caller.answer(int(step), echo, b"error")
             else:
                 self._answer(caller, request, headers, echo, step)
         finally:
             self.running -= 1
 
+    def _flood(self, caller: Caller, echo: list) -> None:
+        """Send one part of an answer until the caller closes the connection."""
+        beginning, piece = ENDLESS[self.endless]
+        head = b"".join(b"%s: %s\r\n" % header for header in echo)
+        with contextlib.suppress(OSError):
+            caller._sock.sendall(beginning.replace(b"ECHO\r\n", head))
+            while True:
+                caller._sock.sendall(piece)
+                gevent.sleep(SLOW_S if len(piece) < SLOW_BYTES else 0)
+
     def _answer(
         self, caller: Caller, request: Request, headers: dict, echo: list, step: str
     ) -> None:
@@ -256,7 +295,9 @@
         if work_s > deadline_s:
             caller.answer(504, echo, b"")
             return
-        caller.answer(500 if self.fault == "error" else 200, echo, request.body or b"found")
+        is_echoed = 0 < len(request.body) <= MAX_ECHO_BYTES
+        body = request.body if is_echoed else b"found"
+        caller.answer(500 if self.fault == "error" else 200, echo, body)
 
 
 class Vm:
@@ -295,6 +336,7 @@
             "internal_port_range": [PEER_PORT, PEER_PORT + 5],
             "seeds": [f"{seed}:{CONTROL_PORT}" for seed in seeds],
             "bounds": BOUNDS,
+            "limits": {"memory_mb": MEMORY_MB},
             "platform": {"address": store},
         }
         self._settings_path.write_text(yaml.safe_dump(settings))
@@ -311,6 +353,12 @@
                 env={"BALSAMTALLY_NODE_FILE": str(self._settings_path), "PATH": "/usr/bin"},
             )
 
+    def read_peak_mb(self) -> float:
+        """Return the most resident memory that the daemon process has taken, in MB."""
+        status = Path(f"/proc/{self._process.pid}/status").read_text()
+        [peak] = [line for line in status.splitlines() if line.startswith("VmHWM:")]
+        return int(peak.split()[1]) * 1024 / 1e6
+
     def signal(self, number: int) -> None:
         """Send a signal to the daemon process."""
         self._process.send_signal(number)
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -44,6 +44,7 @@
 LIMITS = "tests/balsamtally/test_limits.py"
 DEDICATED_RUNNERS = "tests/balsamtally/test_dedicated_runners.py"
 MEMBERS = "tests/balsamtally/test_members.py"
+HELD_BYTES = "tests/balsamtally/test_held_bytes.py"
 READERS = "tests/balsamtally/test_readers.py"
 RECEIPTS = "tests/balsamtally/test_receipts.py"
 SERVICES = "tests/balsamtally/test_services.py"
@@ -496,6 +497,13 @@
         DEDICATED_RUNNERS,
     ),
     Mutation("dedicated_runners", "if runners < MIN_RUNNERS:", "if False:", DEDICATED_RUNNERS),
+    Mutation("held_bytes", "if self.has_room(size):", "if True:", HELD_BYTES),
+    Mutation("held_bytes", "not is_largest and ", "", HELD_BYTES),
+    Mutation("held_bytes", "if self._by_backend.total() + size", "if size", HELD_BYTES),
+    Mutation("held_bytes", "and size > SMALL_BYTES", "", HELD_BYTES),
+    Mutation("held_bytes", "if size < 0:", "if False:", HELD_BYTES),
+    Mutation("callers", "self._count_body(declared)", "pass", CALLERS),
+    Mutation("callers", "self._count_body(0)", "pass", CALLERS),
     Mutation("readers", "if lag_s > MAX_LAG_S:", "if False:", READERS),
     Mutation("readers", "if not readers:", "if False:", READERS),
     Mutation("readers", "if own.read_state == PlatformReadState.REFUSED:", "if False:", READERS),
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -16,6 +16,7 @@
 from balsamtally.calls import Account, Branch, Limits, PromptPart, Repeat
 from balsamtally.errors import AnswerCut, PartQuarantined
 from balsamtally.forwarding import Forwarder
+from balsamtally.held_bytes import HeldBytes
 from balsamtally.plans import make_plan, pick_service
 from balsamtally.sockets import listen
 from balsamtally.terminations import Terminations
@@ -92,7 +93,7 @@
             )
         )
         terminations = Terminations(self.connections.refuses_connections)
-        self.forwarder = Forwarder(self.hooks, wire, self.connections, terminations)
+        self.forwarder = Forwarder(self.hooks, wire, self.connections, terminations, HeldBytes(1e9))
         serve, refuse = self.forwarder.serve, self.forwarder.refuse
         server = CallerServer(listen(("127.0.0.1", 0)), Limits, serve, refuse, time.monotonic)
         self._stack.enter_context(server)
--- /dev/null
+++ b/tests/standins/test_held_bytes.py
@@ -0,0 +1,42 @@
+"""Tests with a real daemon of what it holds: answers without end, and large bodies of callers."""
+
+import gevent
+import pytest
+
+from standins.grid import ENDLESS, MEMORY_MB, Grid
+from standins.grid_callers import GridCaller
+
+CALLERS = 300
+SOUND_CALLERS = 4
+FLOOD_S = 6.0
+SLOTS = 64
+
+
+def call_on(vm, kind, answers):
+    while True:
+        with GridCaller(vm) as caller:
+            answers.append(caller.ask(kind, b"body"))
+        gevent.sleep(0.02)
+
+
+@pytest.mark.parametrize("part", ENDLESS)
+def test_answers_without_end_take_no_more_memory_than_the_machine_has(part):
+    """Guards against a process that keeps all that faulty backend servers send, and ends."""
+    faulty_service = "model" if part == "event" else "desk"
+    faulty, sound = ("draft", "lookup") if part == "event" else ("lookup", "draft")
+    with Grid(vms=1, servers=4, domains=1) as grid:
+        [vm] = grid.vms
+        for server in grid.list_servers(faulty_service):
+            server.slots = SLOTS
+            server.register("ready")
+            server.endless = part
+        faulty_answers, sound_answers = [], []
+        tasks = [gevent.spawn(call_on, vm, faulty, faulty_answers) for _ in range(CALLERS)]
+        tasks += [gevent.spawn(call_on, vm, sound, sound_answers) for _ in range(SOUND_CALLERS)]
+        gevent.sleep(FLOOD_S)
+        assert vm.is_running()
+        peak_mb = vm.read_peak_mb()
+        gevent.killall(tasks)
+    assert peak_mb <= MEMORY_MB
+    assert sound_answers and all(answer.good for answer in sound_answers)
+    assert faulty_answers and not any(answer.good for answer in faulty_answers)
