Refuse large bodies of callers while there is no memory for them

Cause: bodies were read whole for up to 1,800 connections, each bounded and their sum not; the last request of an idle connection was held as well.

Change: a body counts in the account from its head on, by its declared length where there is one, until its call has ended. Without room for it the caller gets 2010, which has not run, and a Retry-After by how fast bytes are released; one that waits for 100 Continue hasn't sent it. Bodies up to 16 KiB are always accepted. A declared length over max_body_bytes is refused before it is read.

The new tests failed before and pass.

--- a/balsamtally/callers.py
+++ b/balsamtally/callers.py
@@ -23,6 +23,7 @@
     RequestTimeout,
 )
 from balsamtally.framing import check_framing, check_lines
+from balsamtally.held_bytes import HeldBytes, Holding
 from balsamtally.logs import log
 from balsamtally.sockets import close, reset, set_up
 
@@ -40,6 +41,8 @@
 # reset, and the caller could lose the refusal.
 LINGER_S = 0.5
 _HEAD_REQUEST = b"HEAD / HTTP/1.1\r\nHost: caller\r\nConnection: close\r\n\r\n"
+# Digits that are read of a length; one with more exceeds any limit.
+MAX_LENGTH_DIGITS = 15
 HEAD_END = b"\r\n\r\n"
 
 
@@ -86,6 +89,7 @@
     :param sock: the accepted socket
     :param find_limits: returns the limits in force
     :param clock: monotonic clock
+    :param account: counts the bytes of bodies, ``None`` to count none
     :ivar idle: whether the connection waits for the first byte of a request
     :ivar closing: whether the next answer announces that the connection closes
     :ivar answered: whether the current request was answered completely
@@ -98,10 +102,12 @@
         sock: socket.socket,
         find_limits: Callable[[], Limits],
         clock: Callable[[], float],
+        account: HeldBytes | None = None,
     ):
         self._sock = sock
         self._find_limits = find_limits
         self._clock = clock
+        self._body_bytes = Holding(account) if account is not None else None
         self._inbox = bytearray()
         self._first_byte_s = 0.0
         self._input_arrived = Event()
@@ -126,6 +132,7 @@
 
     def __exit__(self, *exc_info) -> None:
         self._reader.kill(block=False)
+        self.release_body()
         if self._is_cut_without_framing():
             reset(self._sock)
         else:
@@ -240,8 +247,21 @@
             self._input_arrived.clear()
         return True
 
+    def release_body(self) -> None:
+        """Count the bytes of the last request's body no longer, as nothing refers to it."""
+        self._count_body(0)
+
+    def _count_body(self, size: int) -> None:
+        if self._body_bytes is not None:
+            self._body_bytes.resize(size)
+
     def _read_body(self, request: h11.Request, limits: Limits) -> bytes:
         body = bytearray()
+        # A body of known length is refused before it is sent, if its caller waits for that.
+        declared = find_length(request)
+        if declared > limits.max_body_bytes:
+            raise BodyTooLarge
+        self._count_body(declared)
         deadline = self._clock() + limits.idle_timeout_s
         if self._http.they_are_waiting_for_100_continue:
             self._send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -253,6 +273,7 @@
                 body += event.data
                 if len(body) > limits.max_body_bytes:
                     raise BodyTooLarge
+                self._count_body(max(declared, len(body)))
             elif not self._inbox and not self._wait_for_more(deadline):
                 if self._disconnected:
                     raise CallerLeft("the caller disconnected within its request")
@@ -408,6 +429,19 @@
             self._input_arrived.set()
 
 
+def find_length(request: h11.Request) -> int:
+    """Return the length that a request declares for its body, 0 if it declares none.
+
+    :param request: the request, whose headers the parser has checked
+    """
+    lengths = [
+        int(value[:MAX_LENGTH_DIGITS])
+        for name, value in request.headers
+        if name == b"content-length"
+    ]
+    return lengths[0] if lengths else 0
+
+
 class CallerServer:
     """Accepts callers' connections and runs one greenlet for each, a context manager.
 
@@ -416,6 +450,7 @@
     :param handle: called with the connection and a request, to answer the request
     :param refuse: called with the connection and an error, to answer an unacceptable request
     :param clock: monotonic clock
+    :param account: counts the bytes of bodies, ``None`` to count none
     :ivar callers: open connections
     """
 
@@ -426,12 +461,14 @@
         handle: Callable[[Caller, Request], None],
         refuse: Callable[[Caller, BalsamtallyError], None],
         clock: Callable[[], float],
+        account: HeldBytes | None = None,
     ):
         self._listener = listener
         self._find_limits = find_limits
         self._handle = handle
         self._refuse = refuse
         self._clock = clock
+        self._account = account
         self._tasks = Pool(MAX_CALLERS)
         self._closing = False
         self.callers: set[Caller] = set()
@@ -479,7 +516,7 @@
             self._tasks.spawn(self._serve, sock)
 
     def _serve(self, sock: socket.socket) -> None:
-        with Caller(sock, self._find_limits, self._clock) as caller:
+        with Caller(sock, self._find_limits, self._clock, self._account) as caller:
             caller.closing = self._closing
             self.callers.add(caller)
             try:
@@ -503,5 +540,7 @@
             if request is None:
                 return
             caller.serve(self._handle, caller, request)
+            del request
+            caller.release_body()
             if not caller.may_continue():
                 return
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -163,6 +163,7 @@
             self._serve_call,
             self._forwarder.refuse,
             time.monotonic,
+            self._account,
         )
         self._stack = contextlib.ExitStack()
 
--- a/tests/balsamtally/test_callers.py
+++ b/tests/balsamtally/test_callers.py
@@ -14,16 +14,24 @@
 
 from balsamtally.callers import CallerServer
 from balsamtally.calls import Limits
-from balsamtally.errors import AnswerBegun, BalsamtallyError, CallerLeft, MalformedRequest
+from balsamtally.errors import (
+    AnswerBegun,
+    BalsamtallyError,
+    CallerLeft,
+    MalformedRequest,
+    TooManyRequests,
+)
+from balsamtally.held_bytes import SMALL_BYTES, HeldBytes
 from balsamtally.sockets import listen
 from tests.answer_grammar import read_answers
+from tests.polling import expect_soon
 
 LIMITS = Limits(1000, 5000, 0.3, 0.4)
 HEAD = b"POST /a/x HTTP/1.1\r\nHost: h\r\n"
 
 
 @contextlib.contextmanager
-def serve(handle, limits=LIMITS):
+def serve(handle, limits=LIMITS, account=None):
     """Run a server; yield a function that connects to it, the codes of refusals and the server."""
     refused = []
 
@@ -31,7 +39,9 @@
         refused.append(error.code)
         caller.answer(error.status, (), b"%d" % error.code)
 
-    server = CallerServer(listen(("127.0.0.1", 0)), lambda: limits, handle, refuse, time.monotonic)
+    server = CallerServer(
+        listen(("127.0.0.1", 0)), lambda: limits, handle, refuse, time.monotonic, account
+    )
     with server:
         address = server._listener.getsockname()
         yield lambda: socket.create_connection(address, timeout=5), refused, server
@@ -412,3 +422,52 @@
         with pytest.raises(ConnectionResetError):
             while sock.recv(1000):
                 pass
+
+
+def post(connect, size, framing="length"):
+    """Send a request with a body; return the socket."""
+    sock = connect()
+    if framing == "length":
+        sock.sendall(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size)
+        sock.sendall(b"x" * size)
+    else:
+        sock.sendall(b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
+        sock.sendall(b"%x\r\n" % size + b"x" * size + b"\r\n0\r\n\r\n")
+    return sock
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_large_bodies_are_refused_while_there_is_no_memory_for_them_and_small_ones_are_not(framing):
+    """Guards against a process that takes on more bodies than its machine has memory for."""
+    limits = Limits(max_body_bytes=10_000_000)
+    account = HeldBytes(2_000_000)
+    done = Event()
+
+    def handle(caller, request):
+        if len(request.body) > SMALL_BYTES:
+            done.wait()
+        caller.answer(200, (), b"")
+
+    with serve(handle, limits, account) as (connect, refused, _):
+        first = post(connect, 1_000_000, framing)
+        expect_soon(lambda: account.used_bytes >= 1_000_000)
+        second = post(connect, 1_000_000, framing)
+        assert read_all(second).startswith(b"HTTP/1.1 503")
+        assert refused == [TooManyRequests.code]
+        small = post(connect, 1_000, framing)
+        assert small.recv(65536).startswith(b"HTTP/1.1 200")
+        done.set()
+        assert first.recv(65536).startswith(b"HTTP/1.1 200")
+        expect_soon(lambda: account.used_bytes == 0)
+        third = post(connect, 1_000_000, framing)
+        assert third.recv(65536).startswith(b"HTTP/1.1 200")
+
+
+def test_body_of_a_caller_that_leaves_is_no_longer_counted():
+    account = HeldBytes(2_000_000)
+    with serve(echo([]), Limits(max_body_bytes=10_000_000), account) as (connect, _, _):
+        sock = connect()
+        sock.sendall(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\nabc")
+        expect_soon(lambda: account.used_bytes == 1_000_000)
+        sock.close()
+        expect_soon(lambda: account.used_bytes == 0)
--- a/tests/standins/test_held_bytes.py
+++ b/tests/standins/test_held_bytes.py
@@ -40,3 +40,38 @@
     assert peak_mb <= MEMORY_MB
     assert sound_answers and all(answer.good for answer in sound_answers)
     assert faulty_answers and not any(answer.good for answer in faulty_answers)
+
+
+UPLOADERS = 180
+UPLOAD_BYTES = 900_000
+
+
+def upload_on(vm, answers):
+    body = b"x" * UPLOAD_BYTES
+    while True:
+        with GridCaller(vm) as caller:
+            answers.append(caller.ask("lookup", body, Work_S="1.5"))
+        gevent.sleep(0.1)
+
+
+def test_bodies_of_callers_take_no_more_memory_than_the_machine_has():
+    """Guards against a process that takes on more bodies than it can hold, and ends."""
+    with Grid(vms=1, servers=4, domains=1) as grid:
+        [vm] = grid.vms
+        for server in grid.list_servers("desk"):
+            server.slots = SLOTS
+            server.register("ready")
+        uploads, sound_answers = [], []
+        tasks = [gevent.spawn(upload_on, vm, uploads) for _ in range(UPLOADERS)]
+        tasks += [gevent.spawn(call_on, vm, "sign", sound_answers) for _ in range(SOUND_CALLERS)]
+        gevent.sleep(FLOOD_S)
+        assert vm.is_running()
+        peak_mb = vm.read_peak_mb()
+        gevent.killall(tasks)
+        arrived = {attempt_id for server in grid.servers for attempt_id, _ in server.arrivals}
+    assert peak_mb <= MEMORY_MB
+    assert sound_answers and all(answer.good for answer in sound_answers)
+    refused = [answer for answer in uploads if answer.status == 503]
+    assert refused and all("retry-after" in answer.headers for answer in refused)
+    assert not any(answer.id in arrived for answer in refused)
+    assert any(answer.good for answer in uploads)
