--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -157,7 +157,11 @@
         self._forwarder = Forwarder(
             self._make_hooks(), wire, self._connections, self._terminations, self._account
         )
-        self._callers = CallerServer(
+        self._callers = self._make_caller_server(listener)
+        self._stack = contextlib.ExitStack()
+
+    def _make_caller_server(self, listener: socket.socket) -> CallerServer:
+        return CallerServer(
             listener,
             self._find_limits,
             self._serve_call,
@@ -165,7 +169,6 @@
             time.monotonic,
             self._account,
         )
-        self._stack = contextlib.ExitStack()
 
     def _make_permits(self) -> Permits:
         return Permits(
--- a/balsamtally/held_bytes.py
+++ b/balsamtally/held_bytes.py
@@ -2,9 +2,9 @@
 
 Answers of backend servers and bodies of callers share one account, whose limit follows from the
 memory of the machine. Small items are always accepted: their number is bounded by the connections.
-Answers have a reserve beyond the limit, so that large bodies of callers can't fail them. Where the
-limit is reached, the backend server that holds the most loses an answer, the others go on: bytes
-without end come from few backend servers.
+A part of it is kept for answers, so that large bodies of callers can't fail them. Where the rest is
+used up, the backend server that holds the most loses an answer, and the others go on: bytes without
+end come from few backend servers.
 """
 
 import random
@@ -34,9 +34,9 @@
 class HeldBytes:
     """The account of one process.
 
-    :param limit_bytes: bytes up to which items that aren't small may grow
+    :param limit_bytes: most bytes of all items that aren't small
     :param clock: monotonic clock in seconds
-    :ivar limit_bytes: this limit
+    :ivar limit_bytes: this limit, which may be changed
     :ivar used_bytes: bytes held now
     """
 
--- a/tests/balsamtally/test_held_bytes.py
+++ b/tests/balsamtally/test_held_bytes.py
@@ -71,6 +71,7 @@
 def test_bodies_leave_the_reserve_to_answers(account):
     hold(account, FOR_BODIES)
     hold(account, int(RESERVE_SHARE * LIMIT / ANSWER_FACTOR) - 1, "a")
+    assert FOR_BODIES < account.used_bytes <= LIMIT
 
 
 def test_callers_return_sooner_the_faster_bytes_are_released(account):
