Limit calls to the regions that their route and customer allow

Callers with a regional limit were served in any region: no part of the router read the published allowed_regions. Routes and customers now carry them, both bind, and candidates of other regions are left out of placement, retries and resumed streams. A coordinator's placement outside the limit is not accepted. A scheduling pass keeps one full tier for each set of regions, so that calls of a full region don't hold back those that may go elsewhere.

Without regional limits the decisions are the same as before.

--- a/balsamtally/calls.py
+++ b/balsamtally/calls.py
@@ -47,6 +47,7 @@
     :ivar max_attempts: most backend servers that one call may be sent to
     :ivar public: whether calls need no API key
     :ivar branches: services that its calls are distributed to
+    :ivar allowed_regions: regions whose backend servers may run its calls, ``None`` for all
     """
 
     name: str
@@ -61,6 +62,7 @@
     max_attempts: int
     public: bool
     branches: tuple[Branch, ...]
+    allowed_regions: frozenset[str] | None = None
 
 
 @dataclass(frozen=True)
@@ -85,12 +87,15 @@
     :ivar health_path: path of a backend server's health check
     :ivar max_connections: most connections that a backend server accepts in total
     :ivar engine: properties of its model engines, ``None`` for a plain service
+    :ivar cold_rate_per_s: requests per second that a cold backend server takes from all entry VMs
+        together, 0 if it isn't limited
     """
 
     name: str
     health_path: str
     max_connections: int
     engine: Engine | None = None
+    cold_rate_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -116,10 +121,12 @@
 
     :ivar name: unique name
     :ivar tier: priority tier that overrides the route's tier, ``None`` to use the route's tier
+    :ivar allowed_regions: regions whose backend servers may run its calls, ``None`` for all
     """
 
     name: str
     tier: int | None = None
+    allowed_regions: frozenset[str] | None = None
 
 
 @dataclass(frozen=True)
@@ -133,6 +140,8 @@
     :ivar domain: its failure domain
     :ivar slots: calls that it runs concurrently
     :ivar leaving: whether it is draining and receives no new work
+    :ivar cold_s: time for which it stays cold after its entry was written, in seconds, 0 if it is
+        warm
     """
 
     name: str
@@ -142,6 +151,7 @@
     domain: str
     slots: int
     leaving: bool = False
+    cold_s: float = 0.0
 
     @property
     def key(self) -> tuple[str, int]:
--- a/balsamtally/demands.py
+++ b/balsamtally/demands.py
@@ -25,6 +25,8 @@
     :ivar size_bytes: size of the call's body
     :ivar attempt: number of the attempt, from 1 on
     :ivar avoid: names of backend servers that the call must not be sent to
+    :ivar customer: name of the customer, empty if the route is public
+    :ivar allowed_regions: regions whose backend servers may run the call, ``None`` for all
     """
 
     request: str
@@ -43,6 +45,8 @@
     size_bytes: int = 0
     attempt: int = 1
     avoid: tuple[str, ...] = ()
+    customer: str = ""
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def session(self) -> str:
@@ -56,6 +60,13 @@
         """Tokens that the call is expected to take in a runner's memory."""
         return self.prompt_tokens + self.answer_tokens
 
+    def allows_region(self, region: str) -> bool:
+        """Return whether backend servers of a region may run the call.
+
+        :param region: name of the region
+        """
+        return self.allowed_regions is None or region in self.allowed_regions
+
 
 def make_demand(plan: Plan, progress: CallProgress) -> Demand:
     """Return the requirements of a call's next attempt.
@@ -81,6 +92,8 @@
         size_bytes=len(call.body),
         attempt=progress.sent + 1,
         avoid=tuple(progress.avoid | progress.paused),
+        customer=plan.customer,
+        allowed_regions=plan.allowed_regions,
     )
 
 
--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -1,6 +1,7 @@
 """Queueing of calls, and their placement on backend servers."""
 
 import random
+import sys
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -51,6 +52,8 @@
 # A call isn't refused because of calls of a lower tier that were placed within this time. Operators
 # compare the service of different kinds of calls over the same span.
 TIER_WINDOW_S = 5.0
+# Above any tier, where calls of all tiers may still find capacity.
+NO_TIER_FULL = sys.maxsize
 # Retries of refused calls are spread over this time, to avoid synchronized retries.
 RETRY_JITTER_S = 0.5
 
@@ -119,6 +122,8 @@
         self.runners = Runners(catalog, backlogs, find_region, region, self._permits, clock)
         self._returns = ReturnSchedule(clock)
         self._catalog = catalog
+        self._find_region = find_region
+        self._region = region
         self._backlogs = backlogs
         self._announce_read = announce_read
         self._clock = clock
@@ -160,6 +165,10 @@
         if self._permits.is_limited(target.key) and not target.permitted:
             log.info("permit_missing", request=demand.request, backend=target.backend)
             return None
+        region = self._find_region(backend.domain)
+        if not demand.allows_region(region):
+            log.info("region_not_allowed", request=demand.request, region=region, by=placed_by)
+            return None
         work = self._count(demand, target)
         self.runners.find_cache(demand.service, target.key).record_read(demand.parts)
         log_placement(demand, target, self._clock(), placed_by)
@@ -285,23 +294,28 @@
         pending = {
             id(waiting.waiter): waiting for waiting in queue.values() if not waiting.reservation
         }
-        full_tier: int | None = None
+        full_tiers: dict[frozenset[str] | None, int] = {}
+        unevaluated: list[Demand] = []
         waiting_loads: dict[str, LoadCounter] = {}
         self._waiting_loads[service] = waiting_loads
         now = self._clock()
         ranked = sort_waiters((waiting.waiter for waiting in pending.values()), now)
-        for index, waiter in enumerate(ranked):
-            if full_tier is not None and waiter.tier >= full_tier:
-                unevaluated = [pending[id(skipped)].demand for skipped in ranked[index:]]
-                self._spread_waiting_loads(service, unevaluated, waiting_loads)
-                break
+        for waiter in ranked:
             waiting = pending[id(waiter)]
+            regions = waiting.demand.allowed_regions
+            # Calls with other regional limits may still find capacity.
+            if waiter.tier >= min(
+                full_tiers.get(None, NO_TIER_FULL), full_tiers.get(regions, NO_TIER_FULL)
+            ):
+                unevaluated.append(waiting.demand)
+                continue
             chosen, any_capacity = self._find_capacity(waiting, waiting_loads)
             if chosen is not None:
                 waiting.reservation = self._reserve(waiting.demand, chosen)
                 waiting.chosen.set()
             elif not any_capacity and not will_miss_target(waiter, now):
-                full_tier = waiter.tier
+                full_tiers[regions] = waiter.tier
+        self._spread_waiting_loads(service, unevaluated, waiting_loads)
 
     def _spread_waiting_loads(
         self, service: str, unevaluated: list[Demand], waiting_loads: dict[str, LoadCounter]
@@ -310,8 +324,9 @@
 
         A pass stops evaluating a tier and those below it once no runner has capacity for the tier.
         """
-        local_names = self.runners.list_local(service)
-        for demand in unevaluated if local_names else ():
+        local_names = self.runners.list_local(service) if unevaluated else []
+        local = [demand for demand in unevaluated if demand.allows_region(self._region)]
+        for demand in local if local_names else ():
             rank = min(demand.urgency, URGENCIES - 1)
             for name in local_names:
                 reading = waiting_loads.setdefault(name, LoadCounter()).reading
--- a/balsamtally/plans.py
+++ b/balsamtally/plans.py
@@ -34,6 +34,8 @@
     :ivar urgency: rank among all calls, 0 is the first: by tier, then by the route's tier
     :ivar version: version of the contracts
     :ivar until_s: monotonic clock by which the caller gets a final answer, in seconds
+    :ivar allowed_regions: regions whose backend servers may run the call, ``None`` for all; may be
+        empty
     """
 
     call: Call
@@ -44,6 +46,7 @@
     urgency: int
     version: int
     until_s: float
+    allowed_regions: frozenset[str] | None = None
 
 
 @dataclass
@@ -130,9 +133,23 @@
         urgency=tier * ROUTE_RANKS + rank,
         version=contracts.version,
         until_s=call.arrived_s + wait_s,
+        allowed_regions=find_allowed_regions(route, account),
     )
 
 
+def find_allowed_regions(route: Route, account: Account | None) -> frozenset[str] | None:
+    """Return the regions whose backend servers may run a call, ``None`` for all.
+
+    The limits of the route and of the customer both apply, so that no region may be left.
+
+    :param route: the call's route
+    :param account: the caller's customer, ``None`` without one
+    """
+    limits = [route.allowed_regions, account.allowed_regions if account is not None else None]
+    known = [limit for limit in limits if limit is not None]
+    return frozenset.intersection(*known) if known else None
+
+
 def pick_service(call_id: str, route: Route) -> str:
     """Return the service of a call, chosen by a hash of its id and the route's branch weights.
 
--- a/balsamtally/platform/documents.py
+++ b/balsamtally/platform/documents.py
@@ -9,6 +9,7 @@
 from balsamtally.catalog import Contracts, Decoder
 from balsamtally.decoding import DECODING_ERRORS, Count, decode
 from balsamtally.records import Record, Sequence
+from balsamtally.server_limits import MAX_LIMIT_PER_S
 from balsamtally.sockets import parse_address
 
 CONTRACTS_KEY = "op/config"
@@ -28,6 +29,7 @@
 
 Duration = Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
 Weight = Annotated[float, msgspec.Meta(ge=0, le=MAX_WEIGHT)]
+Rate = Annotated[float, msgspec.Meta(ge=0, le=MAX_LIMIT_PER_S)]
 Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
 HeaderValue = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS, pattern=HEADER_VALUE)]
 Address = Annotated[str, msgspec.Meta(max_length=MAX_ADDRESS_CHARS)]
@@ -53,6 +55,7 @@
     sticky: bool = False
     resumable: bool = False
     gap_target_ms: Duration = 0.0
+    allowed_regions: tuple[Name, ...] | None = None
 
 
 class SplitDocument(msgspec.Struct, frozen=True):
@@ -77,6 +80,7 @@
     health_check: str = ""
     max_connections: Count = 0
     engine: EngineDocument | None = None
+    cold_per_s: Rate = 0.0
 
 
 class LimitsDocument(msgspec.Struct, frozen=True):
@@ -94,6 +98,7 @@
     name: HeaderValue
     api_keys: tuple[str, ...] = ()
     priority: Count | None = None
+    allowed_regions: tuple[Name, ...] | None = None
 
 
 class ContractsDocument(msgspec.Struct, frozen=True):
@@ -155,7 +160,7 @@
     accounts = None
     if document.tenants is not None:
         accounts = {
-            key: Account(tenant.name, tenant.priority)
+            key: Account(tenant.name, tenant.priority, limit_regions(tenant.allowed_regions))
             for tenant in document.tenants
             for key in tenant.api_keys
         }
@@ -183,7 +188,21 @@
     if document.engine is not None:
         published = document.engine
         engine = Engine(published.slots, published.kv_capacity_tokens, published.stride)
-    return Service(document.name, document.health_check, document.max_connections, engine)
+    return Service(
+        name=document.name,
+        health_path=document.health_check,
+        max_connections=document.max_connections,
+        engine=engine,
+        cold_rate_per_s=document.cold_per_s,
+    )
+
+
+def limit_regions(published: tuple[str, ...] | None) -> frozenset[str] | None:
+    """Return the regions that a route or customer is limited to, ``None`` if there is no limit.
+
+    :param published: the published regions; an empty list means that there is no limit
+    """
+    return frozenset(published) if published else None
 
 
 def make_route(document: RouteDocument) -> Route:
@@ -210,6 +229,7 @@
         max_attempts=document.max_attempts,
         public=document.public,
         branches=branches,
+        allowed_regions=limit_regions(document.allowed_regions),
     )
 
 
@@ -254,6 +274,7 @@
         domain=document.zone,
         slots=document.slots,
         leaving=STATES[document.state],
+        cold_s=min(max(document.cold_remaining_ms, 0.0), MAX_MS) / 1000,
     )
 
 
--- a/balsamtally/runners.py
+++ b/balsamtally/runners.py
@@ -177,13 +177,12 @@
         usable = [runner for runner in runners if runner.usable] or runners
         candidates = self._make_candidates(demand, usable)
         suitable = self._filter_suitable(demand, candidates)
-        if not demand.avoid:
+        if not demand.avoid and demand.allowed_regions is None:
             return suitable
-        # The choice of dedicated runners doesn't depend on the runners that one call avoids.
+        # The choice of dedicated runners doesn't depend on the runners that one call avoids, or
+        # that its regional limit excludes.
         for choices in (suitable, candidates, self._make_candidates(demand, runners)):
-            left = [
-                candidate for candidate in choices if candidate.backend.name not in demand.avoid
-            ]
+            left = [candidate for candidate in choices if is_eligible(demand, candidate)]
             if left:
                 return left
         return []
@@ -198,6 +197,7 @@
             for runner in self._list_runners(demand.service)
             if self._permits.is_limited(runner.backend.key)
             and runner.backend.name not in demand.avoid
+            and demand.allows_region(runner.region)
         ]
         return self._make_candidates(demand, limited)
 
@@ -292,6 +292,9 @@
                 dedicated |= chosen
                 local_dedicated |= chosen if at_home else set()
         self._dedicated[demand.service] = dedicated
+        if not demand.allows_region(self._region):
+            local_dedicated = dedicated
+            candidates = [each for each in candidates if demand.allows_region(each.region)]
         return filter_candidates(candidates, dedicated, local_dedicated, close)
 
     def has_tight_bound(self, demand: Demand) -> bool:
@@ -377,3 +380,12 @@
         routes = {route.name for route in contracts.routes} if contracts is not None else set()
         for name in [name for name in self._sizes if name not in routes]:
             del self._sizes[name]
+
+
+def is_eligible(demand: Demand, candidate: Candidate) -> bool:
+    """Return whether a call may be sent to a backend server, apart from the server's capacity.
+
+    :param demand: requirements of the call
+    :param candidate: the backend server
+    """
+    return candidate.backend.name not in demand.avoid and demand.allows_region(candidate.region)
--- a/balsamtally/selection.py
+++ b/balsamtally/selection.py
@@ -51,6 +51,7 @@
     :ivar again_tokens: prompt tokens among the fresh ones that another backend server has cached
     :ivar close: running streams with a tight inter-event latency bound
     :ivar region: its region
+    :ivar cold: whether it is cold and therefore slow
     """
 
     backend: Backend
@@ -66,6 +67,7 @@
     again_tokens: int = 0
     close: int = 0
     region: str = ""
+    cold: bool = False
 
 
 def count_prefill_tokens(candidate: Candidate) -> int:
--- a/tests/balsamtally/platform/test_documents.py
+++ b/tests/balsamtally/platform/test_documents.py
@@ -206,3 +206,31 @@
     catalog.merge(records, "test")
     assert [backend.name for backend in catalog.list_open("huvo11a")] == ["good"]
     assert catalog.contracts.version == 7
+
+
+def read_config(**changes):
+    return read_contracts(Record("op/config", 9, encode(CONFIG | changes)))
+
+
+def test_regions_of_a_route_and_a_customer():
+    """Guards against a regional limit that is dropped, or an empty list that excludes all."""
+    routes = [
+        CONFIG["routes"][0] | {"allowed_regions": ["east", "west"]},
+        CONFIG["routes"][1] | {"allowed_regions": []},
+    ]
+    tenants = [{"name": "a", "api_keys": ["k"], "allowed_regions": ["west"]}]
+    contracts = read_config(routes=routes, tenants=tenants)
+    assert contracts.routes[0].allowed_regions == {"east", "west"}
+    assert contracts.routes[1].allowed_regions is None
+    assert contracts.accounts["k"].allowed_regions == {"west"}
+    assert read_config().accounts["n2c"].allowed_regions is None
+
+
+def test_cold_servers():
+    """Guards against a cold server that is taken for a warm one."""
+    services = [CONFIG["services"][0] | {"cold_per_s": 9.4, "cold_start_s": 3.0}]
+    contracts = read_config(services=services)
+    assert contracts.services["huvo11a"].cold_rate_per_s == 9.4
+    assert read_config().services["huvo11a"].cold_rate_per_s == 0
+    assert read_backend("a", encode(SERVER | {"cold_remaining_ms": 1500})).cold_s == 1.5
+    assert read_backend("a", encode(SERVER | {"cold_remaining_ms": -1})).cold_s == 0
--- a/tests/balsamtally/test_dispatch.py
+++ b/tests/balsamtally/test_dispatch.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 import gevent
+import msgspec
 import pytest
 from structlog.testing import capture_logs
 
@@ -10,6 +11,7 @@
 from balsamtally.beats import Beat, PromptRead
 from balsamtally.calls import Engine, PromptPart, Repeat, Service
 from balsamtally.catalog import Catalog, Decoder
+from balsamtally.demands import make_demand
 from balsamtally.dispatch import SCHEDULING_DELAY_S, Dispatch
 from balsamtally.errors import (
     AnswerCut,
@@ -458,3 +460,68 @@
     gevent.sleep(2 * SCHEDULING_DELAY_S)
     assert len(searches) <= 2
     assert 1 <= len(passes) <= 2
+
+
+def limit_regions(world, *regions):
+    """Publish the test route with a limit on its regions."""
+    route = replace(world.catalog.contracts.routes[0], allowed_regions=frozenset(regions))
+    world.catalog.contracts = replace(world.catalog.contracts, routes=(route,))
+
+
+def test_call_goes_only_to_allowed_regions_although_a_local_runner_is_idle(world):
+    """Guards against a call with a regional limit at a runner of another region."""
+    world.add("here")
+    world.add("there", domain="far")
+    limit_regions(world, "far")
+    assert world.choose(world.plan()).backend.name == "there"
+
+
+def test_call_is_not_retried_outside_its_allowed_regions(world):
+    """Guards against a retry that leaves the allowed regions as their runners were all tried."""
+    world.add("here")
+    world.add("there", domain="far")
+    limit_regions(world, "far")
+    assert world.choose(world.plan(), avoid={"there"}) is None
+
+
+def test_call_without_any_allowed_region_is_refused_at_once(world):
+    """Guards against a wait until the deadline where route and customer exclude each other."""
+    world.add("here")
+    limit_regions(world)
+    assert world.choose(world.plan()) is None
+
+
+def test_placement_of_a_peer_outside_the_allowed_regions_is_not_accepted(world):
+    """Guards against a coordinator that doesn't know of the limit of a region."""
+    world.add("here")
+    place = world.dispatch.reserve(make_demand(world.plan(), CallProgress())).place
+    limit_regions(world, "far")
+    demand = make_demand(world.plan(), CallProgress())
+    assert world.dispatch.accept(demand, place, "peer") is None
+
+
+def test_full_region_does_not_keep_calls_that_may_go_elsewhere_waiting(world):
+    """Guards against a pass that ends at the first call without capacity in its own region."""
+    world.add("here")
+    world.add("there", domain="far")
+    world.announce_loads("peer", {"there": Load(running=64)})
+    limited = msgspec.structs.replace(make_demand_for(world, 1), allowed_regions=frozenset({"far"}))
+    waiting = gevent.spawn(world.dispatch.reserve, limited)
+    gevent.sleep(0)
+    with gevent.Timeout(WAIT_S):
+        assert world.dispatch.reserve(make_demand_for(world, 2)).place.backend == "here"
+    assert not waiting.ready()
+    waiting.kill()
+
+
+def test_last_ejected_runner_of_an_allowed_region_is_still_used(world):
+    """Guards against a refusal because all runners that are in use are in other regions."""
+    world.add("here")
+    there = world.add("there", domain="far")
+    limit_regions(world, "far")
+    world.dispatch.record_outcome(there, world.plan(), BackendRefused("full"), 0.1)
+    assert world.choose(world.plan()).backend.name == "there"
+
+
+def make_demand_for(world, number):
+    return make_demand(world.plan(number), CallProgress())
