--- a/balsamtally/call_metrics.py
+++ b/balsamtally/call_metrics.py
@@ -33,6 +33,7 @@
     :ivar late_answers: connections closed since the start because bytes followed a whole answer
     :ivar dropped_lines: log lines dropped since the start
     :ivar quarantined: groups of prompt parts in quarantine
+    :ivar evacuated: 1 for each evacuated failure domain
     :ivar limited: backend servers that limit the rate of requests
     :ivar held_bytes: bytes held for calls in progress
     :ivar held_bytes_limit: limit of these bytes
@@ -42,6 +43,7 @@
     running: Mapping[str, int] = field(default_factory=dict)
     reading_tokens: Mapping[str, int] = field(default_factory=dict)
     retries_left: Mapping[str, int] = field(default_factory=dict)
+    evacuated: Mapping[str, int] = field(default_factory=dict)
     in_flight: int = 0
     callers: int = 0
     peers: int = 0
@@ -98,6 +100,9 @@
         self._running = self._gauge("backend_running", "Calls at each backend server")
         self._reading = self._gauge("backend_reading_tokens", "Prompt tokens before each runner")
         self._retries = self._gauge("retries_left", "Retries that may be made now, by service")
+        self._evacuated = self._gauge(
+            "evacuated", "1 while a failure domain is evacuated, 0 after that"
+        )
         self._unlabelled = {
             "in_flight": self._gauge("calls_in_flight", "Calls held by this entry VM"),
             "callers": self._gauge("caller_connections", "Open connections of callers"),
@@ -193,6 +198,7 @@
         set_by_label(self._running, "backend", gauges.running)
         set_by_label(self._reading, "backend", gauges.reading_tokens)
         set_by_label(self._retries, "service", gauges.retries_left)
+        set_by_label(self._evacuated, "domain", gauges.evacuated)
         for name, gauge in self._unlabelled.items():
             gauge.set({}, getattr(gauges, name))
         self._memory.set({}, read_resident_bytes())
--- a/balsamtally/catalog.py
+++ b/balsamtally/catalog.py
@@ -10,6 +10,7 @@
 from balsamtally.calls import Account, Backend, Limits, Route, Service
 from balsamtally.decoding import DECODING_ERRORS
 from balsamtally.departures import Departures, Incarnation
+from balsamtally.evacuations import Evacuations
 from balsamtally.logs import log
 from balsamtally.records import Record, Records, Sequence, Update, read_no_sequence
 
@@ -18,6 +19,14 @@
 RETURN_GRACE_S = 2.0
 
 
+def read_no_evacuation(record: Record) -> str | None:
+    """Return ``None``; the default of a decoder for a platform without evacuations.
+
+    :param record: the record
+    """
+    return None
+
+
 @dataclass(frozen=True)
 class Contracts:
     """One version of the contracts.
@@ -82,12 +91,16 @@
         the entry is invalid
     :ivar read_sequence: returns the sequence that the value of a key contains, the same or a larger
         one for each later value of its writer; empty for an invalid value
+    :ivar read_evacuation: returns the failure domain that a record evacuates, or brings back if its
+        value was removed; ``None`` for a record of another kind; raises one of ``DECODING_ERRORS``
+        if the record is invalid
     """
 
     read_contracts: Callable[[Record], Contracts | None]
     read_backend_name: Callable[[str], str | None]
     read_backend: Callable[[str, bytes], Backend]
     read_sequence: Callable[[str, bytes], Sequence] = read_no_sequence
+    read_evacuation: Callable[[Record], str | None] = read_no_evacuation
 
 
 class Catalog:
@@ -99,6 +112,8 @@
     :ivar contracts: the contracts in force, ``None`` before any are known
     :ivar known: event that is set once contracts are in force
     :ivar backends: the backend servers by name
+    :ivar evacuations: the evacuated failure domains
+    :ivar on_evacuation: called after an evacuation has begun or ended
     :ivar current_s: monotonic clock at which the platform last had no records beyond these, as far
         as this VM or a peer has learnt, in seconds
     """
@@ -108,6 +123,8 @@
         self.contracts: Contracts | None = None
         self.known = Event()
         self.backends: dict[str, Backend] = {}
+        self.evacuations = Evacuations(clock)
+        self.on_evacuation: Callable[[], None] = lambda: None
         self.current_s = clock()
         self._decoder = decoder
         self._clock = clock
@@ -201,6 +218,7 @@
         self._grace_until_s = self._clock() + RETURN_GRACE_S
 
     def _apply(self, changed: list[Record], source: str) -> None:
+        evacuated = [self._apply_evacuation(record, source) for record in changed]
         for record in changed:
             name = self._decoder.read_backend_name(record.key)
             if name is not None:
@@ -208,6 +226,22 @@
             else:
                 self._apply_contracts(record, source)
         self._update_departures()
+        if any(evacuated):
+            self.on_evacuation()
+
+    def _apply_evacuation(self, record: Record, source: str) -> bool:
+        """Apply the record of an evacuation; return whether one has begun or ended."""
+        try:
+            domain = self._decoder.read_evacuation(record)
+        except DECODING_ERRORS as error:
+            log.warning(
+                "evacuation_refused", key=record.key, revision=record.revision, why=str(error)
+            )
+            return False
+        if domain is None:
+            return False
+        apply = self.evacuations.end if record.value is None else self.evacuations.begin
+        return apply(domain, record.revision, source)
 
     def _apply_contracts(self, record: Record, source: str) -> None:
         try:
@@ -316,13 +350,25 @@
         known = self.backends.get(incarnation[0])
         return known is not None and known.key == incarnation
 
+    @property
+    def evacuated(self) -> set[str]:
+        """The evacuated failure domains."""
+        return self.evacuations.domains
+
+    def is_open(self, backend: Backend) -> bool:
+        """Return whether a backend server is neither draining nor evacuated.
+
+        :param backend: the backend server as it is published now
+        """
+        return not backend.leaving and backend.domain not in self.evacuated
+
     def list_open(self, service: str) -> list[Backend]:
-        """Return the backend servers of a service that are not draining.
+        """Return the backend servers of a service that are neither draining nor evacuated.
 
         :param service: name of the service
         """
         return [
             backend
             for backend in self.backends.values()
-            if backend.service == service and not backend.leaving
+            if backend.service == service and self.is_open(backend)
         ]
--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -396,9 +396,9 @@
     def _find_open(self, key: tuple[str, int]) -> Backend | None:
         """Return the backend server of an incarnation key, ``None`` if it accepts no new work."""
         current = self._catalog.backends.get(key[0])
-        return (
-            current if current is not None and current.key == key and not current.leaving else None
-        )
+        if current is None or current.key != key or not self._catalog.is_open(current):
+            return None
+        return current
 
     def _reserve(self, demand: Demand, chosen: Candidate) -> Reservation:
         """Count a call at its backend server and announce the prompt that is read for it."""
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -137,6 +137,7 @@
             on_work_change=self._announce_work,
             permits=self._permits,
         )
+        self.catalog.on_evacuation = self._dispatch.dispatch_soon
         self.peers = Peers(
             make_initial_beat(settings, incarnation),
             settings.peer_address[1],
@@ -416,6 +417,7 @@
             late_answers=self._connections.late_answers,
             dropped_lines=self._count_dropped(),
             quarantined=len(self._quarantine.list_entries()),
+            evacuated=dict.fromkeys(self.catalog.evacuated, 1),
             limited=len(self._server_limits.list_limited()),
             held_bytes=self._account.used_bytes,
             held_bytes_limit=self._account.limit_bytes,
--- a/balsamtally/health.py
+++ b/balsamtally/health.py
@@ -74,12 +74,19 @@
         if self.probing:
             self.probing = False
             self.ejections = 0
-            self.started_at = now
+            self.start_slowly(now)
         if first_token_s >= 0.0:
             self.first_token_s = _smooth(self.first_token_s, first_token_s)
         if tokens >= MIN_TOKENS and first_token_s >= 0.0:
             self.token_s = _smooth(self.token_s, max(held_s - first_token_s, 0.0) / tokens)
 
+    def start_slowly(self, now: float) -> None:
+        """Begin to restore the slots over ``SLOW_START_S``.
+
+        :param now: clock in seconds
+        """
+        self.started_at = now
+
     def observe_failure(self, request: str, now: float) -> bool:
         """Record a failure that the runner caused.
 
--- a/balsamtally/platform/documents.py
+++ b/balsamtally/platform/documents.py
@@ -14,6 +14,7 @@
 
 CONTRACTS_KEY = "op/config"
 SERVERS_PREFIX = "servers/"
+EVACUATIONS_PREFIX = "op/evacuate/"
 # Published states of backend servers, and whether each means that the server is draining.
 STATES = {"ready": False, "draining": True}
 
@@ -27,6 +28,9 @@
 # A name that is sent as the value of a header, encoded in Latin-1.
 HEADER_VALUE = r"\A(?:[!-~\x80-\xff](?:[ -~\x80-\xff]*[!-~\x80-\xff])?)?\Z"
 
+# Name of a failure domain in the key of an evacuation.
+DOMAIN = rf"\A[^/\s\x00-\x1f]{{1,{MAX_NAME_CHARS}}}\Z"
+
 Duration = Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
 Weight = Annotated[float, msgspec.Meta(ge=0, le=MAX_WEIGHT)]
 Rate = Annotated[float, msgspec.Meta(ge=0, le=MAX_LIMIT_PER_S)]
@@ -127,6 +131,10 @@
     cold_remaining_ms: float = 0.0
 
 
+class EvacuationDocument(msgspec.Struct, frozen=True):
+    """The value of an evacuation; its key names the failure domain."""
+
+
 class ContractsSequence(msgspec.Struct, frozen=True):
     """The field that orders the published versions of the contracts."""
 
@@ -144,6 +152,7 @@
 _server_sequence = msgspec.json.Decoder(ServerSequence)
 _contracts = msgspec.json.Decoder(ContractsDocument)
 _server = msgspec.json.Decoder(ServerDocument)
+_evacuation = msgspec.json.Decoder(EvacuationDocument)
 
 
 def read_contracts(record: Record) -> Contracts | None:
@@ -278,13 +287,31 @@
     )
 
 
+def read_evacuation(record: Record) -> str | None:
+    """Return the failure domain of an evacuation, ``None`` for a record of another kind.
+
+    :param record: the record
+    :raises ValueError: if the failure domain or the value is malformed
+    """
+    if not record.key.startswith(EVACUATIONS_PREFIX):
+        return None
+    domain = record.key.removeprefix(EVACUATIONS_PREFIX)
+    if not re.search(DOMAIN, domain):
+        raise ValueError("the key names no failure domain")
+    if record.value is not None:
+        decode(_evacuation, record.value)
+    return domain
+
+
 def read_sequence(key: str, value: bytes) -> Sequence:
     """Return the sequence of an entry: a contracts version, or a server's start and count.
 
     :param key: key of the entry
     :param value: value of the entry
-    :return: the sequence, empty if the value is invalid
+    :return: the sequence, empty if the value is invalid or contains none
     """
+    if key.startswith(EVACUATIONS_PREFIX):
+        return ()
     try:
         if key == CONTRACTS_KEY:
             return (decode(_contracts_sequence, value).version,)
@@ -295,4 +322,4 @@
     return (server.born, server.seq)
 
 
-DECODER = Decoder(read_contracts, read_backend_name, read_backend, read_sequence)
+DECODER = Decoder(read_contracts, read_backend_name, read_backend, read_sequence, read_evacuation)
--- a/balsamtally/platform/settings.py
+++ b/balsamtally/platform/settings.py
@@ -17,8 +17,9 @@
 METRICS_VARIABLE = "BALSAMTALLY_METRICS_PORT"
 CHECK_FLAG = "--check-settings"
 MAX_AMOUNT = 1e9
-# Bounds for the effect of what is published: leaving servers, contracts, withdrawn keys.
-CHANGE_BOUNDS = ("drain_ms", "config_apply_ms", "revoke_ms")
+# Bounds for the effect of what is published: leaving servers, contracts, withdrawn keys,
+# evacuated failure domains.
+CHANGE_BOUNDS = ("drain_ms", "config_apply_ms", "revoke_ms", "evacuate_ms")
 
 
 @dataclass(frozen=True)
--- a/balsamtally/runners.py
+++ b/balsamtally/runners.py
@@ -251,10 +251,14 @@
         now = self._clock()
         if self._full_until_s.get(backend.key, 0.0) > now:
             return False
+        slots = max(backend.slots, 1)
+        limit = self._catalog.evacuations.limit_slots(backend.domain, slots)
+        if limit is not None and running >= limit:
+            return False
         health = self._health.get(backend.key)
         if health is None or health.is_fully_available(now):
             return True
-        return running < health.limit_slots(max(backend.slots, 1), now)
+        return running < health.limit_slots(slots, now)
 
     def _make_candidate(
         self, demand: Demand, runner: Runner, held_tokens: int, most_held_tokens: int
--- a/tests/balsamtally/platform/test_settings.py
+++ b/tests/balsamtally/platform/test_settings.py
@@ -58,8 +58,10 @@
 
 
 def test_shortest_bound_for_changes_is_read(tmp_path):
-    bounds = BOUNDS | {"drain_ms": 5000, "config_apply_ms": 4000}
+    bounds = BOUNDS | {"drain_ms": 5000, "config_apply_ms": 4000, "evacuate_ms": 4500}
     assert read_settings(write(tmp_path, {"bounds": bounds})).change_bound_s == 4.0
+    bounds["evacuate_ms"] = 3000
+    assert read_settings(write(tmp_path, {"bounds": bounds})).change_bound_s == 3.0
     with pytest.raises(SettingsInvalid):
         read_settings(write(tmp_path, {"bounds": bounds | {"revoke_ms": -1}}))
 
