--- a/balsamtally/beats.py
+++ b/balsamtally/beats.py
@@ -9,6 +9,7 @@
 
 from balsamtally.backlogs import Load
 from balsamtally.decoding import Count, Integer, IpNumber
+from balsamtally.gateway_settings import GatewaySettings
 from balsamtally.reports import Report
 from balsamtally.server_limits import ToldLimit
 
@@ -82,6 +83,24 @@
         return (self.era, self.revision)
 
 
+def make_initial_beat(settings: GatewaySettings, incarnation: str) -> Beat:
+    """Return the first heartbeat that an entry VM announces after its start.
+
+    :param settings: settings of the entry VM
+    :param incarnation: identity of the process
+    """
+    return Beat(
+        vm=settings.vm,
+        ip=settings.peer_address[0],
+        domain=settings.domain,
+        incarnation=incarnation,
+        revision=0,
+        leaving=False,
+        loads={},
+        peers=(),
+    )
+
+
 @dataclass
 class Peer:
     """Another entry VM.
--- a/balsamtally/call_metrics.py
+++ b/balsamtally/call_metrics.py
@@ -34,6 +34,7 @@
     :ivar dropped_lines: log lines dropped since the start
     :ivar quarantined: groups of prompt parts in quarantine
     :ivar evacuated: 1 for each evacuated failure domain
+    :ivar cold: backend servers that are cold
     :ivar limited: backend servers that limit the rate of requests
     :ivar held_bytes: bytes held for calls in progress
     :ivar held_bytes_limit: limit of these bytes
@@ -55,6 +56,7 @@
     dropped_lines: int = 0
     quarantined: int = 0
     limited: int = 0
+    cold: int = 0
     held_bytes: float = 0.0
     held_bytes_limit: float = 0.0
 
@@ -127,6 +129,7 @@
             "limited": self._gauge(
                 "limited_backends", "Backend servers that limit the rate of requests"
             ),
+            "cold": self._gauge("cold_backends", "Backend servers that are cold"),
             "held_bytes": self._gauge("held_bytes", "Bytes held for calls in progress"),
             "held_bytes_limit": self._gauge("held_bytes_limit", "Limit of the bytes held"),
         }
--- a/balsamtally/catalog.py
+++ b/balsamtally/catalog.py
@@ -113,6 +113,7 @@
     :ivar known: event that is set once contracts are in force
     :ivar backends: the backend servers by name
     :ivar evacuations: the evacuated failure domains
+    :ivar on_cold: called with a backend server whose new entry tells that it is cold
     :ivar on_evacuation: called after an evacuation has begun or ended
     :ivar current_s: monotonic clock at which the platform last had no records beyond these, as far
         as this VM or a peer has learnt, in seconds
@@ -124,6 +125,7 @@
         self.known = Event()
         self.backends: dict[str, Backend] = {}
         self.evacuations = Evacuations(clock)
+        self.on_cold: Callable[[Backend], None] = lambda backend: None
         self.on_evacuation: Callable[[], None] = lambda: None
         self.current_s = clock()
         self._decoder = decoder
@@ -281,6 +283,8 @@
         if backend.key in self._departures:
             backend = replace(backend, leaving=True)
         self.backends[name] = backend
+        if backend.cold_s:
+            self.on_cold(backend)
         if known is None or known.key != backend.key:
             log.info("backend_added", backend=name, born=backend.born, source=source)
         if backend.leaving and (known is None or not known.leaving):
@@ -350,6 +354,14 @@
         known = self.backends.get(incarnation[0])
         return known is not None and known.key == incarnation
 
+    def find_cold_rate_per_s(self, service: str) -> float:
+        """Return the published rate for cold servers of a service, 0 if it isn't limited.
+
+        :param service: name of the service
+        """
+        found = self.contracts.services.get(service) if self.contracts is not None else None
+        return found.cold_rate_per_s if found is not None else 0.0
+
     @property
     def evacuated(self) -> set[str]:
         """The evacuated failure domains."""
--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -245,7 +245,7 @@
         backends = [candidate.backend for candidate in limited]
         before = self._count_before(waiting)
         rate_per_s = max(self._permits.find_rate(backends), MIN_RATE_PER_S)
-        wait_s = before / rate_per_s
+        wait_s = self._permits.estimate_wait_s(backends, before)
         first_event_s = predict_first_event_s(min(limited, key=predict_first_event_s))
         now = self._clock()
         if cannot_meet_deadline(waiting.waiter, wait_s + first_event_s, TOKEN_S, now):
@@ -253,7 +253,9 @@
             raise TargetHopeless(
                 f"all backend servers limit their requests, together to {rate_per_s:.2f} a second,"
                 f" and {before} calls go first",
-                retry_after_s=self._returns.reserve(queue, wait_s + 1 / rate_per_s, rate_per_s),
+                retry_after_s=self._returns.reserve(
+                    queue, self._permits.estimate_wait_s(backends, before + 1), rate_per_s
+                ),
             )
         self._permits.request(backends, before + 1)
         if not waiting.chosen.wait(RECHECK_INTERVAL_S):
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -16,13 +16,14 @@
 from balsamtally.asks import PlacementClient
 from balsamtally.backends import Connections
 from balsamtally.backlogs import Backlogs
-from balsamtally.beats import Beat
+from balsamtally.beats import Beat, make_initial_beat
 from balsamtally.budgets import FleetBudget
 from balsamtally.call_log import find_code, log_end
 from balsamtally.call_metrics import CallGauges, CallMetrics
 from balsamtally.callers import Caller, CallerServer, Request
 from balsamtally.calls import Backend, Limits, Notice
 from balsamtally.catalog import Catalog, Decoder
+from balsamtally.cold_servers import ColdMembership, ColdRule
 from balsamtally.coordination import Ask, Reply, Withdrawal
 from balsamtally.crash_evidence import list_keys
 from balsamtally.dispatch import Dispatch
@@ -61,7 +62,10 @@
 # stay open until then, so that requests sent on them meanwhile are served.
 CLOSE_IDLE_AFTER_S = 3.0
 # Settings that can change while calls are served.
-CHANGEABLE = ("seeds", "grace_s", "budget", "platform_address", "change_bound_s", "memory_mb")
+CHANGEABLE = (
+    "seeds", "grace_s", "budget", "platform_address", "change_bound_s", "memory_mb",
+    "cold_overage", "cold_slack",
+)  # fmt: skip
 # Limits for the health check, peer and metrics pages, whose requests have small heads and no body.
 PAGE_LIMITS = Limits(max_body_bytes=0, idle_timeout_s=30.0)
 
@@ -78,24 +82,6 @@
     return not plan.route.streams or progress.longest_gap_s <= plan.route.gap_s
 
 
-def make_initial_beat(settings: GatewaySettings, incarnation: str) -> Beat:
-    """Return the first heartbeat that an entry VM announces after its start.
-
-    :param settings: settings of the entry VM
-    :param incarnation: identity of the process
-    """
-    return Beat(
-        vm=settings.vm,
-        ip=settings.peer_address[0],
-        domain=settings.domain,
-        incarnation=incarnation,
-        revision=0,
-        leaving=False,
-        loads={},
-        peers=(),
-    )
-
-
 class Gateway:
     """One gateway with its components; a context manager that starts and stops them.
 
@@ -124,7 +110,19 @@
         self._count_dropped = count_dropped
         self._metrics = CallMetrics(self._read_gauges)
         self._backlogs = Backlogs()
-        self._server_limits = ServerLimits(self.catalog.is_known)
+        self._server_limits = ServerLimits(
+            self.catalog.is_known,
+            find_cold_limit=lambda service: self._make_cold_rule().find_limit(
+                self.catalog.find_cold_rate_per_s(service)
+            ),
+        )
+        self._cold_membership = ColdMembership(
+            make_initial_beat(settings, incarnation),
+            settings.regions,
+            settings.find_region,
+            lambda: bool(set(self.settings.seeds) - {settings.peer_address[0]}),
+            lambda: [peer.beat for peer in self.peers.list_alive()],
+        )
         self._permits = self._make_permits()
         self._dispatch = Dispatch(
             self.catalog,
@@ -137,6 +135,7 @@
             on_work_change=self._announce_work,
             permits=self._permits,
         )
+        self.catalog.on_cold = self._server_limits.record_cold
         self.catalog.on_evacuation = self._dispatch.dispatch_soon
         self.peers = Peers(
             make_initial_beat(settings, incarnation),
@@ -177,8 +176,12 @@
             lambda backend: self.peers.find_decider(backend),
             lambda: self.peers.find_share(),
             lambda message, ip: self.peers.send_message(message, ip),
+            find_cold_share=self._cold_membership.find_share,
         )
 
+    def _make_cold_rule(self) -> ColdRule:
+        return ColdRule(self.settings.cold_overage, self.settings.cold_slack)
+
     def _connect_placement(self, incarnation: str) -> None:
         """Create both sides of placement and connect them to the peers."""
         send = self.peers.send_message
@@ -219,6 +222,7 @@
         self._dispatch.record_beat(beat)
         for incarnation in beat.departures:
             self._record_departure(incarnation, beat.vm)
+        self._cold_membership.record_beat(beat)
         self._server_limits.merge(beat.limits, beat.vm)
         self._quarantine_exchange.greet(beat)
 
@@ -418,6 +422,7 @@
             dropped_lines=self._count_dropped(),
             quarantined=len(self._quarantine.list_entries()),
             evacuated=dict.fromkeys(self.catalog.evacuated, 1),
+            cold=len(self._server_limits.list_cold()),
             limited=len(self._server_limits.list_limited()),
             held_bytes=self._account.used_bytes,
             held_bytes_limit=self._account.limit_bytes,
--- a/balsamtally/gateway_settings.py
+++ b/balsamtally/gateway_settings.py
@@ -9,6 +9,9 @@
 DEFAULT_CHANGE_BOUND_S = 3.0
 # Memory of the machine where the settings don't state it, that of the smallest machines.
 DEFAULT_MEMORY_MB = 88.0
+# Without these settings a cold server gets no more than its published rate.
+DEFAULT_COLD_OVERAGE = 1.0
+DEFAULT_COLD_SLACK = 0.0
 
 
 @dataclass(frozen=True)
@@ -28,6 +31,9 @@
     :ivar change_bound_s: shortest time within which a published change must be in force at all VMs,
         in seconds
     :ivar memory_mb: memory that the process may take, in MB
+    :ivar cold_overage: factor by which the requests to a cold server within one second may exceed
+        its published rate
+    :ivar cold_slack: requests within one second that it may get beyond that
     :ivar metrics_port: port of a separate metrics listener on the IP address of
         ``caller_address``, 0 for no such listener
     """
@@ -44,6 +50,8 @@
     budget: BudgetRule
     change_bound_s: float = DEFAULT_CHANGE_BOUND_S
     memory_mb: float = DEFAULT_MEMORY_MB
+    cold_overage: float = DEFAULT_COLD_OVERAGE
+    cold_slack: float = DEFAULT_COLD_SLACK
     metrics_port: int = 0
 
     def find_region(self, domain: str) -> str:
--- a/balsamtally/paces.py
+++ b/balsamtally/paces.py
@@ -38,22 +38,33 @@
     """The paces of all backend servers.
 
     :param clock: monotonic clock in seconds
+    :param was_cold: returns whether a backend server was cold within the last seconds
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic):
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        was_cold: Callable[[tuple[str, int], float], bool] = lambda key, within_s: False,
+    ):
         self._clock = clock
+        self._was_cold = was_cold
         self._paces: dict[tuple[str, int], Pace] = {}
 
-    def record(self, key: tuple[str, int], took_s: float, expected_s: float) -> None:
-        """Record the time to the first event of an answer.
+    def record(self, key: tuple[str, int], took_s: float, expected_s: float) -> bool:
+        """Record the time to the first event of an answer; return whether it counts.
+
+        A cold server is always slow, and fast again by itself, so that its answers don't count.
 
         :param key: identity of the backend server's incarnation
         :param took_s: observed time in seconds
         :param expected_s: time expected of a runner of normal speed, in seconds
         """
+        if self._was_cold(key, took_s):
+            return False
         ratio = min(took_s / max(expected_s, MIN_EXPECTED_S), 2 * MAX_FACTOR)
         factor = self._find_factor(key)
         self._paces[key] = Pace(factor + SMOOTHING * (ratio - factor), self._clock())
+        return True
 
     def find(self, key: tuple[str, int]) -> float:
         """Return the slowdown of a backend server, 1 to ``MAX_FACTOR``.
--- a/balsamtally/permits.py
+++ b/balsamtally/permits.py
@@ -29,6 +29,9 @@
 ASK_INTERVAL_S = 0.1
 # A permit that isn't used for this time is no longer valid.
 PERMIT_TTL_S = 1.0
+# The same for a cold server: unused permits add to what arrives in a later second, and its bound is
+# for each second.
+COLD_PERMIT_TTL_S = 0.4
 # An ask that can't be served at once is kept for this time; the entry VM repeats it.
 ASK_TTL_S = 0.3
 MAX_PERMITS_PER_ASK = 8
@@ -93,7 +96,8 @@
         :param rate_per_s: tokens per second
         :param now: monotonic clock in seconds
         """
-        most = 1.0 + rate_per_s * BURST_S
+        # An entry VM that may spend nothing, as it hears no other, keeps no token either.
+        most = 1.0 + rate_per_s * BURST_S if rate_per_s else 0.0
         self.tokens = min(most, self.tokens + rate_per_s * (now - self.filled_s))
         self.filled_s = now
 
@@ -124,6 +128,8 @@
         spend, from 0 to 1
     :param send: sends a message to an IP number; it may be lost
     :param clock: monotonic clock in seconds
+    :param find_cold_share: returns the part of the limit of the cold servers of a failure domain
+        that this entry VM may spend, from 0 to 1
     """
 
     def __init__(
@@ -133,6 +139,7 @@
         find_share: Callable[[], float] = lambda: 1.0,
         send: Callable[[PermitAsk | PermitGrant, str], None] = lambda message, ip: None,
         clock: Callable[[], float] = time.monotonic,
+        find_cold_share: Callable[[str], float] = lambda domain: 1.0,
     ):
         self._limits = limits
         self._find_decider = find_decider
@@ -143,11 +150,13 @@
         self._purses: dict[Incarnation, Purse] = {}
         self._deciders: dict[Incarnation, tuple[Beat | None, float]] = {}
         self._share = (0.0, float("-inf"))
+        self._find_cold_share = find_cold_share
+        self._cold_shares: dict[str, tuple[float, float]] = {}
         self._last_number = 0
 
     @property
     def has_limits(self) -> bool:
-        """Whether any backend server has a limit."""
+        """Whether any backend server has a limit or is cold."""
         return not self._limits.is_empty
 
     def is_limited(self, key: Incarnation) -> bool:
@@ -155,7 +164,22 @@
 
         :param key: identity of its incarnation
         """
-        return self._limits.find(key) is not None
+        return self.has_limits and self._limits.find(key) is not None
+
+    def is_cold(self, key: Incarnation) -> bool:
+        """Return whether a backend server is cold.
+
+        :param key: identity of its incarnation
+        """
+        return self._limits.is_cold(key)
+
+    def was_cold(self, key: Incarnation, within_s: float) -> bool:
+        """Return whether a backend server was cold within the last seconds.
+
+        :param key: identity of its incarnation
+        :param within_s: the time in seconds
+        """
+        return self._limits.was_cold(key, within_s)
 
     def is_sendable(self, backend: Backend) -> bool:
         """Return whether a call may be sent to a backend server now.
@@ -215,9 +239,24 @@
         rate_per_s = 0.0
         for backend in backends:
             own = self._look_up_decider(backend) is None
-            rate_per_s += self._find_own_rate(backend.key) * (1.0 if own else FOREIGN_RATE_SHARE)
+            rate_per_s += self._find_own_rate(backend) * (1.0 if own else FOREIGN_RATE_SHARE)
         return rate_per_s
 
+    def estimate_wait_s(self, backends: Collection[Backend], before: int) -> float:
+        """Return the time until a waiting call gets a permit, in seconds.
+
+        :param backends: the limited servers that it may go to
+        :param before: waiting calls that go first
+        """
+        rate_per_s = max(self.find_rate(backends), MIN_RATE_PER_S)
+        # A cold server without another limit takes all waiting calls once it is warm.
+        warm_s = [
+            self._limits.find_cold_left_s(backend.key)
+            for backend in backends
+            if self._limits.find_named(backend.key) is None
+        ]
+        return min([before / rate_per_s, *warm_s])
+
     def handle_ask(self, ask: PermitAsk, ip: str) -> None:
         """Queue an ask; it is served with the tokens that :meth:`serve_asks` finds.
 
@@ -234,12 +273,13 @@
         :param grant: the grant
         """
         now = self._clock()
-        for purse in self._purses.values():
+        for key, purse in self._purses.items():
+            ttl_s = COLD_PERMIT_TTL_S if self.is_cold(key) else PERMIT_TTL_S
             asked_s = purse.pending_s.pop(grant.number, None)
-            if asked_s is not None and now - asked_s < PERMIT_TTL_S:
+            if asked_s is not None and now - asked_s < ttl_s:
                 held = purse.count if purse.until_s > now else 0
                 purse.count = min(held + grant.count, MAX_PERMITS_PER_ASK)
-                purse.until_s = asked_s + PERMIT_TTL_S
+                purse.until_s = asked_s + ttl_s
 
     def serve_asks(self, backends: Collection[Backend]) -> None:
         """Fill the buckets of this entry VM, and grant permits for the asks that wait.
@@ -275,16 +315,34 @@
             self._buckets.pop(backend.key, None)
             return None
         bucket = self._buckets.setdefault(backend.key, Bucket(self._clock()))
-        bucket.fill(self._find_own_rate(backend.key), self._clock())
+        bucket.fill(self._find_own_rate(backend), self._clock())
         return bucket
 
-    def _find_own_rate(self, key: Incarnation) -> float:
-        limit_per_s = self._limits.find(key) or 0.0
+    def _find_own_rate(self, backend: Backend) -> float:
+        """Return the rate at which this entry VM may send as the decider, in requests per second.
+
+        It is the lower one of the limits that the server named and has while it is cold.
+        """
+        named = self._limits.find_named(backend.key)
+        cold = self._limits.find_cold(backend.key)
+        rates = [self._find_named_rate(named)] if named is not None or cold is None else []
+        if cold is not None:
+            rates.append(cold * self._look_up_cold_share(backend.domain))
+        return min(rates)
+
+    def _look_up_cold_share(self, domain: str) -> float:
+        share, at_s = self._cold_shares.get(domain, (0.0, float("-inf")))
+        if self._clock() - at_s > MEMBERSHIP_TTL_S:
+            share = self._find_cold_share(domain)
+            self._cold_shares[domain] = (share, self._clock())
+        return share
+
+    def _find_named_rate(self, limit_per_s: float | None) -> float:
         share, at_s = self._share
         if self._clock() - at_s > MEMBERSHIP_TTL_S:
             share = self._find_share()
             self._share = (share, self._clock())
-        return max(limit_per_s, MIN_RATE_PER_S) * share
+        return max(limit_per_s or 0.0, MIN_RATE_PER_S) * share
 
     def _look_up_decider(self, backend: Backend) -> Beat | None:
         decider, at_s = self._deciders.get(backend.key, (None, float("-inf")))
--- a/balsamtally/platform/settings.py
+++ b/balsamtally/platform/settings.py
@@ -9,7 +9,13 @@
 from balsamtally.budgets import BudgetRule
 from balsamtally.decoding import DECODING_ERRORS
 from balsamtally.errors import SettingsInvalid
-from balsamtally.gateway_settings import DEFAULT_CHANGE_BOUND_S, DEFAULT_MEMORY_MB, GatewaySettings
+from balsamtally.gateway_settings import (
+    DEFAULT_CHANGE_BOUND_S,
+    DEFAULT_COLD_OVERAGE,
+    DEFAULT_COLD_SLACK,
+    DEFAULT_MEMORY_MB,
+    GatewaySettings,
+)
 from balsamtally.sockets import parse_address
 
 VARIABLE = "BALSAMTALLY_NODE_FILE"
@@ -112,6 +118,8 @@
                 window_s=read_amount(bounds["budget_window_s"]),
             ),
             change_bound_s=read_change_bound_s(bounds),
+            cold_overage=read_amount(bounds.get("cold_overage", DEFAULT_COLD_OVERAGE)),
+            cold_slack=read_amount(bounds.get("cold_slack", DEFAULT_COLD_SLACK)),
             memory_mb=read_amount((fields.get("limits") or {}).get("memory_mb", DEFAULT_MEMORY_MB)),
         )
     except DECODING_ERRORS as error:
--- a/balsamtally/runners.py
+++ b/balsamtally/runners.py
@@ -110,7 +110,7 @@
         self._region = region
         self._permits = permits
         self._clock = clock
-        self._paces = Paces(clock)
+        self._paces = Paces(clock, lambda key, within_s: self._permits.was_cold(key, within_s))
         self._health: dict[tuple[str, int], RunnerHealth] = {}
         self._caches: dict[tuple[str, int], PrefixCache] = {}
         self._full_until_s: dict[tuple[str, int], float] = {}
@@ -202,9 +202,14 @@
         return self._make_candidates(demand, limited)
 
     def _filter_suitable(self, demand: Demand, candidates: list[Candidate]) -> list[Candidate]:
-        """Return the candidates that suit a call; limited ones aren't dedicated to any calls."""
+        """Return the candidates that suit a call; limited ones aren't dedicated to any calls.
+
+        Streams with a tight inter-event latency bound go to warm servers as long as there are any.
+        """
         if not self._permits.has_limits:
             return self._apply_dedication(demand, candidates)
+        if self.has_tight_bound(demand):
+            candidates = [each for each in candidates if not each.cold] or candidates
         limited = [each for each in candidates if self._permits.is_limited(each.backend.key)]
         others = [each for each in candidates if each not in limited]
         return limited + (self._apply_dedication(demand, others) if others else [])
@@ -277,6 +282,7 @@
             slow_factor=runner.slow_factor,
             close=load.close,
             region=runner.region,
+            cold=self._permits.has_limits and self._permits.is_cold(runner.backend.key),
         )
 
     def _apply_dedication(self, demand: Demand, candidates: list[Candidate]) -> list[Candidate]:
@@ -322,8 +328,8 @@
         """
         speed = self.find_statistics(report.service).speed
         if report.finding == Finding.BEGAN:
-            self._paces.record(report.key, report.took_s, report.expected_s)
-            speed.record_first_event(report.tokens, report.took_s)
+            if self._paces.record(report.key, report.took_s, report.expected_s):
+                speed.record_first_event(report.tokens, report.took_s)
         elif report.finding == Finding.PAUSED:
             self._record_longest_gap(report)
         elif report.finding == Finding.FULL:
@@ -334,7 +340,7 @@
 
     def _record_longest_gap(self, report: Report) -> None:
         engine = self.find_engine(report.service)
-        if engine is None:
+        if engine is None or self._permits.was_cold(report.key, report.took_s):
             return
         statistics = self.find_statistics(report.service)
         statistics.speed.record_longest_gap(report.took_s, engine.event_tokens)
--- a/balsamtally/server_limits.py
+++ b/balsamtally/server_limits.py
@@ -1,9 +1,13 @@
-"""Request rate limits that backend servers named in their answers.
+"""Request rate limits that backend servers named in their answers, and those of cold servers.
 
-A limit holds for one incarnation, for the requests of all entry VMs together, until an answer names
-none. Each statement has a time, and the latest one holds: for a limit, when the answer arrived; for
-an answer without one, when its request was sent, since the head of a long answer may have been
-written before the limit was named. Entry VMs have no common clock and tell each other ages.
+A named limit holds for one incarnation, for the requests of all entry VMs together, until an answer
+names none. Each statement has a time, and the latest one holds: for a limit, when the answer
+arrived; for an answer without one, when its request was sent, since the head of a long answer may
+have been written before the limit was named. Entry VMs have no common clock and tell each other
+ages.
+
+The limit of a cold server follows from its published entry and ends by itself. As the entry may be
+old, the time counts from when this entry VM learnt it, and a later entry never shortens it.
 """
 
 import time
@@ -71,34 +75,106 @@
 
     :param is_known: returns whether an incarnation is published
     :param clock: monotonic clock in seconds
+    :param find_cold_limit: returns the requests per second for a cold server of a service, ``None``
+        if they aren't limited
     """
 
     def __init__(
         self,
         is_known: Callable[[Incarnation], bool],
         clock: Callable[[], float] = time.monotonic,
+        find_cold_limit: Callable[[str], float | None] = lambda service: None,
     ):
         self._is_known = is_known
         self._clock = clock
+        self._find_cold_limit = find_cold_limit
+        self._cold: dict[Incarnation, str] = {}
+        self._cold_until_s: dict[Incarnation, float] = {}
         self._statements: dict[Incarnation, Statement] = {}
         self._unlimited_s: dict[Incarnation, float] = {}
         self._limits: dict[Incarnation, float] = {}
 
     @property
     def is_empty(self) -> bool:
-        """Whether no backend server has a limit."""
-        return not self._limits
+        """Whether no backend server has a limit or is cold."""
+        if self._cold:
+            self._end_cold()
+        return not self._limits and not self._cold
 
     def find(self, key: Incarnation) -> float | None:
         """Return the limit of a backend server in requests per second, ``None`` if it has none.
 
+        :param key: identity of its incarnation
+        :return: the lower of the limits that it named and that it has as a cold server
+        """
+        limits = (self.find_named(key), self.find_cold(key))
+        return min((limit for limit in limits if limit is not None), default=None)
+
+    def find_named(self, key: Incarnation) -> float | None:
+        """Return the limit that a backend server named, in requests per second.
+
         :param key: identity of its incarnation
         """
         return self._limits.get(key)
 
+    def find_cold(self, key: Incarnation) -> float | None:
+        """Return the limit of a cold server in requests per second, ``None`` if it has none.
+
+        :param key: identity of its incarnation
+        """
+        return self._find_cold_limit(self._cold[key]) if self.is_cold(key) else None
+
+    def is_cold(self, key: Incarnation) -> bool:
+        """Return whether a backend server is cold.
+
+        :param key: identity of its incarnation
+        """
+        return key in self._cold and self._cold_until_s[key] > self._clock()
+
+    def was_cold(self, key: Incarnation, within_s: float) -> bool:
+        """Return whether a backend server was cold within the last seconds.
+
+        :param key: identity of its incarnation
+        :param within_s: the time in seconds
+        """
+        until_s = self._cold_until_s.get(key)
+        return until_s is not None and until_s > self._clock() - within_s
+
+    def find_cold_left_s(self, key: Incarnation) -> float:
+        """Return how much longer a backend server counts as cold, in seconds.
+
+        :param key: identity of its incarnation
+        """
+        return max(0.0, self._cold_until_s.get(key, 0.0) - self._clock())
+
+    def record_cold(self, backend: Backend) -> None:
+        """Record that the entry of a backend server tells that it is cold.
+
+        :param backend: the incarnation, with the time for which it stays cold
+        """
+        key = backend.key
+        until_s = self._clock() + backend.cold_s
+        if until_s <= self._cold_until_s.get(key, float("-inf")):
+            return
+        if not self.is_cold(key):
+            log.info("backend_cold", backend=key[0], born=key[1], cold_s=backend.cold_s)
+        self._cold[key] = backend.service
+        self._cold_until_s[key] = until_s
+
+    def _end_cold(self) -> None:
+        now = self._clock()
+        for key in [key for key in self._cold if self._cold_until_s[key] <= now]:
+            del self._cold[key]
+            log.info("backend_warm", backend=key[0], born=key[1])
+
     def list_limited(self) -> list[Incarnation]:
         """Return the incarnations that have a limit."""
-        return list(self._limits)
+        cold = [key for key in self._cold if self.find_cold(key) is not None]
+        return list(dict.fromkeys([*self._limits, *cold]))
+
+    def list_cold(self) -> list[Incarnation]:
+        """Return the incarnations that are cold."""
+        return [key for key in self._cold if self.is_cold(key)]
 
     def record_answer(self, backend: Backend, limit_per_s: float | None, sent_s: float) -> bool:
         """Record what an answer says; return whether the limit has changed.
@@ -183,6 +259,11 @@
             key: at for key, at in self._unlimited_s.items() if self._is_known(key)
         }
         self._limits = {key: self._limits[key] for key in self._limits if key in self._statements}
+        self._end_cold()
+        self._cold = {key: self._cold[key] for key in self._cold if self._is_known(key)}
+        self._cold_until_s = {
+            key: until_s for key, until_s in self._cold_until_s.items() if self._is_known(key)
+        }
 
 
 def is_later(statement: Statement, other: Statement) -> bool:
--- a/tests/balsamtally/platform/test_settings.py
+++ b/tests/balsamtally/platform/test_settings.py
@@ -55,6 +55,7 @@
     assert settings.budget.allowance == 56.0
     assert read_settings(write(tmp_path, {"seeds": []})).seeds == ()
     assert settings.change_bound_s == DEFAULT_CHANGE_BOUND_S
+    assert (settings.cold_overage, settings.cold_slack) == (1.0, 0.0)
 
 
 def test_shortest_bound_for_changes_is_read(tmp_path):
@@ -113,3 +114,12 @@
 def test_invalid_flags_are_refused(argv):
     with pytest.raises(SettingsInvalid):
         read_own_settings(argv, {})
+
+
+def test_bounds_of_cold_servers(tmp_path):
+    """Guards against cold servers that get more requests than they tolerate."""
+    bounds = BOUNDS | {"cold_overage": 1.5, "cold_slack": 5}
+    settings = read_settings(write(tmp_path, {"bounds": bounds}))
+    assert (settings.cold_overage, settings.cold_slack) == (1.5, 5.0)
+    with pytest.raises(SettingsInvalid):
+        read_settings(write(tmp_path, {"bounds": bounds | {"cold_slack": -1}}))
--- a/tests/balsamtally/test_paces.py
+++ b/tests/balsamtally/test_paces.py
@@ -42,3 +42,13 @@
         paces.record(KEY, 0.48 if number % 3 == 2 else 0.06, 0.2)
         found.append(paces.find(KEY))
     assert sum(found[-30:]) / 30 < 1.1
+
+
+def test_answers_of_a_cold_server_do_not_count():
+    """Guards against a server that is avoided as slow after it has become warm."""
+    paces = Paces(lambda: 100.0, lambda key, within_s: key == ("cold", 1) and within_s > 1.0)
+    for name in ("cold", "warm"):
+        for _ in range(5):
+            paces.record((name, 1), 4.0, 0.1)
+    assert paces.find(("cold", 1)) == 1.0
+    assert paces.find(("warm", 1)) > 2.0
--- a/tests/balsamtally/test_server_limits.py
+++ b/tests/balsamtally/test_server_limits.py
@@ -1,5 +1,7 @@
 """Limits that backend servers named: what holds after answers and messages in any order."""
 
+from dataclasses import replace
+
 import msgspec
 import pytest
 from hypothesis import given
@@ -163,3 +165,92 @@
             for other in vms:
                 vm.tell(other)
     assert {vm.limit for vm in vms} == {answers[-1][1]}
+
+
+class ColdVm:
+    """The limits of one entry VM that learns of cold servers; those of ``spare`` have no rate."""
+
+    def __init__(self, known=True):
+        self.known = known
+        self.limits = ServerLimits(
+            lambda key: self.known, lambda: Vm.now, {"desk": 5.0, "spare": None}.get
+        )
+
+    def learn(self, cold_s, **changes):
+        server = make_backend("cold", cold_s=cold_s, **changes)
+        self.limits.record_cold(server)
+        return server
+
+
+def test_cold_limit_expires_by_itself():
+    """Guards against a server that stays limited after it has become warm."""
+    vm = ColdVm()
+    server = vm.learn(3.0)
+    assert vm.limits.find(server.key) == 5.0
+    assert vm.limits.list_limited() == vm.limits.list_cold() == [server.key]
+    Vm.now += 2.9
+    assert not vm.limits.is_empty
+    Vm.now += 0.2
+    assert vm.limits.find(server.key) is None
+    assert vm.limits.is_empty and not vm.limits.list_limited()
+
+
+def test_later_entry_extends_the_time_and_never_shortens_it():
+    """Guards against a limit that ends early, since an older entry came late."""
+    vm = ColdVm()
+    server = vm.learn(3.0)
+    vm.limits.record_cold(replace(server, cold_s=1.0))
+    Vm.now += 2.0
+    assert vm.limits.find(server.key) == 5.0
+    vm.limits.record_cold(replace(server, cold_s=2.0))
+    Vm.now += 1.9
+    assert vm.limits.find(server.key) == 5.0
+
+
+@pytest.mark.parametrize(("named", "found"), [(2.5, 2.5), (8.0, 5.0), (0.0, 0.0)])
+def test_lower_one_of_the_named_and_the_cold_limit_holds(named, found):
+    """Guards against one of two limits that replaces the other."""
+    vm = ColdVm()
+    server = vm.learn(3.0)
+    vm.limits.record_answer(server, named, Vm.now)
+    assert vm.limits.find(server.key) == found
+    Vm.now += 3.1
+    assert vm.limits.find(server.key) == named
+    vm.limits.record_answer(server, None, Vm.now)
+    assert vm.limits.find(server.key) is None
+
+
+def test_answer_without_a_limit_does_not_end_the_cold_limit():
+    """Guards against a cold server that is flooded after its first answer."""
+    vm = ColdVm()
+    server = vm.learn(3.0)
+    vm.limits.record_answer(server, None, Vm.now)
+    assert vm.limits.find(server.key) == 5.0
+
+
+def test_cold_server_of_a_service_without_a_rate_is_slow_but_not_limited():
+    """Guards against a limit that nobody published."""
+    vm = ColdVm()
+    server = vm.learn(3.0, service="spare")
+    assert vm.limits.is_cold(server.key)
+    assert vm.limits.find(server.key) is None
+    assert not vm.limits.list_limited()
+
+
+def test_answer_that_began_shortly_after_the_cold_time_counts_as_one_of_it():
+    """Guards against a warm server that is taken for a slow one."""
+    vm = ColdVm()
+    server = vm.learn(3.0)
+    Vm.now += 4.0
+    assert vm.limits.was_cold(server.key, 1.5)
+    assert not vm.limits.was_cold(server.key, 0.5)
+
+
+def test_removed_cold_server_is_forgotten():
+    """Guards against state that grows with each restart of a server."""
+    vm = ColdVm()
+    vm.learn(1e6)
+    vm.known = False
+    vm.limits.forget_removed()
+    assert vm.limits.is_empty
+    assert not vm.limits._cold_until_s
