--- a/standins/grid.py
+++ b/standins/grid.py
@@ -307,10 +307,12 @@
     :param domain: failure domain of the VM
     :param folder: directory of the settings file and the log file
     :ivar host: IP address of the VM
+    :ivar limits: ``limits`` of the settings file
     """
 
     def __init__(self, name: str, domain: str, folder: Path):
         self.name = name
+        self.limits = {"memory_mb": MEMORY_MB}
         self.domain = domain
         self.host = draw_host()
         self.log_path = folder / f"{name}.log"
@@ -336,7 +338,7 @@
             "internal_port_range": [PEER_PORT, PEER_PORT + 5],
             "seeds": [f"{seed}:{CONTROL_PORT}" for seed in seeds],
             "bounds": BOUNDS,
-            "limits": {"memory_mb": MEMORY_MB},
+            "limits": self.limits,
             "platform": {"address": store},
         }
         self._settings_path.write_text(yaml.safe_dump(settings))
@@ -380,6 +382,10 @@
             gevent.sleep(POLL_S)
         return self._process.returncode
 
+    def count_descriptors(self) -> int:
+        """Return the number of descriptors that the daemon process has open."""
+        return len(list(Path(f"/proc/{self._process.pid}/fd").iterdir()))
+
     def is_running(self) -> bool:
         """Return whether the daemon process is running."""
         return self._process is not None and self._process.poll() is None
@@ -406,12 +412,16 @@
     :param vms: entry VMs in each failure domain
     :param servers: backend servers of each service in each failure domain
     :param domains: number of failure domains
+    :param limits: ``limits`` of the settings files
     :ivar store: the store, once the context is entered
     :ivar vms: all entry VMs
     :ivar servers: all backend servers
     """
 
-    def __init__(self, vms: int = 1, servers: int = 1, domains: int = 2):
+    def __init__(
+        self, vms: int = 1, servers: int = 1, domains: int = 2, limits: dict | None = None
+    ):
+        self._limits = limits
         self._domains = list(DOMAINS)[:domains]
         self._vms_per_domain = vms
         self._servers_per_domain = servers
@@ -434,7 +444,9 @@
                         enter(Server(self.store, name, service, domain, self._attempts))
                     )
             for number in range(self._vms_per_domain):
-                self.vms.append(Vm(f"vm-{domain}-{number}", domain, folder))
+                vm = Vm(f"vm-{domain}-{number}", domain, folder)
+                vm.limits = self._limits or vm.limits
+                self.vms.append(vm)
         self._stack.callback(self._kill_all)
         for vm in self.vms:
             self.start(vm)
