Bound what callers' input and unread answers take of the process

The account of held bytes counts input that is read ahead. Reading stops at 16 KiB while a request is handled, and slows down for very small writes. Small bodies are refused beyond 1.25 of the account, and stalled bodies make room for others. Pipelined requests wait until the former answers were taken. The limit of connections follows from max_fds; at the limit a new connection replaces the one that has been idle the longest.

--- a/balsamtally/call_metrics.py
+++ b/balsamtally/call_metrics.py
@@ -36,6 +36,9 @@
     :ivar limited: backend servers that limit the rate of requests
     :ivar held_bytes: bytes held for calls in progress
     :ivar held_bytes_limit: limit of these bytes
+    :ivar callers_limit: most open connections of callers
+    :ivar closed_idle: idle connections of callers closed since the start to make room
+    :ivar evicted_bodies: stalled bodies of callers refused since the start to make room
     """
 
     waiting: Mapping[str, int] = field(default_factory=dict)
@@ -55,6 +58,9 @@
     limited: int = 0
     held_bytes: float = 0.0
     held_bytes_limit: float = 0.0
+    callers_limit: int = 0
+    closed_idle: int = 0
+    evicted_bodies: int = 0
 
 
 class CallMetrics(Collectors):
@@ -123,6 +129,15 @@
                 "limited_backends", "Backend servers that limit the rate of requests"
             ),
             "held_bytes": self._gauge("held_bytes", "Bytes held for calls in progress"),
+            "callers_limit": self._gauge(
+                "caller_connections_limit", "Limit of the open connections of callers"
+            ),
+            "closed_idle": self._gauge(
+                "caller_connections_closed_idle", "Idle connections closed for new ones"
+            ),
+            "evicted_bodies": self._gauge(
+                "caller_bodies_evicted", "Stalled bodies refused to make room for others"
+            ),
             "held_bytes_limit": self._gauge("held_bytes_limit", "Limit of the bytes held"),
         }
         self._memory = self._gauge("resident_bytes", "Resident memory of the process")
--- a/balsamtally/callers.py
+++ b/balsamtally/callers.py
@@ -9,40 +9,46 @@
 import gevent
 import h11
 from gevent import Timeout, socket
-from gevent.event import Event
 from gevent.pool import Pool
 
 from balsamtally.calls import BODILESS, Headers, Limits
 from balsamtally.errors import (
     AnswerBegun,
     BalsamtallyError,
-    BodyTooLarge,
     CallerLeft,
     HeadTooLarge,
     MalformedRequest,
     RequestTimeout,
 )
 from balsamtally.framing import check_framing, check_lines
-from balsamtally.held_bytes import HeldBytes, Holding
+from balsamtally.held_bytes import HeldBytes
+from balsamtally.inboxes import Inbox
 from balsamtally.logs import log
-from balsamtally.sockets import close, reset, set_up
+from balsamtally.request_bodies import BodyReader
+from balsamtally.sockets import bound_buffers, close, count_unsent, reset, set_up
 
-READ_BYTES = 65_536
-# Input that is buffered while a request is handled. Reading continues so that a disconnect is
-# noticed at once.
-MAX_INBOX_BYTES = 262_144
 # A caller that reads nothing of its answer for this time is treated as disconnected; twice the TCP
 # user timeout.
 WRITE_TIMEOUT_S = 6.0
+# At the limit of connections, a new one replaces the one that has been idle for the longest time,
+# at least for this time, in seconds: a new connection needs time for its first request.
+IDLE_GRACE_S = 1.0
+IDLE_POLL_S = 0.05
+# Bytes of former answers that may be unsent when a pipelined request is served, and the interval at
+# which they are counted, in seconds.
+MAX_UNSENT_BYTES = 16_384
+UNSENT_POLL_S = 0.02
 # Connections of callers at one entry VM; the smallest VMs have 4,100 file descriptors, of which 200
 # are reserved.
 MAX_CALLERS = 1_800
+# Part of the descriptors for connections of callers; the rest is for backend servers, the store,
+# peers and readiness. 3,900 descriptors give MAX_CALLERS.
+CALLER_SHARE = 6 / 13
+RESERVED_FDS = 200
 # Time for which the rest of a refused request is read: closing a socket with unread input sends a
 # reset, and the caller could lose the refusal.
 LINGER_S = 0.5
 _HEAD_REQUEST = b"HEAD / HTTP/1.1\r\nHost: caller\r\nConnection: close\r\n\r\n"
-# Digits that are read of a length; one with more exceeds any limit.
-MAX_LENGTH_DIGITS = 15
 HEAD_END = b"\r\n\r\n"
 
 
@@ -91,6 +97,7 @@
     :param clock: monotonic clock
     :param account: counts the bytes of bodies, ``None`` to count none
     :ivar idle: whether the connection waits for the first byte of a request
+    :ivar idle_since_s: monotonic time since which it was idle last, in seconds
     :ivar closing: whether the next answer announces that the connection closes
     :ivar answered: whether the current request was answered completely
     :ivar began_answer: whether the head of the answer was sent
@@ -107,13 +114,8 @@
         self._sock = sock
         self._find_limits = find_limits
         self._clock = clock
-        self._body_bytes = Holding(account) if account is not None else None
-        self._inbox = bytearray()
-        self._first_byte_s = 0.0
-        self._input_arrived = Event()
-        self._inbox_writable = Event()
-        self._inbox_writable.set()
-        self._disconnected = False
+        self._inbox = Inbox(sock, clock, self._end_serving, account)
+        self._body_reader = BodyReader(self._inbox, clock, account)
         self._serving: gevent.Greenlet | None = None
         self._http: h11.Connection | None = None
         self._method = b""
@@ -124,14 +126,16 @@
         self.sent_bytes = 0
         self._announced_close = False
         self._ended = False
+        self.idle_since_s = clock()
 
     def __enter__(self) -> "Caller":
         set_up(self._sock)
-        self._reader = gevent.spawn(self._read_all)
+        bound_buffers(self._sock)
+        self._inbox.start()
         return self
 
     def __exit__(self, *exc_info) -> None:
-        self._reader.kill(block=False)
+        self._inbox.stop()
         self.release_body()
         if self._is_cut_without_framing():
             reset(self._sock)
@@ -146,28 +150,11 @@
 
     # Reading.
 
-    def _read_all(self) -> None:
-        """Read the socket continuously, so that a disconnect is noticed at once."""
-        while not self._disconnected:
-            self._inbox_writable.wait()
-            try:
-                data = self._sock.recv(READ_BYTES)
-            except OSError:
-                data = b""
-            self._disconnected = not data
-            if not self._inbox:
-                self._first_byte_s = self._clock()
-            self._inbox += data
-            if len(self._inbox) > MAX_INBOX_BYTES:
-                self._inbox_writable.clear()
-            self._input_arrived.set()
+    def _end_serving(self) -> None:
+        """Raise :class:`CallerLeft` in the handler, as the caller disconnected."""
         if self._serving is not None:
             self._serving.kill(CallerLeft("the caller closed the connection"), block=False)
 
-    def _wait_for_bytes(self, timeout_s: float) -> bool:
-        """Wait for input or a disconnect; return whether either happened before the timeout."""
-        return self._disconnected or self._input_arrived.wait(timeout_s)
-
     def read_request(self) -> Request | None:
         """Read the next request.
 
@@ -177,23 +164,28 @@
         if self._ended:
             return None
         limits = self._find_limits()
-        self.idle = not self._inbox
+        self.idle = not self._inbox.data
         self._method = b""
         self.answered = self.began_answer = False
         self.sent_bytes = 0
         if self.idle:
-            self._input_arrived.clear()
-            if not self._wait_for_bytes(limits.idle_timeout_s) or not self._inbox or self._ended:
+            self.idle_since_s = self._clock()
+            self._inbox.begin_request(limits.max_header_bytes)
+            arrived = self._inbox.wait_for_first(limits.idle_timeout_s)
+            if not arrived or not self._inbox.data or self._ended:
                 return None
+        else:
+            self._wait_until_taken()
+            self._inbox.begin_request(limits.max_header_bytes)
         self.idle = False
         try:
             head = self._read_head(limits)
         except BalsamtallyError:
-            self._method = bytes(self._inbox.partition(b" ")[0])
+            self._method = bytes(self._inbox.data.partition(b" ")[0])
             raise
         if head is None:
             return None
-        arrived_s = self._first_byte_s
+        arrived_s = self._inbox.first_byte_s
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=len(head) + 1)
         try:
             self._http.receive_data(head)
@@ -202,87 +194,53 @@
                 raise MalformedRequest("the head of the request is malformed")
             self._method = bytes(request.method)
             check_framing(head, request.target)
-            body = self._read_body(request, limits)
+            body = self._body_reader.read(self._http, request, limits, self._send)
         except h11.RemoteProtocolError as error:
             raise MalformedRequest(str(error)) from error
-        self._first_byte_s = self._clock()
+        self._inbox.first_byte_s = self._clock()
+        self._inbox.begin_handling()
         raw = tuple((bytes(name), bytes(value)) for name, value in request.headers.raw_items())
         return Request(bytes(request.method), bytes(request.target), raw, body, arrived_s)
 
+    def _wait_until_taken(self) -> None:
+        """Wait before a pipelined request until the caller took most of the former answers.
+
+        Other callers get a turn in any case, as neither reading nor writing may block here.
+
+        :raises CallerLeft: if the caller takes nothing for WRITE_TIMEOUT_S
+        """
+        gevent.sleep(0)
+        unsent = count_unsent(self._sock)
+        until_s = self._clock() + WRITE_TIMEOUT_S
+        while unsent > MAX_UNSENT_BYTES and not self._inbox.ended:
+            if self._clock() > until_s:
+                raise CallerLeft("the caller stopped reading its answers")
+            gevent.sleep(UNSENT_POLL_S)
+            before, unsent = unsent, count_unsent(self._sock)
+            if unsent < before:
+                until_s = self._clock() + WRITE_TIMEOUT_S
+
     def _read_head(self, limits: Limits) -> bytes | None:
-        deadline = self._first_byte_s + limits.head_timeout_s
-        while (end := self._inbox.find(HEAD_END)) < 0:
-            check_lines(self._inbox)
-            if len(self._inbox) > limits.max_header_bytes:
+        inbox = self._inbox
+        deadline_s = inbox.first_byte_s + limits.head_timeout_s
+        while (end := inbox.data.find(HEAD_END)) < 0:
+            check_lines(inbox.data)
+            if len(inbox.data) > limits.max_header_bytes:
                 raise HeadTooLarge
-            if not self._wait_for_more(deadline):
-                if self._disconnected:
+            if not inbox.wait_for_more(deadline_s, lambda: False):
+                if inbox.ended:
                     return None
                 raise RequestTimeout
         if end + len(HEAD_END) > limits.max_header_bytes:
             raise HeadTooLarge
-        head = bytes(self._inbox[: end + len(HEAD_END)])
+        head = bytes(inbox.data[: end + len(HEAD_END)])
         check_lines(head)
-        self._consume(len(head))
+        inbox.take(len(head))
         return head
 
-    def _consume(self, size: int) -> bytes:
-        """Remove bytes from the inbox, and resume reading if it was full."""
-        consumed = bytes(self._inbox[:size])
-        del self._inbox[:size]
-        if len(self._inbox) <= MAX_INBOX_BYTES:
-            self._inbox_writable.set()
-        return consumed
-
-    def _wait_for_more(self, deadline_s: float) -> bool:
-        """Wait for further input until a deadline; return whether input arrived."""
-        if self._disconnected:
-            return False
-        self._input_arrived.clear()
-        size = len(self._inbox)
-        while len(self._inbox) == size:
-            left_s = deadline_s - self._clock()
-            if self._disconnected or left_s <= 0 or not self._input_arrived.wait(left_s):
-                return len(self._inbox) != size
-            self._input_arrived.clear()
-        return True
-
     def release_body(self) -> None:
         """Count the bytes of the last request's body no longer, as nothing refers to it."""
-        self._count_body(0)
-
-    def _count_body(self, size: int) -> None:
-        if self._body_bytes is not None:
-            self._body_bytes.resize(size)
-
-    def _read_body(self, request: h11.Request, limits: Limits) -> bytes:
-        body = bytearray()
-        # A body of known length is refused before it is sent, if its caller waits for that.
-        declared = find_length(request)
-        if declared > limits.max_body_bytes:
-            raise BodyTooLarge
-        self._count_body(declared)
-        deadline = self._clock() + limits.idle_timeout_s
-        if self._http.they_are_waiting_for_100_continue:
-            self._send(h11.InformationalResponse(status_code=100, headers=[]))
-        while True:
-            event = self._http.next_event()
-            if type(event) is h11.EndOfMessage:
-                break
-            if type(event) is h11.Data:
-                body += event.data
-                if len(body) > limits.max_body_bytes:
-                    raise BodyTooLarge
-                self._count_body(max(declared, len(body)))
-            elif not self._inbox and not self._wait_for_more(deadline):
-                if self._disconnected:
-                    raise CallerLeft("the caller disconnected within its request")
-                raise RequestTimeout("the body of the request took too long")
-            else:
-                self._http.receive_data(self._consume(READ_BYTES))
-        rest, _ = self._http.trailing_data
-        self._inbox[:0] = rest
-        return bytes(body)
+        self._body_reader.release()
 
     def serve(self, handle: Callable[..., None], *arguments) -> None:
         """Run a handler, and raise :class:`CallerLeft` in it as soon as the caller disconnects.
@@ -291,7 +249,7 @@
         :param arguments: arguments of the handler
         :raises CallerLeft: if the caller disconnected
         """
-        if self._disconnected:
+        if self._inbox.ended:
             raise CallerLeft("the caller closed the connection")
         self._serving = gevent.getcurrent()
         try:
@@ -414,32 +372,25 @@
         except OSError:
             return
         with gevent.Timeout(LINGER_S, False):
-            while not self._disconnected:
-                self._input_arrived.clear()
-                self._inbox.clear()
-                self._inbox_writable.set()
-                self._input_arrived.wait()
+            while not self._inbox.ended:
+                self._inbox.discard()
 
     def end_after_answer(self) -> None:
         """Serve no request after the current one; close the connection if it is idle."""
         self._ended = True
         if self.idle:
             close(self._sock)
-            self._disconnected = True
-            self._input_arrived.set()
+            self._inbox.end()
 
 
-def find_length(request: h11.Request) -> int:
-    """Return the length that a request declares for its body, 0 if it declares none.
+def find_max_callers(max_fds: float) -> int:
+    """Return the most connections of callers.
 
-    :param request: the request, whose headers the parser has checked
+    :param max_fds: most descriptors of the process, 0 if it isn't known
     """
-    lengths = [
-        int(value[:MAX_LENGTH_DIGITS])
-        for name, value in request.headers
-        if name == b"content-length"
-    ]
-    return lengths[0] if lengths else 0
+    if not max_fds:
+        return MAX_CALLERS
+    return max(1, int((max_fds - RESERVED_FDS) * CALLER_SHARE))
 
 
 class CallerServer:
@@ -451,7 +402,10 @@
     :param refuse: called with the connection and an error, to answer an unacceptable request
     :param clock: monotonic clock
     :param account: counts the bytes of bodies, ``None`` to count none
+    :param max_callers: most open connections
     :ivar callers: open connections
+    :ivar closed_idle: idle connections closed since the start to make room for new ones
+    :ivar max_callers: most open connections
     """
 
     def __init__(
@@ -462,6 +416,7 @@
         refuse: Callable[[Caller, BalsamtallyError], None],
         clock: Callable[[], float],
         account: HeldBytes | None = None,
+        max_callers: int = MAX_CALLERS,
     ):
         self._listener = listener
         self._find_limits = find_limits
@@ -469,8 +424,10 @@
         self._refuse = refuse
         self._clock = clock
         self._account = account
-        self._tasks = Pool(MAX_CALLERS)
+        self._tasks = Pool(max_callers)
         self._closing = False
+        self.closed_idle = 0
+        self.max_callers = max_callers
         self.callers: set[Caller] = set()
 
     def __enter__(self) -> "CallerServer":
@@ -513,8 +470,22 @@
                 log.warning("accept_failed", reason=str(error))
                 gevent.sleep(LINGER_S)
                 continue
+            if not self._tasks.free_count():
+                self._close_longest_idle()
             self._tasks.spawn(self._serve, sock)
 
+    def _close_longest_idle(self) -> None:
+        """Make room for a new connection, if one has been idle for IDLE_GRACE_S."""
+        while not self._tasks.free_count():
+            idle = [caller for caller in self.callers if caller.idle]
+            longest = min(idle, key=lambda caller: caller.idle_since_s, default=None)
+            if longest is None or self._clock() - longest.idle_since_s < IDLE_GRACE_S:
+                gevent.sleep(IDLE_POLL_S)
+                continue
+            longest.end_after_answer()
+            self.closed_idle += 1
+            gevent.sleep(0)
+
     def _serve(self, sock: socket.socket) -> None:
         with Caller(sock, self._find_limits, self._clock, self._account) as caller:
             caller.closing = self._closing
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -20,7 +20,7 @@
 from balsamtally.budgets import FleetBudget
 from balsamtally.call_log import find_code, log_end
 from balsamtally.call_metrics import CallGauges, CallMetrics
-from balsamtally.callers import Caller, CallerServer, Request
+from balsamtally.callers import Caller, CallerServer, Request, find_max_callers
 from balsamtally.calls import Backend, Limits, Notice
 from balsamtally.catalog import Catalog, Decoder
 from balsamtally.coordination import Ask, Reply, Withdrawal
@@ -168,6 +168,7 @@
             self._forwarder.refuse,
             time.monotonic,
             self._account,
+            find_max_callers(self.settings.max_fds),
         )
 
     def _make_permits(self) -> Permits:
@@ -417,6 +418,9 @@
             dropped_lines=self._count_dropped(),
             quarantined=len(self._quarantine.list_entries()),
             limited=len(self._server_limits.list_limited()),
+            callers_limit=self._callers.max_callers,
+            closed_idle=self._callers.closed_idle,
+            evicted_bodies=self._account.evicted,
             held_bytes=self._account.used_bytes,
             held_bytes_limit=self._account.limit_bytes,
         )
--- a/balsamtally/gateway_settings.py
+++ b/balsamtally/gateway_settings.py
@@ -28,6 +28,7 @@
     :ivar change_bound_s: shortest time within which a published change must be in force at all VMs,
         in seconds
     :ivar memory_mb: memory that the process may take, in MB
+    :ivar max_fds: most descriptors of the process, 0 if it isn't known
     :ivar metrics_port: port of a separate metrics listener on the IP address of
         ``caller_address``, 0 for no such listener
     """
@@ -44,6 +45,7 @@
     budget: BudgetRule
     change_bound_s: float = DEFAULT_CHANGE_BOUND_S
     memory_mb: float = DEFAULT_MEMORY_MB
+    max_fds: float = 0.0
     metrics_port: int = 0
 
     def find_region(self, domain: str) -> str:
--- a/balsamtally/held_bytes.py
+++ b/balsamtally/held_bytes.py
@@ -1,8 +1,8 @@
 """Bound on the bytes that a process holds for calls in progress.
 
 Answers of backend servers and bodies of callers share one account, whose limit follows from the
-memory of the machine. Small items are always accepted: their number is bounded by the connections.
-A part of it is kept for answers, so that large bodies of callers can't fail them. Where the rest is
+memory of the machine. Input that is read ahead counts too. Small items are accepted beyond the
+limit, up to SMALL_SHARE of it. A part of it is kept for answers, so that large bodies of callers can't fail them. Where the rest is
 used up, the backend server that holds the most loses an answer, and the others go on: bytes without
 end come from few backend servers.
 """
@@ -20,8 +20,12 @@
 # Part of the account that only answers may use.
 RESERVE_SHARE = 0.25
 BYTES_PER_MB = 1_000_000
-# Items up to this size are always accepted.
+# Items up to this size are accepted beyond the limit, up to SMALL_SHARE of it.
 SMALL_BYTES = 16_384
+SMALL_SHARE = 1.25
+# A body that is being received may be refused for another one if nothing of it arrived for this
+# time, in seconds.
+STALL_S = 1.0
 # Memory that a byte of an unfinished answer takes: the answer, and what its buffers leave unused.
 ANSWER_FACTOR = 2.0
 # Limits of the time after which a caller with a refused body may return, in seconds.
@@ -38,6 +42,7 @@
     :param clock: monotonic clock in seconds
     :ivar limit_bytes: this limit, which may be changed
     :ivar used_bytes: bytes held now
+    :ivar evicted: stalled bodies refused since the start to make room
     """
 
     def __init__(self, limit_bytes: float, clock: Callable[[], float] = time.monotonic):
@@ -45,6 +50,8 @@
         self.used_bytes = 0.0
         self._by_backend: Counter[str] = Counter()
         self._clock = clock
+        self._bodies: set[Holding] = set()
+        self.evicted = 0
         self._released_per_s = 0.0
         self._released_s = clock()
 
@@ -55,6 +62,41 @@
         """
         return self.used_bytes + size <= (1.0 - RESERVE_SHARE) * self.limit_bytes
 
+    def has_room_for_small(self, size: float) -> bool:
+        """Return whether there is room for more bytes of a small item.
+
+        :param size: the bytes
+        """
+        return self.used_bytes + size <= SMALL_SHARE * self.limit_bytes
+
+    def read_clock(self) -> float:
+        """Return the monotonic time, in seconds."""
+        return self._clock()
+
+    def watch(self, body: "Holding", is_held: bool) -> None:
+        """Consider the body of a caller for eviction, or no longer.
+
+        :param body: the body
+        :param is_held: whether it holds bytes
+        """
+        (self._bodies.add if is_held else self._bodies.discard)(body)
+
+    def evict_stalled(self, size: float) -> None:
+        """Refuse the largest stalled bodies, whose callers then make room for more bytes.
+
+        They release their bytes soon, not at once.
+
+        :param size: the bytes
+        """
+        latest_s = self._clock() - STALL_S
+        stalled = [b for b in self._bodies if b.is_evictable and b.progressed_s < latest_s]
+        needed = self.used_bytes + size - (1.0 - RESERVE_SHARE) * self.limit_bytes
+        for body in sorted(stalled, key=lambda body: body.size, reverse=True):
+            if needed <= 0:
+                break
+            needed -= body.size
+            self.evicted += body.evict()
+
     def has_room_for_answer(self, size: float, backend: str) -> bool:
         """Return whether there is room for more bytes of an answer.
 
@@ -107,12 +149,23 @@
 
     :param account: the account
     :param backend: backend server of an answer, empty for the body of a caller
+    :param on_evict: called to refuse the body of a caller, ``None`` if it can't be refused
+    :ivar is_evictable: whether the body is being received, so that it may be refused
+    :ivar progressed_s: monotonic time at which a part of the body arrived last, in seconds
     """
 
-    def __init__(self, account: HeldBytes, backend: str = ""):
+    def __init__(
+        self,
+        account: HeldBytes,
+        backend: str = "",
+        on_evict: Callable[[], None] | None = None,
+    ):
         self._account = account
         self._backend = backend
+        self._on_evict = on_evict
         self._size = 0.0
+        self.is_evictable = False
+        self.progressed_s = 0.0
 
     def __enter__(self) -> "Holding":
         return self
@@ -120,6 +173,11 @@
     def __exit__(self, *exc_info) -> None:
         self.resize(0)
 
+    @property
+    def size(self) -> float:
+        """Bytes that the item counts."""
+        return self._size
+
     def resize(self, size: int) -> None:
         """Change the size of the item.
 
@@ -131,6 +189,12 @@
         grown = counted - self._size
         if grown > 0 and size > SMALL_BYTES:
             self._check_room(grown, size)
+        elif grown > 0 and not self._backend and not self._account.has_room_for_small(grown):
+            self._refuse_body(grown)
+        if self._on_evict is not None:
+            if not self._size:
+                self.progressed_s = self._account.read_clock()
+            self._account.watch(self, counted > 0)
         self._size = counted
         self._account.add(grown, self._backend)
 
@@ -140,9 +204,29 @@
             if not account.has_room_for_answer(grown, self._backend):
                 raise AnswerTooLarge(f"no memory is left for an answer of {size} bytes or more")
         elif not account.has_room(grown):
-            raise TooManyRequests(
-                "no memory is left for the body of the request", account.estimate_return_s(grown)
-            )
+            self._refuse_body(grown)
+
+    def _refuse_body(self, grown: float) -> None:
+        self._account.evict_stalled(grown)
+        raise TooManyRequests(
+            "no memory is left for the body of the request",
+            self._account.estimate_return_s(grown),
+        )
+
+    def evict(self) -> bool:
+        """Refuse the body; return whether that was begun now."""
+        self.is_evictable = False
+        if self._on_evict is not None:
+            self._on_evict()
+        return self._on_evict is not None
+
+    def record(self, size: int) -> None:
+        """Change the size of an item that has arrived and can't be refused.
+
+        :param size: its bytes
+        """
+        self._account.add(size - self._size, self._backend)
+        self._size = float(size)
 
 
 def find_limit(memory_mb: float) -> float:
--- /dev/null
+++ b/balsamtally/inboxes.py
@@ -0,0 +1,177 @@
+"""Input of a caller's connection, read ahead within bounds so that a disconnect is noticed at once.
+
+Reading stops while the inbox is full. It slows down for a caller that sends very few bytes at a
+time, as each read costs processor time.
+"""
+
+from collections.abc import Callable
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+
+from balsamtally.held_bytes import HeldBytes, Holding
+
+READ_BYTES = 16_384
+# Input that is buffered while a request is received, at least the largest head.
+RECEIVE_BYTES = 65_536
+# Input beyond which reading stops while a request is handled: two reads at most are buffered.
+READ_AHEAD_BYTES = 16_384
+# Reads with fewer bytes than this count as small. A caller may make FREE_SMALL_READS of them in a
+# request without a pause.
+SMALL_READ_BYTES = 512
+FREE_SMALL_READS = 64
+# Pause before a read for each small read beyond these, and the longest pause, in seconds. 1,800
+# callers that send single bytes then cause 7,200 reads in a second.
+PAUSE_STEP_S = 0.001
+MAX_PAUSE_S = 0.25
+
+
+class Inbox:
+    """The input of one connection that was received and not yet consumed.
+
+    :param sock: the connection
+    :param clock: monotonic clock in seconds
+    :param on_end: called once when the caller closed the connection
+    :param account: counts the bytes, ``None`` to count none
+    :ivar data: the input
+    :ivar ended: whether the caller closed the connection
+    :ivar first_byte_s: monotonic time at which the oldest byte arrived, in seconds
+    :ivar limit: bytes from which on reading stops
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        clock: Callable[[], float],
+        on_end: Callable[[], None],
+        account: HeldBytes | None = None,
+    ):
+        self._sock = sock
+        self._clock = clock
+        self._on_end = on_end
+        self._holding = Holding(account) if account is not None else None
+        self._arrived = Event()
+        self._has_space = Event()
+        self._has_space.set()
+        self._small_reads = 0
+        self._reader: gevent.Greenlet | None = None
+        self.data = bytearray()
+        self.ended = False
+        self.first_byte_s = 0.0
+        self.limit = RECEIVE_BYTES
+
+    def start(self) -> None:
+        """Start to read the socket."""
+        self._reader = gevent.spawn(self._read_all)
+
+    def stop(self) -> None:
+        """Stop reading, and release the input."""
+        if self._reader is not None:
+            self._reader.kill(block=False)
+        self.data.clear()
+        self._count()
+
+    def _read_all(self) -> None:
+        while not self.ended:
+            self._has_space.wait()
+            pause_s = (self._small_reads - FREE_SMALL_READS) * PAUSE_STEP_S
+            if pause_s > 0:
+                gevent.sleep(min(pause_s, MAX_PAUSE_S))
+            try:
+                data = self._sock.recv(READ_BYTES)
+            except OSError:
+                data = b""
+            self.ended = not data
+            self._small_reads += len(data) < SMALL_READ_BYTES
+            if not self.data:
+                self.first_byte_s = self._clock()
+            self.data += data
+            self._count()
+            self._arrived.set()
+        self._on_end()
+
+    def _count(self) -> None:
+        """Count the input, and stop or resume reading."""
+        if self._holding is not None:
+            self._holding.record(len(self.data))
+        if len(self.data) < self.limit:
+            self._has_space.set()
+        else:
+            self._has_space.clear()
+
+    def begin_request(self, max_head_bytes: int) -> None:
+        """Read on as far as a request needs.
+
+        :param max_head_bytes: size of the largest head that is accepted
+        """
+        self._small_reads = 0
+        if len(self.data) >= self.limit:
+            # Reading had stopped, so the rest of the head could not arrive.
+            self.first_byte_s = self._clock()
+        self.limit = max(RECEIVE_BYTES, max_head_bytes + 1)
+        self._count()
+
+    def begin_handling(self) -> None:
+        """Read ahead only a little until the next request is received."""
+        self.limit = READ_AHEAD_BYTES
+        self._count()
+
+    def take(self, size: int) -> bytes:
+        """Remove and return the oldest input.
+
+        :param size: most bytes to remove
+        """
+        taken = bytes(self.data[:size])
+        del self.data[:size]
+        self._count()
+        return taken
+
+    def put_back(self, data: bytes) -> None:
+        """Put input before the rest.
+
+        :param data: the input
+        """
+        self.data[:0] = data
+        self._count()
+
+    def discard(self) -> None:
+        """Remove all input, and wait for further input or the end."""
+        self._arrived.clear()
+        self.data.clear()
+        self._count()
+        self._arrived.wait()
+
+    def wake(self) -> None:
+        """Wake what waits for input."""
+        self._arrived.set()
+
+    def end(self) -> None:
+        """Treat the connection as closed by the caller."""
+        self.ended = True
+        self._arrived.set()
+
+    def wait_for_first(self, timeout_s: float) -> bool:
+        """Wait for input or the end; return whether either happened before the timeout.
+
+        :param timeout_s: longest wait, in seconds
+        """
+        self._arrived.clear()
+        return self.ended or self._arrived.wait(timeout_s)
+
+    def wait_for_more(self, deadline_s: float, is_cancelled: Callable[[], bool]) -> bool:
+        """Wait for further input; return whether some arrived.
+
+        :param deadline_s: monotonic time at which the wait ends, in seconds
+        :param is_cancelled: whether to end the wait early, asked after :meth:`wake`
+        """
+        if self.ended:
+            return False
+        self._arrived.clear()
+        size = len(self.data)
+        while len(self.data) == size:
+            left_s = deadline_s - self._clock()
+            if self.ended or left_s <= 0 or is_cancelled() or not self._arrived.wait(left_s):
+                return len(self.data) != size
+            self._arrived.clear()
+        return True
--- a/balsamtally/platform/settings.py
+++ b/balsamtally/platform/settings.py
@@ -95,6 +95,7 @@
         bounds = fields["bounds"]
         listen = fields["listen"]
         ip = str(fields["ip"])
+        limits = fields.get("limits") or {}
         return GatewaySettings(
             vm=str(fields["node_name"]),
             domain=str(fields["zone"]),
@@ -111,7 +112,8 @@
                 window_s=read_amount(bounds["budget_window_s"]),
             ),
             change_bound_s=read_change_bound_s(bounds),
-            memory_mb=read_amount((fields.get("limits") or {}).get("memory_mb", DEFAULT_MEMORY_MB)),
+            memory_mb=read_amount(limits.get("memory_mb", DEFAULT_MEMORY_MB)),
+            max_fds=read_amount(limits.get("max_fds", 0)),
         )
     except DECODING_ERRORS as error:
         raise SettingsInvalid(f"settings file: {type(error).__name__}: {error}") from error
--- a/balsamtally/sockets.py
+++ b/balsamtally/sockets.py
@@ -1,9 +1,11 @@
 """TCP sockets for callers, backend servers and peers."""
 
 import contextlib
+import fcntl
 import ipaddress
 import socket as plain
 import struct
+import termios
 
 from gevent import socket
 
@@ -15,6 +17,10 @@
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 3_000
 BACKLOG = 512
+# Buffers of a caller's socket in the kernel, which doubles them. Unread answers and unread input
+# take no more.
+CALLER_SEND_BYTES = 65_536
+CALLER_RECEIVE_BYTES = 131_072
 _NO_LINGER = struct.pack("ii", 1, 0)
 
 
@@ -31,6 +37,26 @@
     sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def bound_buffers(sock: socket.socket) -> None:
+    """Bound the kernel's buffers of a caller's connection.
+
+    :param sock: a connected socket
+    """
+    sock.setsockopt(plain.SOL_SOCKET, plain.SO_SNDBUF, CALLER_SEND_BYTES)
+    sock.setsockopt(plain.SOL_SOCKET, plain.SO_RCVBUF, CALLER_RECEIVE_BYTES)
+
+
+def count_unsent(sock: socket.socket) -> int:
+    """Return the bytes that the kernel holds as not yet acknowledged, 0 for a closed socket.
+
+    :param sock: a connected socket
+    """
+    try:
+        return struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))[0]
+    except (OSError, ValueError):
+        return 0
+
+
 def listen(address: tuple[str, int]) -> socket.socket:
     """Return a listening TCP socket.
 
