--- a/balsamtally/gateway_settings.py
+++ b/balsamtally/gateway_settings.py
@@ -34,6 +34,7 @@
     :ivar cold_overage: factor by which the requests to a cold server within one second may exceed
         its published rate
     :ivar cold_slack: requests within one second that it may get beyond that
+    :ivar max_fds: most descriptors of the process, 0 if it isn't known
     :ivar metrics_port: port of a separate metrics listener on the IP address of
         ``caller_address``, 0 for no such listener
     """
@@ -52,6 +53,7 @@
     memory_mb: float = DEFAULT_MEMORY_MB
     cold_overage: float = DEFAULT_COLD_OVERAGE
     cold_slack: float = DEFAULT_COLD_SLACK
+    max_fds: float = 0.0
     metrics_port: int = 0
 
     def find_region(self, domain: str) -> str:
--- a/balsamtally/platform/settings.py
+++ b/balsamtally/platform/settings.py
@@ -102,6 +102,7 @@
         bounds = fields["bounds"]
         listen = fields["listen"]
         ip = str(fields["ip"])
+        limits = fields.get("limits") or {}
         return GatewaySettings(
             vm=str(fields["node_name"]),
             domain=str(fields["zone"]),
@@ -120,7 +121,8 @@
             change_bound_s=read_change_bound_s(bounds),
             cold_overage=read_amount(bounds.get("cold_overage", DEFAULT_COLD_OVERAGE)),
             cold_slack=read_amount(bounds.get("cold_slack", DEFAULT_COLD_SLACK)),
-            memory_mb=read_amount((fields.get("limits") or {}).get("memory_mb", DEFAULT_MEMORY_MB)),
+            memory_mb=read_amount(limits.get("memory_mb", DEFAULT_MEMORY_MB)),
+            max_fds=read_amount(limits.get("max_fds", 0)),
         )
     except DECODING_ERRORS as error:
         raise SettingsInvalid(f"settings file: {type(error).__name__}: {error}") from error
