--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -23,7 +23,14 @@
 )
 from balsamtally.held_bytes import Holding
 from balsamtally.logs import log
-from balsamtally.sockets import close, connect, has_input, is_idle, was_closed_in_order
+from balsamtally.sockets import (
+    close,
+    connect,
+    end_sending,
+    has_input,
+    is_idle,
+    was_closed_in_order,
+)
 
 READ_BYTES = 65_536
 SEND_BYTES = 16_384
@@ -53,6 +60,13 @@
 DRAIN_S = 0.5
 # A page of the platform's store has about 1 MB, and a third more in base64.
 MAX_FETCHED_BYTES = 8_388_608
+# Shortest time-out of a socket; 0 would make it non-blocking.
+MIN_WAIT_S = 0.001
+# A reader that waits for bytes calls its check at this interval.
+CHECK_INTERVAL_S = 0.1
+# Longest wait until a backend server's host confirms the end of a connection, a round trip to
+# another region and a resent packet.
+END_TIMEOUT_S = 0.3
 TIME_OVER = "the deadline passed before the end of the answer"
 _NO_BODY = ((b"Host", b"backend"), (b"Content-Length", b"0"))
 
@@ -71,6 +85,8 @@
         within such an answer; ``None`` if there is none
     :ivar holding: counts the bytes of the current answer, ``None`` if they aren't counted
     :ivar held_bytes: bytes of the answer's body that the reader holds
+    :ivar check: called while an answer is awaited, raises an error to end the wait; ``None`` for no
+        check
     """
 
     def __init__(self, sock: socket.socket, number: int = 0):
@@ -93,6 +109,7 @@
         self._read_bytes = 0
         self.holding: Holding | None = None
         self.held_bytes = 0
+        self.check: Callable[[], None] | None = None
         self._unparsed_bytes = 0
 
     @property
@@ -106,6 +123,14 @@
         if self.witness is not None:
             close(self.witness)
 
+    def end_request(self) -> bool:
+        """End the connection within an answer; return whether the other side's host confirmed it.
+
+        A backend server stops working on a request whose connection ends.
+        """
+        self._irregular = True
+        return end_sending(self._sock, END_TIMEOUT_S)
+
     def is_usable(self, now_s: float) -> bool:
         """Return whether an idle connection may be reused.
 
@@ -293,8 +318,7 @@
                 left_s = until_s - time.monotonic()
                 if left_s <= 0:
                     raise NoAnswer(TIME_OVER)
-                self._sock.settimeout(left_s)
-                data = self._sock.recv(READ_BYTES)
+                data = self._receive(until_s)
                 ended = not data
                 self._unparsed_bytes += len(data)
                 self._count_bytes()
@@ -315,6 +339,22 @@
             raise AnswerCut("the connection was closed before the answer")
         return event
 
+    def _receive(self, until_s: float) -> bytes:
+        """Wait for bytes; call the check meanwhile."""
+        while True:
+            left_s = until_s - time.monotonic()
+            checked = self.check is not None and left_s > CHECK_INTERVAL_S
+            self._sock.settimeout(CHECK_INTERVAL_S if checked else max(left_s, MIN_WAIT_S))
+            try:
+                return self._sock.recv(READ_BYTES)
+            except TimeoutError as error:
+                # A time-out of the kernel has an error number.
+                if not checked or error.errno is not None:
+                    raise
+            # A late event loop may find the timer before the bytes that have arrived.
+            if not has_input(self._sock):
+                self.check()
+
     def _count_bytes(self) -> None:
         """Count the bytes of the answer that are held: those of its body, and a part not parsed."""
         if self.holding is not None:
--- a/balsamtally/call_metrics.py
+++ b/balsamtally/call_metrics.py
@@ -80,6 +80,9 @@
         self._pauses = self._counter(
             "backend_pauses_total", "Refusals in which a backend server asked for a pause"
         )
+        self._silent = self._counter(
+            "backend_silent_total", "Verdicts that a backend server has stopped sending"
+        )
         self._first_event = self._histogram(
             "first_event_seconds", "Time to the first event or answer", FIRST_TOKEN_BOUNDS_S
         )
@@ -162,6 +165,13 @@
         """
         self._pauses.inc({"backend": backend})
 
+    def count_silent(self, backend: str) -> None:
+        """Count a verdict that a backend server has stopped sending.
+
+        :param backend: name of the backend server
+        """
+        self._silent.inc({"backend": backend})
+
     def observe_first_event(self, route: str, time_s: float) -> None:
         """Record the time to the first event of an answer.
 
--- a/balsamtally/errors.py
+++ b/balsamtally/errors.py
@@ -386,6 +386,12 @@
     default = "the answer was cut short"
 
 
+class BackendSilent(AnswerCut):
+    """The backend server stopped sending to several streams."""
+
+    default = "the backend server has stopped sending"
+
+
 class AnswerGone(ResultError):
     """The call ran, and its answer is no longer stored."""
 
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -16,6 +16,7 @@
     Call,
     Headers,
     Notice,
+    Repeat,
     Verdict,
 )
 from balsamtally.catalog import Contracts
@@ -25,6 +26,7 @@
     BackendFailed,
     BackendLeaving,
     BackendRefused,
+    BackendSilent,
     BackendUnreachable,
     BalsamtallyError,
     CallerLeft,
@@ -50,6 +52,7 @@
     make_plan,
     may_repeat,
 )
+from balsamtally.stalls import Stalls, Watch
 from balsamtally.terminations import Terminations
 
 # Attempts of a call that aren't counted because their backend server terminated.
@@ -151,6 +154,7 @@
     :param connections: connections to backend servers
     :param terminations: tells which backend servers have ended
     :param account: counts the bytes of answers
+    :param stalls: tells which backend servers have stopped sending
     :ivar foreign_answers: answers to other requests that were skipped so far
     """
 
@@ -161,12 +165,14 @@
         connections: Connections,
         terminations: Terminations,
         account: HeldBytes,
+        stalls: Stalls,
     ):
         self._hooks = hooks
         self._wire = wire
         self._connections = connections
         self._terminations = terminations
         self._account = account
+        self._stalls = stalls
         self.foreign_answers = 0
 
     def serve(self, caller: Caller, request: Request) -> None:
@@ -281,6 +287,8 @@
         """Report the end of a backend server that hadn't begun to answer the call."""
         if not isinstance(failure, AnswerCut) or progress.attempt_begun:
             return
+        if isinstance(failure, BackendSilent):
+            return
         if not plan.call.shared_parts:
             return
         backend, sent_s = progress.backend, progress.attempt_sent_s
@@ -319,6 +327,8 @@
             return ""
         if failure.outcome is not Outcome.NOT_RUN and not may_repeat(plan, begun):
             return "the call may have run and is not repeatable"
+        if isinstance(failure, BackendSilent) and progress.former_may_run:
+            return "the silent backend server may still work on the call"
         if progress.crashes >= MAX_CRASHES or self._is_suspect(plan, progress):
             return "the prompt is suspected of crashing backend servers"
         if not self._has_attempts(plan, progress, failure):
@@ -349,18 +359,22 @@
         if left_s < MIN_LEFT_S:
             raise QueueTimeout
         connection = self._connections.acquire(backend, left_s, plan.call.id)
-        with self._use(backend, connection):
+        gap_s = plan.route.gap_s if plan.route.streams else 0.0
+        watch = self._stalls.watch(backend, gap_s)
+        with self._use(backend, connection), watch, self._end_if_silent(plan, progress, connection):
             # The backend server may have begun to drain or to pause as the connection was opened.
             if not self._hooks.is_open(backend):
                 raise BackendLeaving(f"{backend.name} is draining or pauses")
             self._hooks.admit(plan, progress)
             attempt = self._send(plan, progress, backend, connection)
+            connection.check = watch.check
             head, verdict = self._read_head(plan, attempt, connection)
+            watch.record_head()
             progress.framing = head.framing
             self._check_verdict(plan, progress, head, verdict, connection)
             self._connections.add_witness(backend, connection)
             if plan.route.streams and head.status == 200 and plan.call.method != b"HEAD":
-                self._pass_stream(caller, plan, progress, head, connection, work)
+                self._pass_stream(caller, plan, progress, head, connection, work, watch)
             else:
                 self._pass_whole(caller, plan, progress, head, connection)
 
@@ -371,9 +385,24 @@
             with Holding(self._account, backend.name) as connection.holding:
                 yield
         finally:
-            connection.holding = None
+            connection.holding = connection.check = None
             self._connections.release(backend, connection)
 
+    @contextlib.contextmanager
+    def _end_if_silent(
+        self, plan: Plan, progress: CallProgress, connection: BackendConnection
+    ) -> Iterator[None]:
+        """End the connection to a backend server that stops sending within the context.
+
+        A run may only go on elsewhere after the backend server's host has confirmed the end.
+        """
+        try:
+            yield
+        except BackendSilent:
+            confirmed = connection.end_request()
+            progress.former_may_run = plan.route.repeat is Repeat.RESUME and not confirmed
+            raise
+
     def _send(
         self, plan: Plan, progress: CallProgress, backend: Backend, connection: BackendConnection
     ) -> Attempt:
@@ -491,6 +520,7 @@
         head: AnswerHead,
         connection: BackendConnection,
         work: Work,
+        watch: Watch,
     ) -> None:
         """Pass on events as they arrive.
 
@@ -501,6 +531,7 @@
         for piece in connection.read_body(lambda: plan.until_s):
             events = reader.read(piece)
             if events:
+                watch.record_event(time.monotonic())
                 work.record_answer_start()
                 self._record_begun(plan, progress)
                 self._pass_events(caller, progress, head, events)
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -44,6 +44,8 @@
 from balsamtally.reservations import Reservations
 from balsamtally.server_limits import ServerLimits
 from balsamtally.sockets import listen
+from balsamtally.stall_exchange import StallExchange
+from balsamtally.stalls import SilenceNotice, Stalls
 from balsamtally.tasks import spawn_repeating
 from balsamtally.terminations import Terminations
 
@@ -154,8 +156,14 @@
         self._connections = Connections()
         self._terminations = Terminations(self._connections.refuses_connections)
         self._account = HeldBytes(find_limit(settings.memory_mb))
+        self._connect_stalls()
         self._forwarder = Forwarder(
-            self._make_hooks(), wire, self._connections, self._terminations, self._account
+            self._make_hooks(),
+            wire,
+            self._connections,
+            self._terminations,
+            self._account,
+            self._stalls,
         )
         self._callers = self._make_caller_server(listener)
         self._stack = contextlib.ExitStack()
@@ -212,6 +220,24 @@
         )
         self.peers.handlers[QuarantineUpdate] = self._quarantine_exchange.handle_update
 
+    def _connect_stalls(self) -> None:
+        """Create the verdicts on silent runners and connect them to the peers of the region."""
+        find_region = self.settings.find_region
+        region = find_region(self.settings.domain)
+        self._stalls = Stalls()
+        self._stall_exchange = StallExchange(
+            self.settings.vm,
+            self._stalls,
+            lambda: [
+                peer.beat.ip
+                for peer in self.peers.list_alive()
+                if find_region(peer.beat.domain) == region
+            ],
+            self.peers.send_message,
+            self._metrics.count_silent,
+        )
+        self.peers.handlers[SilenceNotice] = self._stall_exchange.handle_notice
+
     def _process_beat(self, beat: Beat) -> None:
         """Process a peer's heartbeat, after the backlog it reports was recorded."""
         self._reservations.release_confirmed(beat)
@@ -306,6 +332,7 @@
         enter(self._connections)
         enter(self.peers)
         enter(self._quarantine_exchange)
+        enter(self._stall_exchange)
         enter(self._reservations)
         enter(self._serve_pages(self.settings.ready_address))
         enter(self._serve_pages(self.settings.peer_address))
@@ -383,6 +410,7 @@
         self._dispatch.forget_removed()
         self._pauses.forget_removed(self.catalog.backends.values())
         self._server_limits.forget_removed()
+        self._stalls.forget_removed({backend.key for backend in self.catalog.backends.values()})
         self._terminations.check_pending(self.catalog.backends)
         if self.catalog.contracts is not None:
             routes = {route.name for route in self.catalog.contracts.routes}
--- a/balsamtally/peers.py
+++ b/balsamtally/peers.py
@@ -38,6 +38,7 @@
 from balsamtally.reports import Report
 from balsamtally.server_limits import ToldLimit
 from balsamtally.sockets import close
+from balsamtally.stalls import SilenceNotice
 from balsamtally.tasks import spawn_repeating
 
 # Interval within a failure domain; each datagram wakes a small machine. Coordinators also receive
@@ -83,7 +84,7 @@
 RECORDS_PATH = b"/records"
 # Stands for the service of unknown backend servers.
 UNKNOWN_SERVICE = ""
-Message = Ask | Withdrawal | Reply | QuarantineUpdate | PermitAsk | PermitGrant
+Message = Ask | Withdrawal | Reply | QuarantineUpdate | PermitAsk | PermitGrant | SilenceNotice
 
 _message = msgspec.msgpack.Decoder(Beat | Message)
 _update = msgspec.msgpack.Decoder(Update)
--- a/balsamtally/plans.py
+++ b/balsamtally/plans.py
@@ -65,6 +65,8 @@
     :ivar stored_bytes: counts the bytes of that answer, ``None`` where none is stored
     :ivar attempt_sent_s: monotonic clock when the last attempt was sent, in seconds
     :ivar attempt_begun: whether the backend server of the last attempt began to answer it
+    :ivar former_may_run: whether the last attempt's backend server stopped sending and may still
+        work on the call, as it didn't confirm the end of the connection
     :ivar probed_parts: quarantined groups of prompt parts that the next attempt probes
     :ivar first_event_s: monotonic clock when the answer began, in seconds, 0 before
     :ivar last_piece_s: monotonic clock when the last chunk of a stream arrived, in seconds
@@ -91,6 +93,7 @@
     stored_bytes: Holding | None = None
     attempt_sent_s: float = 0.0
     attempt_begun: bool = False
+    former_may_run: bool = False
     probed_parts: set[tuple[str, ...]] = field(default_factory=set)
     first_event_s: float = 0.0
     last_piece_s: float = 0.0
--- a/balsamtally/reports.py
+++ b/balsamtally/reports.py
@@ -9,6 +9,7 @@
 from balsamtally.errors import (
     BackendLeaving,
     BackendRefused,
+    BackendSilent,
     BackendUnreachable,
     BalsamtallyError,
     ConnectionUnusable,
@@ -28,8 +29,8 @@
 
     ``BEGAN``: an answer began; ``PAUSED``: a stream ended, reports its longest inter-event gap;
     ``ANSWERED``: an attempt succeeded; ``FULL``: the backend server refused it, or closed its
-    connection before the request; ``FAILED``: it
-    failed by the backend server's fault; ``UNREACHABLE``: the connection could not be opened.
+    connection before the request; ``FAILED``: it failed by the backend server's fault;
+    ``UNREACHABLE``: the connection could not be opened, or the backend server has stopped sending.
     """
 
     BEGAN = 0
@@ -91,7 +92,7 @@
         finding = Finding.FULL
     elif not is_backend_fault(failure, plan, took_s):
         return None
-    elif isinstance(failure, BackendUnreachable):
+    elif isinstance(failure, (BackendUnreachable, BackendSilent)):
         finding = Finding.UNREACHABLE
     else:
         finding = Finding.FAILED
--- a/balsamtally/runners.py
+++ b/balsamtally/runners.py
@@ -345,7 +345,11 @@
         health = self._health.setdefault(report.key, RunnerHealth())
         if report.finding == Finding.ANSWERED:
             health.observe_success(-1.0, 0, report.took_s, now)
-        elif health.observe_failure(report.request, now) or report.finding == Finding.UNREACHABLE:
+        elif health.observe_failure(report.request, now) or (
+            # Calls that fail for the same cause prolong no ejection.
+            report.finding == Finding.UNREACHABLE
+            and now >= health.ejected_until
+        ):
             self._eject(report, health)
 
     def _eject(self, report: Report, health: RunnerHealth) -> None:
--- a/balsamtally/sockets.py
+++ b/balsamtally/sockets.py
@@ -4,7 +4,9 @@
 import ipaddress
 import socket as plain
 import struct
+import time
 
+import gevent
 from gevent import socket
 
 # A peer that disappears without a reset is detected after about KEEPALIVE_IDLE_S +
@@ -15,6 +17,11 @@
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 3_000
 BACKLOG = 512
+# Interval at which the confirmation of a connection's end is awaited.
+CONFIRMATION_INTERVAL_S = 0.005
+# States of TCP_INFO in which the other side has acknowledged the end: FIN_WAIT2, TIME_WAIT, and
+# CLOSE, which the kernel tells after both sides have ended; a time-out or reset sets an error too.
+_CONFIRMED_STATES = (5, 6, 7)
 _NO_LINGER = struct.pack("ii", 1, 0)
 
 
@@ -106,6 +113,26 @@
         return False
 
 
+def end_sending(sock: socket.socket, timeout_s: float) -> bool:
+    """End the sending side of a connection; return whether the other side's kernel confirmed it.
+
+    :param sock: a connected socket
+    :param timeout_s: longest wait for the confirmation, in seconds
+    """
+    until_s = time.monotonic() + timeout_s
+    try:
+        sock.shutdown(plain.SHUT_WR)
+        while sock.getsockopt(plain.IPPROTO_TCP, plain.TCP_INFO, 1)[0] not in _CONFIRMED_STATES:
+            if time.monotonic() >= until_s:
+                return False
+            gevent.sleep(CONFIRMATION_INTERVAL_S)
+        return sock.getsockopt(plain.SOL_SOCKET, plain.SO_ERROR) == 0
+    except OSError:
+        # The connection was reset or had broken: the other side's process has lost it, or the
+        # network has, which can't be told apart.
+        return False
+
+
 def close(sock: socket.socket) -> None:
     """Close a socket, ignoring errors.
 
--- /dev/null
+++ b/balsamtally/stall_exchange.py
@@ -0,0 +1,81 @@
+"""Decides on silent runners several times a second, and exchanges notices with peers."""
+
+import time
+from collections.abc import Callable
+
+import gevent
+
+from balsamtally.logs import log
+from balsamtally.stalls import Silence, SilenceNotice, Stalls
+from balsamtally.tasks import spawn_repeating
+
+DECISION_INTERVAL_S = 0.1
+# Interval of notices while a runner is silent. Two of them fit into the time for objections.
+NOTICE_INTERVAL_S = 0.1
+
+
+class StallExchange:
+    """Runs the decisions on silent runners; a context manager.
+
+    :param vm: name of this entry VM
+    :param stalls: what the backend servers sent
+    :param list_ips: returns the IP numbers of the live peers of the region
+    :param send: sends a message to an IP number; it may be lost
+    :param count_silent: counts a verdict, by name of the runner
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        stalls: Stalls,
+        list_ips: Callable[[], list[str]],
+        send: Callable[[SilenceNotice, str], None],
+        count_silent: Callable[[str], None],
+    ):
+        self._vm = vm
+        self._stalls = stalls
+        self._list_ips = list_ips
+        self._send = send
+        self._count_silent = count_silent
+        self._told_s = 0.0
+
+    def __enter__(self) -> "StallExchange":
+        self._task = spawn_repeating("stalls", self._step)
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        self._task.kill(block=False)
+
+    def handle_notice(self, notice: SilenceNotice, sender: str) -> None:
+        """Record a peer's notice, and object to it where a runner has sent something since.
+
+        :param notice: the notice
+        :param sender: IP number of the peer
+        """
+        self._tell(self._stalls.handle_notice(notice), [sender])
+
+    def _step(self) -> None:
+        gevent.sleep(DECISION_INTERVAL_S)
+        for verdict in self._stalls.decide():
+            backend, born = verdict.key
+            self._count_silent(backend)
+            log.warning(
+                "backend_silent_streams",
+                backend=backend,
+                born=born,
+                silent=verdict.silent,
+                open=verdict.open,
+                silent_s=round(verdict.silent_s, 2),
+            )
+        now = time.monotonic()
+        silences = self._stalls.make_silences()
+        if silences and now - self._told_s >= NOTICE_INTERVAL_S:
+            self._told_s = now
+            self._tell(silences, self._list_ips())
+
+    def _tell(self, silences: tuple[Silence, ...], ips: list[str]) -> None:
+        if not silences:
+            return
+        notice = SilenceNotice(self._vm, silences)
+        for ip in ips:
+            self._send(notice, ip)
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -14,11 +14,13 @@
 from balsamtally.backends import Connections
 from balsamtally.callers import CallerServer
 from balsamtally.calls import Account, Branch, Limits, PromptPart, Repeat
-from balsamtally.errors import AnswerCut, PartQuarantined
+from balsamtally.errors import AnswerCut, BackendSilent, PartQuarantined
 from balsamtally.forwarding import Forwarder
 from balsamtally.held_bytes import HeldBytes
 from balsamtally.plans import make_plan, pick_service
 from balsamtally.sockets import listen
+from balsamtally.stall_exchange import StallExchange
+from balsamtally.stalls import Stalls
 from balsamtally.terminations import Terminations
 from tests.answer_grammar import read_answers
 from tests.balsamtally.scripted import (
@@ -93,7 +95,10 @@
             )
         )
         terminations = Terminations(self.connections.refuses_connections)
-        self.forwarder = Forwarder(self.hooks, wire, self.connections, terminations, HeldBytes(1e9))
+        self.stalls = Stalls()
+        self.forwarder = Forwarder(
+            self.hooks, wire, self.connections, terminations, HeldBytes(1e9), self.stalls
+        )
         serve, refuse = self.forwarder.serve, self.forwarder.refuse
         server = CallerServer(listen(("127.0.0.1", 0)), Limits, serve, refuse, time.monotonic)
         self._stack.enter_context(server)
@@ -1080,3 +1085,67 @@
     with Limited(send_raw(UNFRAMED, body, pause_s=0.05)) as one:
         with ForwarderHarness(make_route(streams=streams), one) as harness:
             assert harness.send()[::2] == (200, body)
+
+
+def run_calls_to_silent_backend(route, one, two, confirmed=True, monkeypatch=None):
+    """Send three calls to a backend server that falls silent after two events."""
+    with ForwarderHarness(route, one, two, deadline_s=8.0) as harness:
+        if not confirmed:
+            monkeypatch.setattr(backends, "end_sending", lambda sock, timeout_s: False)
+        exchange = StallExchange("vm", harness.stalls, list, None, lambda name: None)
+        # Another backend server sends something all the time.
+        alive = harness.stalls.watch(make_backend("alive"), 0.2)
+
+        def send_signs():
+            while True:
+                alive.record_head()
+                gevent.sleep(0.1)
+
+        signs = gevent.spawn(send_signs)
+        begun_s = time.monotonic()
+        with exchange:
+            requests = [REQUEST.replace(b"Host: h", b"Host: h\r\nId: id%d" % n) for n in (1, 2, 3)]
+            calls = [gevent.spawn(harness.send, request) for request in requests]
+            answers = [call.get() for call in calls]
+        signs.kill()
+        return answers, time.monotonic() - begun_s, harness.list_recorded("outcome")
+
+
+def go_silent(sock, request):
+    name = request.partition(b"Id: ")[2][:3]
+    sock.sendall(STREAM.replace(b"id1", name) + events(1, 2))
+    return hang(sock, request)
+
+
+def finish(sock, request):
+    name = request.partition(b"Id: ")[2][:3]
+    sock.sendall(STREAM_AGAIN.replace(b"id1", name) + events(3, 4) + END)
+    return False
+
+
+def test_streams_of_a_silent_backend_server_are_resumed_elsewhere_after_their_connections_end():
+    """Callers of a silent runner waited until their deadline."""
+    with ScriptedBackend(go_silent) as one, ScriptedBackend(finish) as two:
+        route = make_route(Repeat.RESUME, True, timeout_s=8.0)
+        answers, took_s, outcomes = run_calls_to_silent_backend(route, one, two)
+        assert all(b"Last: 2\r\n" in request for request in two.requests)
+        assert one.closed == 3 and len(two.requests) == 3
+    assert [answer[3] for answer in answers] == [True] * 3 and took_s < 6.0
+    assert {type(fields[2]) for fields in outcomes} == {BackendSilent, type(None)}
+
+
+def test_streams_of_a_silent_backend_server_that_may_not_be_repeated_end_before_the_deadline():
+    with ScriptedBackend(go_silent) as one, ScriptedBackend(finish) as two:
+        route = make_route(Repeat.NEVER, True, timeout_s=8.0)
+        answers, took_s, _ = run_calls_to_silent_backend(route, one, two)
+        assert not two.requests
+    assert [answer[3] for answer in answers] == [False] * 3 and took_s < 6.0
+
+
+def test_stream_is_not_resumed_while_the_silent_backend_server_may_still_work_on_it(monkeypatch):
+    """A lost link keeps the end of the connection from the runner, which works on."""
+    with ScriptedBackend(go_silent) as one, ScriptedBackend(finish) as two:
+        route = make_route(Repeat.RESUME, True, timeout_s=8.0)
+        answers, took_s, _ = run_calls_to_silent_backend(route, one, two, False, monkeypatch)
+        assert not two.requests
+    assert [answer[3] for answer in answers] == [False] * 3 and took_s < 6.0
