--- a/balsamtally/dedicated_runners.py
+++ b/balsamtally/dedicated_runners.py
@@ -17,6 +17,7 @@
 
 from balsamtally.rendezvous import rank_members
 from balsamtally.selection import Candidate
+from balsamtally.speeds import EngineSpeed
 from balsamtally.waiting import TOKEN_S
 
 # A bound counts as tight if more than this share of the streams concurrent with long prompts miss
@@ -33,6 +34,13 @@
 # with a long prompt exceeds this share of the bound; most longest inter-event times of streams are
 # within a quarter of their mean.
 EVENT_TIME_SHARE = 0.8
+# Without observed streams, and while long prompts are queued, the same with this lower share: an
+# estimate that is near the bound is as likely to be too low as too high. With observed streams this
+# share is too low: a deployment whose events took 0.72 of the bound lost a runner to it.
+NEAR_EVENT_TIME_SHARE = 0.7
+# Number of observed streams, none of them older than the half-life, from which on the share of
+# misses decides alone.
+MIN_OBSERVED_STREAMS = 20
 # Only streams whose bound is within this factor of the service's tightest use dedicated runners.
 TIGHTEST_BOUND_FACTOR = 1.25
 # Share of a dedicated runner's slots that streams fill before another runner is dedicated; the rest
@@ -47,6 +55,11 @@
 # Largest share of a pool that is dedicated, so that long prompts have the other runners, and the
 # smallest pool that has dedicated runners; one runner may be dedicated whatever the share.
 MAX_DEDICATED_SHARE = 0.2
+# The same if the streams' share of the work is larger. Half of the runners remain for other calls.
+MAX_WORK_SHARE = 0.5
+# Time within which the prompts of other calls should be read, in seconds: the shortest target of
+# the operators' long prompts is 2 s, and a runner is sent 0.5 s of prompts at most.
+QUEUE_S = 0.5
 MIN_RUNNERS = 3
 # A region with at least this many runners has dedicated runners of its own; smaller regions share
 # a pool.
@@ -91,6 +104,28 @@
     return INITIAL_MISS_SHARE if late else 0.0
 
 
+def is_queue_long(reading_tokens: int, event_tokens: int, speed: EngineSpeed) -> bool:
+    """Return whether a runner reads prompts during at least one whole event of its streams.
+
+    :param reading_tokens: prompt tokens queued at the runner
+    :param event_tokens: tokens per event, 0 if unknown
+    :param speed: estimated speed of the engine
+    """
+    event_s = event_tokens * speed.beside_token_s
+    return 0 < event_s * speed.tokens_per_s <= reading_tokens
+
+
+def expects_misses(tightest_s: float, event_tokens: int, speed: EngineSpeed) -> bool:
+    """Return whether streams beside the queued prompts are expected to miss their bound.
+
+    :param tightest_s: the tightest inter-event latency bound of a service's streams, in seconds
+    :param event_tokens: tokens per event, 0 if unknown
+    :param speed: estimated speed of the engines, from the streams of all bounds
+    """
+    share = EVENT_TIME_SHARE if speed.has_learnt_beside else NEAR_EVENT_TIME_SHARE
+    return event_tokens * speed.beside_token_s > tightest_s * share
+
+
 def compute_max_streams(slots: int, answer_s: float, read_s: float) -> float:
     """Return how many streams a dedicated runner gets before another runner is dedicated.
 
@@ -102,16 +137,39 @@
     return max(1.0, min(slots * SLOT_SHARE, by_reading))
 
 
-def count_dedicated(streams: int, max_streams: float, runners: int) -> int:
+def count_needed_by_others(pool: Sequence[Candidate]) -> float:
+    """Return how many runners the calls of a pool other than its tight streams need.
+
+    :param pool: the pool of runners
+    """
+    slots = sum(
+        max(0, each.running - each.close) / max(1.0, each.backend.slots * SLOT_SHARE)
+        for each in pool
+    )
+    reading = sum(each.beside_tokens / each.tokens_per_s for each in pool) / QUEUE_S
+    return max(slots, reading)
+
+
+def count_dedicated(
+    streams: int, max_streams: float, runners: int, others: float = math.inf
+) -> int:
     """Return how many runners of a pool are dedicated to streams.
 
+    They are at most a fifth, or the streams' share of the work if that is larger.
+
     :param streams: concurrent streams with a tight bound
     :param max_streams: how many of these streams one runner gets
     :param runners: size of the pool
+    :param others: how many runners the other calls need
     """
-    if runners < MIN_RUNNERS:
+    if runners < MIN_RUNNERS or not streams:
         return 0
-    return min(math.ceil(streams / max_streams), max(1, int(runners * MAX_DEDICATED_SHARE)))
+    needed = streams / max_streams
+    work_share = min(MAX_WORK_SHARE, needed / (needed + others))
+    return min(
+        math.ceil(needed),
+        max(1, int(runners * MAX_DEDICATED_SHARE), int(runners * work_share)),
+    )
 
 
 @dataclass
@@ -127,6 +185,9 @@
     _peaks: dict[str, tuple[int, float]] = field(default_factory=dict)
     _miss_share: float = 0.0
     _miss_share_at_s: float | None = None
+    _observed: int = 0
+    _observed_at_s: float = -math.inf
+    _queued_at_s: float = -math.inf
 
     def record_running(self, pool: str, count: int, now_s: float) -> int:
         """Record the number of running streams, and return its recent peak.
@@ -151,12 +212,34 @@
             self._miss_share, self._miss_share_at_s = expected, now_s
         return self._miss_share * 0.5 ** ((now_s - self._miss_share_at_s) / MISS_HALF_LIFE_S)
 
+    def is_observed(self, now_s: float) -> bool:
+        """Return whether the observed streams suffice to tell whether a bound is tight.
+
+        :param now_s: monotonic clock in seconds
+        """
+        recent = now_s - self._observed_at_s < MISS_HALF_LIFE_S
+        return recent and self._observed >= MIN_OBSERVED_STREAMS
+
+    def record_queue(self, is_long: bool, now_s: float) -> bool:
+        """Record whether long prompts are queued; return whether they were recently.
+
+        :param is_long: whether a runner has long prompts queued
+        :param now_s: monotonic clock in seconds
+        """
+        if is_long:
+            self._queued_at_s = now_s
+        return now_s - self._queued_at_s < DEDICATED_HOLD_S
+
     def record_stream(self, late: bool, now_s: float) -> None:
         """Record a stream that ran concurrently with long prompts.
 
         :param late: whether the stream missed its inter-event latency bound
         :param now_s: monotonic clock in seconds
         """
+        if now_s - self._observed_at_s >= MISS_HALF_LIFE_S:
+            self._observed = 0
+        self._observed += 1
+        self._observed_at_s = now_s
         share = self.find_miss_share(now_s, 0.0)
         self._miss_share, self._miss_share_at_s = share + MISS_SMOOTHING * (late - share), now_s
 
@@ -208,7 +291,7 @@
     :param streams: concurrent streams with a tight bound in the pool
     :param max_streams: how many of these streams one runner gets
     """
-    count = count_dedicated(streams, max_streams, len(pool))
+    count = count_dedicated(streams, max_streams, len(pool), count_needed_by_others(pool))
     return set(rank_pool(service, tuple(candidate.backend.name for candidate in pool))[:count])
 
 
@@ -247,4 +330,4 @@
         if candidate.running < candidate.backend.slots
         and candidate.running <= fewest + MAX_STREAM_IMBALANCE
     ]
-    return local or candidates
+    return [candidate for candidate in local if not candidate.cold] or local or candidates
--- a/balsamtally/runners.py
+++ b/balsamtally/runners.py
@@ -11,10 +11,12 @@
     StreamStatistics,
     choose_dedicated,
     estimate_miss_share,
+    expects_misses,
     filter_candidates,
     find_pools,
     has_tight_bound,
     is_near_tightest,
+    is_queue_long,
 )
 from balsamtally.demands import Demand
 from balsamtally.health import RunnerHealth, count_ejectable
@@ -309,7 +311,20 @@
         expected = estimate_miss_share(tightest_s, engine.event_tokens, INITIAL_TOKEN_READING_S)
         streams = self.find_statistics(demand.service).streams
         miss_share = streams.find_miss_share(self._clock(), expected)
-        return has_tight_bound(demand.gap_s, tightest_s, miss_share)
+        if has_tight_bound(demand.gap_s, tightest_s, miss_share):
+            return True
+        if not is_near_tightest(demand.gap_s, tightest_s) or streams.is_observed(self._clock()):
+            return False
+        return self._expects_misses(demand.service, engine, tightest_s)
+
+    def _expects_misses(self, service: str, engine: Engine, tightest_s: float) -> bool:
+        """Return whether queued prompts are expected to make streams miss their bound."""
+        statistics = self.find_statistics(service)
+        if not expects_misses(tightest_s, engine.event_tokens, statistics.speed):
+            return False
+        longest = max((each.load.reading_tokens for each in self._list_runners(service)), default=0)
+        is_long = is_queue_long(longest, engine.event_tokens, statistics.speed)
+        return statistics.streams.record_queue(is_long, self._clock())
 
     def handle_report(self, report: Report) -> None:
         """Update the view of a backend server from the report of an attempt.
@@ -334,6 +349,9 @@
             return
         statistics = self.find_statistics(report.service)
         statistics.speed.record_longest_gap(report.took_s, engine.event_tokens)
+        reading_tokens = self._backlogs.find(report.backend).reading_tokens
+        if is_queue_long(reading_tokens, engine.event_tokens, statistics.speed):
+            statistics.speed.record_gap_beside(report.took_s, engine.event_tokens)
         # Streams on dedicated runners don't show the effect of concurrent long prompts.
         tightest_s = self._catalog.contracts.find_tightest_gap_s(report.service)
         concurrent_prompts = report.backend not in self._dedicated.get(report.service, ())
--- a/balsamtally/speeds.py
+++ b/balsamtally/speeds.py
@@ -17,6 +17,10 @@
 TOKEN_READING_S_BOUNDS = (0.012, 0.08)
 # Prompts shorter than a few prefill chunks give no valid sample of the prefill speed.
 MIN_TOKENS = 8_000
+# Weight of one stream in the average time per token beside prompts, and the number of streams after
+# which the average counts as learnt. A burst ends this many streams within a second.
+BESIDE_SMOOTHING = 0.1
+MIN_BESIDE_STREAMS = 10
 # Part of the time to the first event that isn't prefill: the round trip and the first decode step.
 OVERHEAD_S = 0.03
 
@@ -27,10 +31,31 @@
 
     :ivar tokens_per_s: prefill speed of one engine in prompt tokens per second
     :ivar token_reading_s: time per answer token while prompts are read, in seconds
+    :ivar beside_token_s: the same, only from streams whose runner had long prompts to read
+    :ivar beside_streams: number of such streams
     """
 
     tokens_per_s: float = INITIAL_TOKENS_PER_S
     token_reading_s: float = INITIAL_TOKEN_READING_S
+    beside_token_s: float = INITIAL_TOKEN_READING_S
+    beside_streams: int = 0
+
+    @property
+    def has_learnt_beside(self) -> bool:
+        """Whether enough streams beside long prompts were observed."""
+        return self.beside_streams >= MIN_BESIDE_STREAMS
+
+    def record_gap_beside(self, gap_s: float, tokens: int) -> None:
+        """Record the longest inter-event time of a stream whose runner has long prompts to read.
+
+        :param gap_s: the time between two events, in seconds
+        :param tokens: tokens per event, 0 if unknown
+        """
+        if not tokens:
+            return
+        seen = clamp(gap_s / tokens, TOKEN_READING_S_BOUNDS)
+        self.beside_token_s += BESIDE_SMOOTHING * (seen - self.beside_token_s)
+        self.beside_streams += 1
 
     def record_first_event(self, tokens: int, took_s: float) -> None:
         """Record the time to the first event of an answer.
