--- a/tests/balsamtally/test_dedicated_runners.py
+++ b/tests/balsamtally/test_dedicated_runners.py
@@ -8,13 +8,16 @@
     DEDICATED_HOLD_S,
     MAX_DEDICATED_SHARE,
     MAX_MISS_SHARE,
+    MAX_WORK_SHARE,
     MISS_HALF_LIFE_S,
     PREFILL_SHARE,
+    QUEUE_S,
     SLOT_SHARE,
     StreamStatistics,
     choose_dedicated,
     compute_max_streams,
     count_dedicated,
+    count_needed_by_others,
     estimate_miss_share,
     filter_candidates,
     find_pools,
@@ -76,6 +79,29 @@
     assert count_dedicated(5, 10, 2) == 0
 
 
+def test_streams_get_their_share_of_the_work_beyond_a_fifth_of_the_runners():
+    """A fifth of the runners was too few for streams that are most of the load."""
+    assert count_dedicated(100, 10, 15, others=20.0) == int(15 * 10 / 30)
+    # Calls that need as much or more keep half of the runners at least.
+    assert count_dedicated(100, 10, 15, others=0.0) == int(15 * MAX_WORK_SHARE)
+    # A third of six runners, by the streams' own reading, left too few for long prompts.
+    assert count_dedicated(12, 10, 6, others=6.0) == 1
+    # No more than the streams need.
+    assert count_dedicated(11, 10, 15, others=1.0) == 2
+    idle = [make_candidate("a"), make_candidate("b")]
+    assert count_needed_by_others(idle) == 0
+    busy = [make_candidate("a", running=40, close=40), make_candidate("b", beside_tokens=32_000)]
+    assert count_needed_by_others(busy) == 1.0 / QUEUE_S
+    slots = [make_candidate("a", running=48, close=10), make_candidate("b")]
+    assert count_needed_by_others(slots) == pytest.approx(38 / (64 * SLOT_SHARE))
+
+
+def test_dedicated_runners_that_are_cold_get_streams_only_if_no_warm_one_has_room():
+    cold, warm = make_candidate("a", cold=True), make_candidate("b")
+    assert filter_candidates([cold, warm], {"a", "b"}, {"a", "b"}, True) == [warm]
+    assert filter_candidates([cold], {"a"}, {"a"}, True) == [cold]
+
+
 def test_dedicated_runner_gets_no_more_streams_than_its_slots_and_their_prompts_allow():
     assert compute_max_streams(16, 1.3, 0.013) == 16 * SLOT_SHARE
     assert compute_max_streams(64, 1.0, 0.03) == pytest.approx(PREFILL_SHARE / 0.03)
--- a/tests/balsamtally/test_dispatch.py
+++ b/tests/balsamtally/test_dispatch.py
@@ -7,6 +7,7 @@
 import pytest
 from structlog.testing import capture_logs
 
+from balsamtally import dedicated_runners
 from balsamtally.backlogs import Backlogs, Load
 from balsamtally.beats import Beat, PromptRead
 from balsamtally.calls import Engine, PromptPart, Repeat, Service
@@ -17,11 +18,13 @@
     AnswerCut,
     BackendLeaving,
     BackendRefused,
+    BackendSilent,
     BackendUnreachable,
     ConnectionUnusable,
     NoAnswer,
     TargetHopeless,
 )
+from balsamtally.health import EJECT_S
 from balsamtally.plans import CallProgress, make_plan
 from balsamtally.runners import FULL_S, SNAPSHOT_TTL_S
 from tests.balsamtally.scripted import make_backend, make_call, make_contracts, make_route
@@ -525,3 +528,107 @@
 
 def make_demand_for(world, number):
     return make_demand(world.plan(number), CallProgress())
+
+
+def make_burst_world(event_tokens=5, gap_s=0.25):
+    """Return a world whose streams' events are expected to take 0.72 of their bound.
+
+    These are the figures of a deployment in which 203 of 246 streams were late in the first 2.4 s
+    of a burst, before any runner was dedicated.
+    """
+    world = World(Engine(64, 215_993, event_tokens=event_tokens))
+    world.catalog.contracts = make_contracts(
+        make_route(Repeat.RESUME, True, name="long", gap_s=1.0, target_s=2.0),
+        make_route(Repeat.RESUME, True, name="live", path_prefix="/live/", gap_s=gap_s),
+        services={"desk": Service("desk", "/health", 100, world.engine)},
+    )
+    for number in range(15):
+        world.add(f"r{number}")
+    return world
+
+
+LONG = (PromptPart("shared", 6_300), PromptPart("own", 2_890))
+LONG_S, LIVE_S = 9_190 / 41_400, 1.5
+
+
+def replay_burst(world, seconds=2.4):
+    """Replay the begin of a burst; return how many streams ran, and how many beside a prompt."""
+    ends, reads, streams = [], {}, []
+    for step in range(int(seconds / 0.02)):
+        world.now += 0.02
+        for at_s, end in [each for each in ends if each[0] <= world.now]:
+            ends.remove((at_s, end))
+            end()
+        if step % 3 == 0:
+            parts = (PromptPart(f"greeting {step}", 172), PromptPart(f"own live {step}", 543))
+            plan = world.plan(step, parts, arrived_s=world.now, **LIVE_FIELDS)
+            choice = world.choose(plan)
+            choice.work.record_answer_start()
+            streams.append((choice.backend.name, world.now))
+            ends.append((world.now + LIVE_S, choice.work.cancel))
+        if step % 2 == 0:
+            parts = (PromptPart(f"shared {step}", 6_300), PromptPart(f"own {step}", 2_890))
+            choice = world.choose(world.plan(10_000 + step, parts, arrived_s=world.now))
+            name = choice.backend.name
+            begin_s = max([world.now, *(end_s for _, end_s in reads.get(name, ()))])
+            reads.setdefault(name, []).append((begin_s, begin_s + LONG_S))
+            ends.append((begin_s + LONG_S, choice.work.record_answer_start))
+            ends.append((begin_s + LONG_S + 0.5, choice.work.cancel))
+    beside = sum(
+        any(begin_s < at_s + LIVE_S and end_s > at_s for begin_s, end_s in reads.get(name, ()))
+        for name, at_s in streams
+    )
+    return len(streams), beside
+
+
+def test_burst_of_long_prompts_from_the_first_second_on_meets_no_unprepared_coordinator(
+    monkeypatch,
+):
+    """Runners were dedicated only after streams had missed their bound."""
+    streams, beside = replay_burst(make_burst_world())
+    monkeypatch.setattr(dedicated_runners, "NEAR_EVENT_TIME_SHARE", 0.8)
+    _, beside_unprepared = replay_burst(make_burst_world())
+    assert beside < 0.2 * streams
+    assert beside_unprepared > 0.5 * streams
+
+
+def test_bound_that_the_expected_event_time_is_near_is_not_tight_without_long_prompts():
+    world = make_burst_world()
+    for number in range(20):
+        world.choose(world.plan(number, LIVE, **LIVE_FIELDS))
+    assert not any(world.backlogs.find(f"r{number}").close for number in range(15))
+
+
+@pytest.mark.parametrize("token_s, tight", [(0.036, False), (0.045, True)])
+def test_time_per_token_beside_long_prompts_decides_once_it_is_learnt(token_s, tight):
+    """Streams with any bound tell of it; the events of a deployment took 0.72 of the bound."""
+    world = make_burst_world(event_tokens=4, gap_s=0.2)
+    busy = world.choose(world.plan(0, LONG)).backend
+    live = world.plan(1, LIVE, **LIVE_FIELDS)
+    assert world.dispatch.runners.has_tight_bound(make_demand(live, CallProgress()))
+    for number in range(40):
+        world.dispatch.record_longest_gap(busy, world.plan(number, LONG), 4 * token_s)
+    assert world.dispatch.runners.has_tight_bound(make_demand(live, CallProgress())) == tight
+
+
+def test_observed_streams_within_their_bound_outweigh_the_estimate():
+    world = make_burst_world()
+    busy = world.choose(world.plan(0, LONG)).backend
+    live = world.plan(1, LIVE, **LIVE_FIELDS)
+    demand = make_demand(live, CallProgress())
+    assert world.dispatch.runners.has_tight_bound(demand)
+    for _ in range(30):
+        world.dispatch.record_longest_gap(busy, live, 0.24)
+    assert not world.dispatch.runners.has_tight_bound(demand)
+
+
+def test_silent_runner_is_ejected_once_for_all_its_streams(world):
+    """Each of the streams that end with a verdict reports it."""
+    silent = world.add("a")
+    world.add("b")
+    for number in range(8):
+        world.dispatch.record_outcome(silent, world.plan(number), BackendSilent(), 1.5)
+    assert world.choose(world.plan(90)).backend.name == "b"
+    world.now += EJECT_S + 0.1
+    health = world.dispatch.runners._health[silent.key]
+    assert health.ejections == 1 and health.limit_slots(64, world.now) == 1
