--- a/balsamtally/call_metrics.py
+++ b/balsamtally/call_metrics.py
@@ -22,6 +22,7 @@
     :ivar running: calls of all entry VMs at each backend server
     :ivar reading_tokens: prompt tokens not yet processed at each backend server
     :ivar retries_left: retries that the retry budget permits now, by service
+    :ivar dedicated: runners that this entry VM dedicates to live streams, by service
     :ivar in_flight: unfinished calls of this entry VM's callers
     :ivar callers: open connections from callers
     :ivar peers: entry VMs that sent a heartbeat recently
@@ -42,6 +43,7 @@
     running: Mapping[str, int] = field(default_factory=dict)
     reading_tokens: Mapping[str, int] = field(default_factory=dict)
     retries_left: Mapping[str, int] = field(default_factory=dict)
+    dedicated: Mapping[str, int] = field(default_factory=dict)
     in_flight: int = 0
     callers: int = 0
     peers: int = 0
@@ -101,6 +103,9 @@
         self._running = self._gauge("backend_running", "Calls at each backend server")
         self._reading = self._gauge("backend_reading_tokens", "Prompt tokens before each runner")
         self._retries = self._gauge("retries_left", "Retries that may be made now, by service")
+        self._dedicated = self._gauge(
+            "dedicated_backends", "Runners dedicated to live streams, by service"
+        )
         self._unlabelled = {
             "in_flight": self._gauge("calls_in_flight", "Calls held by this entry VM"),
             "callers": self._gauge("caller_connections", "Open connections of callers"),
@@ -203,6 +208,7 @@
         set_by_label(self._running, "backend", gauges.running)
         set_by_label(self._reading, "backend", gauges.reading_tokens)
         set_by_label(self._retries, "service", gauges.retries_left)
+        set_by_label(self._dedicated, "service", gauges.dedicated)
         for name, gauge in self._unlabelled.items():
             gauge.set({}, getattr(gauges, name))
         self._memory.set({}, read_resident_bytes())
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -35,7 +35,7 @@
 from balsamtally.pauses import Pauses, PausingChoice
 from balsamtally.peers import RECORDS_PATH, Peers
 from balsamtally.permits import PermitAsk, PermitGrant, Permits
-from balsamtally.plans import CallProgress, Plan
+from balsamtally.plans import CallProgress, Plan, meets_targets
 from balsamtally.quarantine import Quarantine
 from balsamtally.quarantine_exchange import QuarantineExchange
 from balsamtally.quarantine_messages import QuarantineUpdate
@@ -68,18 +68,6 @@
 PAGE_LIMITS = Limits(max_body_bytes=0, idle_timeout_s=30.0)
 
 
-def meets_targets(plan: Plan, progress: CallProgress, began_s: float) -> bool:
-    """Return whether an answer met its latency targets for the first event and between events.
-
-    :param plan: the plan of the call
-    :param progress: the progress of the call
-    :param began_s: time to the first event in seconds, negative if there was none
-    """
-    if not 0 <= began_s <= plan.route.target_s:
-        return False
-    return not plan.route.streams or progress.longest_gap_s <= plan.route.gap_s
-
-
 def make_initial_beat(settings: GatewaySettings, incarnation: str) -> Beat:
     """Return the first heartbeat that an entry VM announces after its start.
 
@@ -222,17 +210,11 @@
 
     def _connect_stalls(self) -> None:
         """Create the verdicts on silent runners and connect them to the peers of the region."""
-        find_region = self.settings.find_region
-        region = find_region(self.settings.domain)
         self._stalls = Stalls()
         self._stall_exchange = StallExchange(
             self.settings.vm,
             self._stalls,
-            lambda: [
-                peer.beat.ip
-                for peer in self.peers.list_alive()
-                if find_region(peer.beat.domain) == region
-            ],
+            self.peers.list_region_ips,
             self.peers.send_message,
             self._metrics.count_silent,
         )
@@ -445,6 +427,7 @@
             dropped_lines=self._count_dropped(),
             quarantined=len(self._quarantine.list_entries()),
             limited=len(self._server_limits.list_limited()),
+            dedicated=self._dispatch.runners.count_dedicated(),
             held_bytes=self._account.used_bytes,
             held_bytes_limit=self._account.limit_bytes,
         )
--- a/balsamtally/peers.py
+++ b/balsamtally/peers.py
@@ -388,6 +388,15 @@
             for group in (*self._groups[:2], self._coordinators):
                 group.reads.append(read)
 
+    def list_region_ips(self) -> list[str]:
+        """Return the IP numbers of the live peers of the local region."""
+        region = self._find_region(self.own.domain)
+        return [
+            peer.beat.ip
+            for peer in self.list_alive()
+            if self._find_region(peer.beat.domain) == region
+        ]
+
     def announce_report(self, report: Report) -> None:
         """Queue a report on a backend server for the service's coordinator and wake the sender.
 
--- a/balsamtally/plans.py
+++ b/balsamtally/plans.py
@@ -201,3 +201,15 @@
     if failure.outcome is Outcome.NOT_RUN and progress.may_have_run:
         return BackendFailed(f"an earlier attempt may have run; the last one failed: {failure}")
     return failure
+
+
+def meets_targets(plan: Plan, progress: CallProgress, began_s: float) -> bool:
+    """Return whether an answer met its latency targets for the first event and between events.
+
+    :param plan: the plan of the call
+    :param progress: the progress of the call
+    :param began_s: time to the first event in seconds, negative if there was none
+    """
+    if not 0 <= began_s <= plan.route.target_s:
+        return False
+    return not plan.route.streams or progress.longest_gap_s <= plan.route.gap_s
--- a/balsamtally/runners.py
+++ b/balsamtally/runners.py
@@ -293,12 +293,30 @@
                 chosen = choose_dedicated(demand.service, pool, peak, max_streams)
                 dedicated |= chosen
                 local_dedicated |= chosen if at_home else set()
-        self._dedicated[demand.service] = dedicated
+        self._record_dedicated(demand.service, dedicated, now)
         if not demand.allows_region(self._region):
             local_dedicated = dedicated
             candidates = [each for each in candidates if demand.allows_region(each.region)]
         return filter_candidates(candidates, dedicated, local_dedicated, close)
 
+    def _record_dedicated(self, service: str, dedicated: set[str], now_s: float) -> None:
+        """Record which runners of a service are dedicated, and log the first and the last one."""
+        before = self._dedicated.get(service, set())
+        self._dedicated[service] = dedicated
+        if bool(before) != bool(dedicated):
+            streams = self.find_statistics(service).streams
+            log.info(
+                "runners_dedicated",
+                service=service,
+                runners=sorted(dedicated),
+                observed=streams.is_observed(now_s),
+                beside_token_ms=round(1000 * self.find_statistics(service).speed.beside_token_s, 1),
+            )
+
+    def count_dedicated(self) -> dict[str, int]:
+        """Return how many runners are dedicated to streams, by service."""
+        return {service: len(names) for service, names in self._dedicated.items()}
+
     def has_tight_bound(self, demand: Demand) -> bool:
         """Return whether a call's answer is a stream with a tight inter-event latency bound.
 
--- a/balsamtally/stalls.py
+++ b/balsamtally/stalls.py
@@ -106,7 +106,7 @@
     :ivar longest_gap_s: longest recent time between two events of a stream, in seconds
     :ivar longest_at_s: monotonic clock when it was observed, in seconds
     :ivar suspected_s: monotonic clock at the begin of the suspicion, in seconds, 0 without one
-    :ivar verdict_s: monotonic clock at the verdict, in seconds, 0 without one
+    :ivar verdict_s: monotonic clock at the verdict, in seconds; minus infinity without one
     :ivar notices: last notices of peers by name of the VM, with their time of arrival
     """
 
@@ -116,7 +116,7 @@
     longest_gap_s: float = 0.0
     longest_at_s: float = 0.0
     suspected_s: float = 0.0
-    verdict_s: float = 0.0
+    verdict_s: float = -math.inf
     notices: dict[str, tuple[Silence, float]] = field(default_factory=dict)
 
     def find_limit_s(self, now_s: float) -> float:
@@ -135,7 +135,7 @@
         :param now_s: monotonic clock in seconds
         """
         self.heard_s = now_s
-        self.suspected_s = self.verdict_s = 0.0
+        self.suspected_s, self.verdict_s = 0.0, -math.inf
 
     def record_gap(self, gap_s: float, now_s: float) -> None:
         """Record the time between two events of a stream.
@@ -280,7 +280,7 @@
     ) -> SilentRunner | None:
         """Return a new verdict on a runner that is silent to this entry VM."""
         activity.suspected_s = activity.suspected_s or now_s
-        if activity.verdict_s:
+        if activity.verdict_s > activity.heard_s:
             return None
         told = activity.list_notices(now_s)
         if not activity.is_told(now_s):
@@ -327,7 +327,9 @@
     ) -> Silence:
         silent = len(activity.streams) if activity.is_silent(now_s) else 0
         heard_s = max(0.0, now_s - activity.heard_s)
-        return Silence(*key, silent, len(activity.streams), heard_s, activity.verdict_s > 0.0)
+        return Silence(
+            *key, silent, len(activity.streams), heard_s, activity.verdict_s > activity.heard_s
+        )
 
     def forget_removed(self, keys: Container[tuple[str, int]]) -> None:
         """Drop the state of removed backend servers once no attempt is open there.
