--- a/balsamtally/call_metrics.py
+++ b/balsamtally/call_metrics.py
@@ -22,6 +22,7 @@
     :ivar running: calls of all entry VMs at each backend server
     :ivar reading_tokens: prompt tokens not yet processed at each backend server
     :ivar retries_left: retries that the retry budget permits now, by service
+    :ivar dedicated: runners that this entry VM dedicates to live streams, by service
     :ivar in_flight: unfinished calls of this entry VM's callers
     :ivar callers: open connections from callers
     :ivar peers: entry VMs that sent a heartbeat recently
@@ -48,6 +49,7 @@
     reading_tokens: Mapping[str, int] = field(default_factory=dict)
     retries_left: Mapping[str, int] = field(default_factory=dict)
     evacuated: Mapping[str, int] = field(default_factory=dict)
+    dedicated: Mapping[str, int] = field(default_factory=dict)
     in_flight: int = 0
     callers: int = 0
     peers: int = 0
@@ -90,6 +92,9 @@
         self._pauses = self._counter(
             "backend_pauses_total", "Refusals in which a backend server asked for a pause"
         )
+        self._silent = self._counter(
+            "backend_silent_total", "Verdicts that a backend server has stopped sending"
+        )
         self._first_event = self._histogram(
             "first_event_seconds", "Time to the first event or answer", FIRST_TOKEN_BOUNDS_S
         )
@@ -111,6 +116,9 @@
         self._evacuated = self._gauge(
             "evacuated", "1 while a failure domain is evacuated, 0 after that"
         )
+        self._dedicated = self._gauge(
+            "dedicated_backends", "Runners dedicated to live streams, by service"
+        )
         self._unlabelled = {
             "in_flight": self._gauge("calls_in_flight", "Calls held by this entry VM"),
             "callers": self._gauge("caller_connections", "Open connections of callers"),
@@ -185,6 +193,13 @@
         """
         self._pauses.inc({"backend": backend})
 
+    def count_silent(self, backend: str) -> None:
+        """Count a verdict that a backend server has stopped sending.
+
+        :param backend: name of the backend server
+        """
+        self._silent.inc({"backend": backend})
+
     def observe_first_event(self, route: str, time_s: float) -> None:
         """Record the time to the first event of an answer.
 
@@ -217,6 +232,7 @@
         set_by_label(self._reading, "backend", gauges.reading_tokens)
         set_by_label(self._retries, "service", gauges.retries_left)
         set_by_label(self._evacuated, "domain", gauges.evacuated)
+        set_by_label(self._dedicated, "service", gauges.dedicated)
         for name, gauge in self._unlabelled.items():
             gauge.set({}, getattr(gauges, name))
         self._memory.set({}, read_resident_bytes())
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -36,7 +36,7 @@
 from balsamtally.pauses import Pauses, PausingChoice
 from balsamtally.peers import RECORDS_PATH, Peers
 from balsamtally.permits import PermitAsk, PermitGrant, Permits
-from balsamtally.plans import CallProgress, Plan
+from balsamtally.plans import CallProgress, Plan, meets_targets
 from balsamtally.quarantine import Quarantine
 from balsamtally.quarantine_exchange import QuarantineExchange
 from balsamtally.quarantine_messages import QuarantineUpdate
@@ -45,6 +45,8 @@
 from balsamtally.reservations import Reservations
 from balsamtally.server_limits import ServerLimits
 from balsamtally.sockets import listen
+from balsamtally.stall_exchange import StallExchange
+from balsamtally.stalls import SilenceNotice, Stalls
 from balsamtally.tasks import spawn_repeating
 from balsamtally.terminations import Terminations
 
@@ -70,18 +72,6 @@
 PAGE_LIMITS = Limits(max_body_bytes=0, idle_timeout_s=30.0)
 
 
-def meets_targets(plan: Plan, progress: CallProgress, began_s: float) -> bool:
-    """Return whether an answer met its latency targets for the first event and between events.
-
-    :param plan: the plan of the call
-    :param progress: the progress of the call
-    :param began_s: time to the first event in seconds, negative if there was none
-    """
-    if not 0 <= began_s <= plan.route.target_s:
-        return False
-    return not plan.route.streams or progress.longest_gap_s <= plan.route.gap_s
-
-
 class Gateway:
     """One gateway with its components; a context manager that starts and stops them.
 
@@ -154,8 +144,14 @@
         self._connections = Connections()
         self._terminations = Terminations(self._connections.refuses_connections)
         self._account = HeldBytes(find_limit(settings.memory_mb))
+        self._connect_stalls()
         self._forwarder = Forwarder(
-            self._make_hooks(), wire, self._connections, self._terminations, self._account
+            self._make_hooks(),
+            wire,
+            self._connections,
+            self._terminations,
+            self._account,
+            self._stalls,
         )
         self._callers = self._make_caller_server(listener)
         self._stack = contextlib.ExitStack()
@@ -217,6 +213,18 @@
         )
         self.peers.handlers[QuarantineUpdate] = self._quarantine_exchange.handle_update
 
+    def _connect_stalls(self) -> None:
+        """Create the verdicts on silent runners and connect them to the peers of the region."""
+        self._stalls = Stalls()
+        self._stall_exchange = StallExchange(
+            self.settings.vm,
+            self._stalls,
+            self.peers.list_region_ips,
+            self.peers.send_message,
+            self._metrics.count_silent,
+        )
+        self.peers.handlers[SilenceNotice] = self._stall_exchange.handle_notice
+
     def _process_beat(self, beat: Beat) -> None:
         """Process a peer's heartbeat, after the backlog it reports was recorded."""
         self._reservations.release_confirmed(beat)
@@ -312,6 +320,7 @@
         enter(self._connections)
         enter(self.peers)
         enter(self._quarantine_exchange)
+        enter(self._stall_exchange)
         enter(self._reservations)
         enter(self._serve_pages(self.settings.ready_address))
         enter(self._serve_pages(self.settings.peer_address))
@@ -389,6 +398,7 @@
         self._dispatch.forget_removed()
         self._pauses.forget_removed(self.catalog.backends.values())
         self._server_limits.forget_removed()
+        self._stalls.forget_removed({backend.key for backend in self.catalog.backends.values()})
         self._terminations.check_pending(self.catalog.backends)
         if self.catalog.contracts is not None:
             routes = {route.name for route in self.catalog.contracts.routes}
@@ -428,6 +438,7 @@
             callers_limit=self._callers.max_callers,
             closed_idle=self._callers.closed_idle,
             evicted_bodies=self._account.evicted,
+            dedicated=self._dispatch.runners.count_dedicated(),
             held_bytes=self._account.used_bytes,
             held_bytes_limit=self._account.limit_bytes,
         )
--- a/balsamtally/runners.py
+++ b/balsamtally/runners.py
@@ -11,10 +11,12 @@
     StreamStatistics,
     choose_dedicated,
     estimate_miss_share,
+    expects_misses,
     filter_candidates,
     find_pools,
     has_tight_bound,
     is_near_tightest,
+    is_queue_long,
 )
 from balsamtally.demands import Demand
 from balsamtally.health import RunnerHealth, count_ejectable
@@ -301,12 +303,30 @@
                 chosen = choose_dedicated(demand.service, pool, peak, max_streams)
                 dedicated |= chosen
                 local_dedicated |= chosen if at_home else set()
-        self._dedicated[demand.service] = dedicated
+        self._record_dedicated(demand.service, dedicated, now)
         if not demand.allows_region(self._region):
             local_dedicated = dedicated
             candidates = [each for each in candidates if demand.allows_region(each.region)]
         return filter_candidates(candidates, dedicated, local_dedicated, close)
 
+    def _record_dedicated(self, service: str, dedicated: set[str], now_s: float) -> None:
+        """Record which runners of a service are dedicated, and log the first and the last one."""
+        before = self._dedicated.get(service, set())
+        self._dedicated[service] = dedicated
+        if bool(before) != bool(dedicated):
+            streams = self.find_statistics(service).streams
+            log.info(
+                "runners_dedicated",
+                service=service,
+                runners=sorted(dedicated),
+                observed=streams.is_observed(now_s),
+                beside_token_ms=round(1000 * self.find_statistics(service).speed.beside_token_s, 1),
+            )
+
+    def count_dedicated(self) -> dict[str, int]:
+        """Return how many runners are dedicated to streams, by service."""
+        return {service: len(names) for service, names in self._dedicated.items()}
+
     def has_tight_bound(self, demand: Demand) -> bool:
         """Return whether a call's answer is a stream with a tight inter-event latency bound.
 
@@ -319,7 +339,20 @@
         expected = estimate_miss_share(tightest_s, engine.event_tokens, INITIAL_TOKEN_READING_S)
         streams = self.find_statistics(demand.service).streams
         miss_share = streams.find_miss_share(self._clock(), expected)
-        return has_tight_bound(demand.gap_s, tightest_s, miss_share)
+        if has_tight_bound(demand.gap_s, tightest_s, miss_share):
+            return True
+        if not is_near_tightest(demand.gap_s, tightest_s) or streams.is_observed(self._clock()):
+            return False
+        return self._expects_misses(demand.service, engine, tightest_s)
+
+    def _expects_misses(self, service: str, engine: Engine, tightest_s: float) -> bool:
+        """Return whether queued prompts are expected to make streams miss their bound."""
+        statistics = self.find_statistics(service)
+        if not expects_misses(tightest_s, engine.event_tokens, statistics.speed):
+            return False
+        longest = max((each.load.reading_tokens for each in self._list_runners(service)), default=0)
+        is_long = is_queue_long(longest, engine.event_tokens, statistics.speed)
+        return statistics.streams.record_queue(is_long, self._clock())
 
     def handle_report(self, report: Report) -> None:
         """Update the view of a backend server from the report of an attempt.
@@ -344,6 +377,9 @@
             return
         statistics = self.find_statistics(report.service)
         statistics.speed.record_longest_gap(report.took_s, engine.event_tokens)
+        reading_tokens = self._backlogs.find(report.backend).reading_tokens
+        if is_queue_long(reading_tokens, engine.event_tokens, statistics.speed):
+            statistics.speed.record_gap_beside(report.took_s, engine.event_tokens)
         # Streams on dedicated runners don't show the effect of concurrent long prompts.
         tightest_s = self._catalog.contracts.find_tightest_gap_s(report.service)
         concurrent_prompts = report.backend not in self._dedicated.get(report.service, ())
@@ -355,7 +391,11 @@
         health = self._health.setdefault(report.key, RunnerHealth())
         if report.finding == Finding.ANSWERED:
             health.observe_success(-1.0, 0, report.took_s, now)
-        elif health.observe_failure(report.request, now) or report.finding == Finding.UNREACHABLE:
+        elif health.observe_failure(report.request, now) or (
+            # Calls that fail for the same cause prolong no ejection.
+            report.finding == Finding.UNREACHABLE
+            and now >= health.ejected_until
+        ):
             self._eject(report, health)
 
     def _eject(self, report: Report, health: RunnerHealth) -> None:
