--- a/balsamtally/backlogs.py
+++ b/balsamtally/backlogs.py
@@ -177,6 +177,19 @@
                 del self._sums[name]
 
 
+class Sources(msgspec.Struct, frozen=True):
+    """Numbers of calls that run at a backend server, by sender.
+
+    :ivar own: calls of this entry VM
+    :ivar local: calls of its region's other entry VMs
+    :ivar remote: calls of other regions
+    """
+
+    own: int = 0
+    local: int = 0
+    remote: int = 0
+
+
 class Backlogs:
     """Work at all backend servers: of this entry VM, of its region's peers and of other regions.
 
@@ -254,6 +267,22 @@
             self._own.get(backend), self._local.find(backend), self._remote.find(backend)
         )
 
+    def count_sources(self, backend: str) -> Sources:
+        """Return who sent the calls that run at a backend server.
+
+        :param backend: name of the backend server
+        """
+        self._local.drop_expired()
+        self._remote.drop_expired()
+        return Sources(
+            *(
+                counter.running if counter is not None else 0
+                for counter in (
+                    self._own.get(backend), self._local.find(backend), self._remote.find(backend)
+                )
+            )
+        )
+
     def forget(self, keep: Collection[str]) -> None:
         """Drop removed backend servers once they are idle.
 
--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -17,6 +17,7 @@
     make_waiter,
 )
 from balsamtally.backlogs import URGENCIES, Backlogs, Load, LoadCounter, Size, Work
+from balsamtally.balancing import choose_evenly
 from balsamtally.beats import Beat, PromptRead
 from balsamtally.call_log import log_placement
 from balsamtally.calls import Backend, PromptPart
@@ -103,6 +104,8 @@
     :param forward_report: sends a finding of this entry VM to the entry VM that places its calls
     :param on_work_change: called with the name of a service when this entry VM's work at it changes
     :param permits: permits for backend servers that limit the rate of requests
+    :param coordinates: returns whether this entry VM places the local region's calls of a service
+    :param draw: returns a random number from 0 up to, not including, 1
     """
 
     def __init__(
@@ -117,9 +120,14 @@
         forward_report: Callable[[Report], None] = ignore,
         on_work_change: Callable[[str], None] = ignore,
         permits: Permits | None = None,
+        coordinates: Callable[[str], bool] = lambda service: True,
+        draw: Callable[[], float] = random.random,
     ):
         self._permits = permits or Permits(ServerLimits(catalog.is_known))
-        self.runners = Runners(catalog, backlogs, find_region, region, self._permits, clock)
+        self.runners = Runners(
+            catalog, backlogs, find_region, region, self._permits, clock, coordinates
+        )
+        self._draw = draw
         self._returns = ReturnSchedule(clock)
         self._catalog = catalog
         self._find_region = find_region
@@ -384,6 +392,10 @@
 
     def _choose_among(self, demand: Demand, candidates: list[Candidate]) -> Candidate | None:
         left_s = demand.arrived_s + demand.target_s - self._clock()
+        service = demand.service
+        if self.runners.find_engine(service) is None and self._backlogs.count_reporting_peers():
+            times = self.runners.find_call_times(service)
+            return choose_evenly(candidates, left_s, demand.size_bytes, times, self._draw())
         return choose(candidates, left_s, demand.size_bytes, demand.session)
 
     def is_open(self, backend: Backend) -> bool:
--- a/balsamtally/runners.py
+++ b/balsamtally/runners.py
@@ -4,7 +4,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from balsamtally.backlogs import Backlogs, Load
+from balsamtally.backlogs import Backlogs, Load, Sources
+from balsamtally.balancing import (
+    INITIAL_CALL_S,
+    CallTimes,
+    find_full_s,
+    make_call_times,
+    update_call_s,
+)
 from balsamtally.calls import Backend, Engine
 from balsamtally.catalog import Catalog
 from balsamtally.dedicated_runners import (
@@ -47,6 +54,7 @@
     :ivar load: its work
     :ivar slow_factor: observed slowdown relative to the expected speed, 1 or more
     :ivar cache: estimate of the prompt parts that it holds
+    :ivar sources: who sent the calls that run on it; not counted for model runners
     """
 
     backend: Backend
@@ -56,6 +64,7 @@
     load: Load
     slow_factor: float
     cache: PrefixCache
+    sources: Sources = Sources()
 
 
 @dataclass(frozen=True)
@@ -78,10 +87,12 @@
 
     :ivar speed: estimated speed of its engines
     :ivar streams: statistics of its streams with a tight inter-event latency bound
+    :ivar call_s: moving average of the time per call, in seconds; of plain services
     """
 
     speed: EngineSpeed = field(default_factory=EngineSpeed)
     streams: StreamStatistics = field(default_factory=StreamStatistics)
+    call_s: float = INITIAL_CALL_S
 
 
 class Runners:
@@ -93,6 +104,7 @@
     :param region: the local region
     :param permits: permits for backend servers that limit the rate of requests
     :param clock: monotonic clock in seconds
+    :param coordinates: returns whether this entry VM places the local region's calls of a service
     """
 
     def __init__(
@@ -103,6 +115,7 @@
         region: str,
         permits: Permits,
         clock: Callable[[], float] = time.monotonic,
+        coordinates: Callable[[str], bool] = lambda service: True,
     ):
         self._catalog = catalog
         self._backlogs = backlogs
@@ -110,6 +123,7 @@
         self._region = region
         self._permits = permits
         self._clock = clock
+        self._coordinates = coordinates
         self._paces = Paces(clock)
         self._health: dict[tuple[str, int], RunnerHealth] = {}
         self._caches: dict[tuple[str, int], PrefixCache] = {}
@@ -140,6 +154,13 @@
         """
         return self._statistics.setdefault(service, ServiceStatistics())
 
+    def find_call_times(self, service: str) -> CallTimes:
+        """Return what the estimates of a plain service's load depend on.
+
+        :param service: name of the service
+        """
+        return make_call_times(self.find_statistics(service).call_s, self._coordinates(service))
+
     def find_cache(self, service: str, key: tuple[str, int]) -> PrefixCache:
         """Return the estimate of the prompt parts that a runner holds in its cache.
 
@@ -230,11 +251,13 @@
         held = self._snapshots.get(service)
         if held and now - held.at_s < SNAPSHOT_TTL_S and held.changes == self._changes:
             return held.runners
-        runners = [self._observe_runner(service, each) for each in self._catalog.list_open(service)]
+        servers = self._catalog.list_open(service)
+        plain = self.find_engine(service) is None
+        runners = [self._observe_runner(service, each, plain) for each in servers]
         self._snapshots[service] = Snapshot(runners, now, self._changes)
         return runners
 
-    def _observe_runner(self, service: str, backend: Backend) -> Runner:
+    def _observe_runner(self, service: str, backend: Backend, plain: bool) -> Runner:
         load = self._backlogs.find(backend.name)
         region = self._find_region(backend.domain)
         return Runner(
@@ -245,6 +268,7 @@
             load=load,
             slow_factor=self._paces.find(backend.key),
             cache=self.find_cache(service, backend.key),
+            sources=self._backlogs.count_sources(backend.name) if plain else Sources(),
         )
 
     def _is_usable(self, backend: Backend, running: int) -> bool:
@@ -259,7 +283,9 @@
     def _make_candidate(
         self, demand: Demand, runner: Runner, held_tokens: int, most_held_tokens: int
     ) -> Candidate:
-        load = runner.load
+        load, sources = runner.load, runner.sources
+        # The coordinator itself placed the calls that its region's peers announce.
+        is_told = sources.local and not self._coordinates(demand.service)
         return Candidate(
             backend=runner.backend,
             at_home=runner.at_home,
@@ -273,6 +299,8 @@
             slow_factor=runner.slow_factor,
             close=load.close,
             region=runner.region,
+            told=sources.remote + (sources.local if is_told else 0),
+            far=sources.remote if runner.at_home else sources.own + sources.local,
         )
 
     def _apply_dedication(self, demand: Demand, candidates: list[Candidate]) -> list[Candidate]:
@@ -323,11 +351,25 @@
         elif report.finding == Finding.PAUSED:
             self._record_longest_gap(report)
         elif report.finding == Finding.FULL:
-            self._full_until_s[report.key] = self._clock() + FULL_S
+            self._full_until_s[report.key] = self._clock() + self._find_full_s(report)
         else:
             self._record_health(report)
+        backend = self._catalog.backends.get(report.backend)
+        plain = self.find_engine(report.service) is None
+        if report.finding == Finding.ANSWERED and plain and backend is not None:
+            far = self._find_region(backend.domain) != self._region
+            statistics = self.find_statistics(report.service)
+            statistics.call_s = update_call_s(statistics.call_s, report.took_s, far)
         self.record_change()
 
+    def _find_full_s(self, report: Report) -> float:
+        """Return for how long a backend server that refused a call is avoided, in seconds."""
+        backend = self._catalog.backends.get(report.backend)
+        if backend is None or self.find_engine(report.service) is not None:
+            return FULL_S
+        call_s = self.find_statistics(report.service).call_s
+        return min(FULL_S, find_full_s(call_s, backend.slots))
+
     def _record_longest_gap(self, report: Report) -> None:
         engine = self.find_engine(report.service)
         if engine is None:
--- a/balsamtally/selection.py
+++ b/balsamtally/selection.py
@@ -52,6 +52,10 @@
     :ivar close: running streams with a tight inter-event latency bound
     :ivar region: its region
     :ivar cold: whether it is cold and therefore slow
+    :ivar told: calls among the running ones that are known from announcements only and may have
+        changed since; counted for plain services
+    :ivar far: calls among the running ones that come from another region, of which some are still
+        on their way; counted for plain services
     """
 
     backend: Backend
@@ -68,6 +72,8 @@
     close: int = 0
     region: str = ""
     cold: bool = False
+    told: int = 0
+    far: int = 0
 
 
 def count_prefill_tokens(candidate: Candidate) -> int:
--- a/tests/balsamtally/balancing_world.py
+++ b/tests/balsamtally/balancing_world.py
@@ -90,6 +90,8 @@
     def __init__(self, region, backends, random, coordinates):
         self.region = region
         self.world = World(engine=None, region=region)
+        self.world.dispatch._draw = random.random
+        self.world.dispatch.runners._coordinates = lambda service: coordinates
         self.world.catalog.backends.update(backends)
         self.coordinates = coordinates
         self.period_s = random.uniform(*ANNOUNCEMENT_INTERVALS_S)
@@ -161,12 +163,14 @@
     def _tell(self, now, decider):
         """Bring a decider the work of others as of its last announcement."""
         known_s = decider.find_known_s(now)
-        running: dict[str, int] = {}
+        sums: tuple[dict[str, int], dict[str, int]] = ({}, {})
         for placed_s, end_s, server, other in self.placed:
             if other is not decider and placed_s <= known_s and (end_s is None or end_s > known_s):
+                running = sums[other.region == decider.region]
                 running[server] = running.get(server, 0) + 1
-        loads = {name: Load(count) for name, count in running.items()}
-        decider.world.backlogs.record_region_loads("others", loads)
+        remote, local = ({name: Load(count) for name, count in each.items()} for each in sums)
+        decider.world.backlogs.record_region_loads("other regions", remote)
+        decider.world.backlogs.record_peer_loads("peers", local)
 
     def _place(self, now, decider, arrived_s, avoid):
         world = decider.world
@@ -212,6 +216,11 @@
         decider.world.now = 100.0 + now
         entry[1] = now
         work.record_answer_start()
+        backend = self.backends[entry[2]]
+        trip_s = REGION_ONE_WAY_S if backend.domain != decider.region else LOCAL_ONE_WAY_S
+        took_s = self.scenario.call_s + 2 * trip_s
+        report = Report(Finding.ANSWERED, "desk", backend.name, backend.born, took_s)
+        decider.world.dispatch.runners.handle_report(report)
         work.cancel()
 
     def _refuse(self, now, decider, arrived_s, avoid, work, entry):
