--- a/balsamtally/backlogs.py
+++ b/balsamtally/backlogs.py
@@ -278,7 +278,9 @@
             *(
                 counter.running if counter is not None else 0
                 for counter in (
-                    self._own.get(backend), self._local.find(backend), self._remote.find(backend)
+                    self._own.get(backend),
+                    self._local.find(backend),
+                    self._remote.find(backend),
                 )
             )
         )
--- a/balsamtally/balancing.py
+++ b/balsamtally/balancing.py
@@ -115,9 +115,7 @@
         filled_busy += taken
         filled_slots += size
         level = (filled_busy + calls) / filled_slots
-    return [
-        max(0.0, level * size - taken) / calls for taken, size in zip(busy, slots, strict=True)
-    ]
+    return [max(0.0, level * size - taken) / calls for taken, size in zip(busy, slots, strict=True)]
 
 
 def count_slots(candidate: Candidate) -> float:
@@ -134,7 +132,7 @@
     :param candidate: the server
     :param times: times of the service's calls
     """
-    return estimate_busy(candidate, times) <= max(1, candidate.backend.slots) - 1
+    return estimate_busy(candidate, times) < max(1, candidate.backend.slots)
 
 
 def find_preferred(
@@ -150,7 +148,9 @@
     idle = [msgspec.structs.replace(candidate, running=0) for candidate in candidates]
     costs = [compute_cost(candidate, target_s, size_bytes) for candidate in idle]
     warm = [not candidate.cold for candidate in candidates]
-    ranked = sorted(zip(candidates, costs, warm, strict=True), key=lambda each: (not each[2], each[1]))
+    ranked = sorted(
+        zip(candidates, costs, warm, strict=True), key=lambda each: (not each[2], each[1])
+    )
     _, least, first_warm = ranked[0]
     cheapest = [
         candidate
@@ -165,6 +165,14 @@
     return [each for each in others if has_free_slot(each, times)] or others or list(candidates)
 
 
+def measure_imbalance(running: Sequence[int]) -> float:
+    """Return the calls of the busiest server over the mean of all, 1 if there are no calls.
+
+    :param running: calls that run on each server
+    """
+    return max(running) * len(running) / sum(running) if any(running) else 1.0
+
+
 def choose_evenly(
     candidates: Sequence[Candidate], target_s: float, size_bytes: int, times: CallTimes, draw: float
 ) -> Candidate | None:
--- a/balsamtally/call_metrics.py
+++ b/balsamtally/call_metrics.py
@@ -21,6 +21,7 @@
     :ivar waiting: calls that wait for a backend server, by service
     :ivar running: calls of all entry VMs at each backend server
     :ivar reading_tokens: prompt tokens not yet processed at each backend server
+    :ivar imbalances: calls of the busiest backend server over the mean, by plain service
     :ivar retries_left: retries that the retry budget permits now, by service
     :ivar in_flight: unfinished calls of this entry VM's callers
     :ivar callers: open connections from callers
@@ -41,6 +42,7 @@
     waiting: Mapping[str, int] = field(default_factory=dict)
     running: Mapping[str, int] = field(default_factory=dict)
     reading_tokens: Mapping[str, int] = field(default_factory=dict)
+    imbalances: Mapping[str, float] = field(default_factory=dict)
     retries_left: Mapping[str, int] = field(default_factory=dict)
     in_flight: int = 0
     callers: int = 0
@@ -97,6 +99,9 @@
         self._waiting = self._gauge("calls_waiting", "Calls that wait for a backend server")
         self._running = self._gauge("backend_running", "Calls at each backend server")
         self._reading = self._gauge("backend_reading_tokens", "Prompt tokens before each runner")
+        self._imbalance = self._gauge(
+            "service_imbalance", "Calls of the busiest backend server over the mean, by service"
+        )
         self._retries = self._gauge("retries_left", "Retries that may be made now, by service")
         self._unlabelled = {
             "in_flight": self._gauge("calls_in_flight", "Calls held by this entry VM"),
@@ -192,6 +197,7 @@
         set_by_label(self._waiting, "service", gauges.waiting)
         set_by_label(self._running, "backend", gauges.running)
         set_by_label(self._reading, "backend", gauges.reading_tokens)
+        set_by_label(self._imbalance, "service", gauges.imbalances)
         set_by_label(self._retries, "service", gauges.retries_left)
         for name, gauge in self._unlabelled.items():
             gauge.set({}, getattr(gauges, name))
--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -393,7 +393,7 @@
     def _choose_among(self, demand: Demand, candidates: list[Candidate]) -> Candidate | None:
         left_s = demand.arrived_s + demand.target_s - self._clock()
         service = demand.service
-        if self.runners.find_engine(service) is None and self._backlogs.count_reporting_peers():
+        if self.runners.spreads_evenly(service):
             times = self.runners.find_call_times(service)
             return choose_evenly(candidates, left_s, demand.size_bytes, times, self._draw())
         return choose(candidates, left_s, demand.size_bytes, demand.session)
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -136,6 +136,7 @@
             forward_report=self._forward_report,
             on_work_change=self._announce_work,
             permits=self._permits,
+            coordinates=lambda service: self.peers.coordinates(service),
         )
         self.peers = Peers(
             make_initial_beat(settings, incarnation),
@@ -405,6 +406,7 @@
             waiting=self._dispatch.count_waiting(),
             running={name: load.running for name, load in loads.items()},
             reading_tokens={name: load.reading_tokens for name, load in loads.items()},
+            imbalances=self._dispatch.runners.measure_imbalances(),
             retries_left={name: int(self._budget.count_left(name)) for name in services},
             in_flight=self._in_flight,
             callers=len(self._callers.callers),
--- a/balsamtally/peers.py
+++ b/balsamtally/peers.py
@@ -265,7 +265,11 @@
         era, revision = self._catalog.records.position
         return msgspec.structs.replace(self.own, era=era, revision=revision, leaving=self.leaving)
 
-    def _coordinates(self, service: str) -> bool:
+    def coordinates(self, service: str) -> bool:
+        """Return whether this entry VM places the local region's calls of a service.
+
+        :param service: name of the service
+        """
         return self.was_asked_recently(service) or self.find_coordinator(service) is None
 
     def _list_services(self) -> list[str]:
@@ -274,7 +278,7 @@
 
     def _make_region_loads(self) -> dict[str, Load] | None:
         """Return the region's load by backend server, for services that this VM coordinates."""
-        own = {service for service in self._list_services() if self._coordinates(service)}
+        own = {service for service in self._list_services() if self.coordinates(service)}
         if not own:
             return None
         queued = {
--- a/balsamtally/runners.py
+++ b/balsamtally/runners.py
@@ -2,14 +2,15 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
-from balsamtally.backlogs import Backlogs, Load, Sources
+from balsamtally.backlogs import Backlogs, Load
 from balsamtally.balancing import (
     INITIAL_CALL_S,
     CallTimes,
     find_full_s,
     make_call_times,
+    measure_imbalance,
     update_call_s,
 )
 from balsamtally.calls import Backend, Engine
@@ -54,7 +55,8 @@
     :ivar load: its work
     :ivar slow_factor: observed slowdown relative to the expected speed, 1 or more
     :ivar cache: estimate of the prompt parts that it holds
-    :ivar sources: who sent the calls that run on it; not counted for model runners
+    :ivar told: calls on it that are known from announcements only, 0 for a model runner
+    :ivar far: calls on it that come from another region, 0 for a model runner
     """
 
     backend: Backend
@@ -64,7 +66,8 @@
     load: Load
     slow_factor: float
     cache: PrefixCache
-    sources: Sources = Sources()
+    told: int = 0
+    far: int = 0
 
 
 @dataclass(frozen=True)
@@ -154,6 +157,15 @@
         """
         return self._statistics.setdefault(service, ServiceStatistics())
 
+    def spreads_evenly(self, service: str) -> bool:
+        """Return whether calls of a service are spread over its servers by their free slots.
+
+        Model runners are chosen by their caches, and a VM that hears of no other chooses by cost.
+
+        :param service: name of the service
+        """
+        return self.find_engine(service) is None and self._backlogs.count_reporting_peers() > 0
+
     def find_call_times(self, service: str) -> CallTimes:
         """Return what the estimates of a plain service's load depend on.
 
@@ -237,6 +249,17 @@
         """
         return [runner.backend.name for runner in self._list_runners(service) if runner.at_home]
 
+    def measure_imbalances(self) -> dict[str, float]:
+        """Return the calls of the busiest server over the mean, by plain service."""
+        contracts = self._catalog.contracts
+        if contracts is None:
+            return {}
+        plain = [name for name in contracts.services if self.find_engine(name) is None]
+        running = {
+            name: [runner.load.running for runner in self._list_runners(name)] for name in plain
+        }
+        return {name: measure_imbalance(counts) for name, counts in running.items()}
+
     def _make_candidates(self, demand: Demand, runners: list[Runner]) -> list[Candidate]:
         held = [runner.cache.count_cached_tokens(demand.parts) for runner in runners]
         most_held = max(held, default=0)
@@ -252,12 +275,26 @@
         if held and now - held.at_s < SNAPSHOT_TTL_S and held.changes == self._changes:
             return held.runners
         servers = self._catalog.list_open(service)
-        plain = self.find_engine(service) is None
-        runners = [self._observe_runner(service, each, plain) for each in servers]
+        if self.spreads_evenly(service):
+            # The coordinator itself placed the calls that its region's peers announce.
+            is_local_told = not self._coordinates(service)
+            runners = [self._observe_server(service, each, is_local_told) for each in servers]
+        else:
+            runners = [self._observe_runner(service, each) for each in servers]
         self._snapshots[service] = Snapshot(runners, now, self._changes)
         return runners
 
-    def _observe_runner(self, service: str, backend: Backend, plain: bool) -> Runner:
+    def _observe_server(self, service: str, backend: Backend, is_local_told: bool) -> Runner:
+        """Return the state of a plain service's server, with the origin of its calls."""
+        runner = self._observe_runner(service, backend)
+        sources = self._backlogs.count_sources(backend.name)
+        return replace(
+            runner,
+            told=sources.remote + (sources.local if is_local_told else 0),
+            far=sources.remote if runner.at_home else sources.own + sources.local,
+        )
+
+    def _observe_runner(self, service: str, backend: Backend) -> Runner:
         load = self._backlogs.find(backend.name)
         region = self._find_region(backend.domain)
         return Runner(
@@ -268,7 +305,6 @@
             load=load,
             slow_factor=self._paces.find(backend.key),
             cache=self.find_cache(service, backend.key),
-            sources=self._backlogs.count_sources(backend.name) if plain else Sources(),
         )
 
     def _is_usable(self, backend: Backend, running: int) -> bool:
@@ -283,9 +319,7 @@
     def _make_candidate(
         self, demand: Demand, runner: Runner, held_tokens: int, most_held_tokens: int
     ) -> Candidate:
-        load, sources = runner.load, runner.sources
-        # The coordinator itself placed the calls that its region's peers announce.
-        is_told = sources.local and not self._coordinates(demand.service)
+        load = runner.load
         return Candidate(
             backend=runner.backend,
             at_home=runner.at_home,
@@ -299,8 +333,8 @@
             slow_factor=runner.slow_factor,
             close=load.close,
             region=runner.region,
-            told=sources.remote + (sources.local if is_told else 0),
-            far=sources.remote if runner.at_home else sources.own + sources.local,
+            told=runner.told,
+            far=runner.far,
         )
 
     def _apply_dedication(self, demand: Demand, candidates: list[Candidate]) -> list[Candidate]:
@@ -365,7 +399,7 @@
     def _find_full_s(self, report: Report) -> float:
         """Return for how long a backend server that refused a call is avoided, in seconds."""
         backend = self._catalog.backends.get(report.backend)
-        if backend is None or self.find_engine(report.service) is not None:
+        if backend is None or not self.spreads_evenly(report.service):
             return FULL_S
         call_s = self.find_statistics(report.service).call_s
         return min(FULL_S, find_full_s(call_s, backend.slots))
--- a/tests/balsamtally/test_call_metrics.py
+++ b/tests/balsamtally/test_call_metrics.py
@@ -4,7 +4,11 @@
 
 
 def test_rendered_metrics_have_counts_and_current_values():
-    gauges = [CallGauges(running={"a": 3, "b": 1}, waiting={"model": 2}, version=7)]
+    gauges = [
+        CallGauges(
+            running={"a": 3, "b": 1}, waiting={"model": 2}, version=7, imbalances={"ledger": 1.5}
+        )
+    ]
     metrics = CallMetrics(lambda: gauges[0])
     metrics.count_call("draft", "rental", 200, 0, True)
     metrics.count_call("draft", "rental", 503, 2004, False)
@@ -17,6 +21,7 @@
     assert 'balsamtally_calls_total{code="2004",route="draft",status="503"} 1' in text
     assert 'balsamtally_calls_on_time_total{route="draft"} 1' in text
     assert 'balsamtally_backend_running{backend="a"} 3' in text
+    assert 'balsamtally_service_imbalance{service="ledger"} 1.5' in text
     assert 'balsamtally_first_event_lag_seconds_sum{route="draft"} 0.9' in text
     assert 'balsamtally_first_event_lag_seconds_count{route="draft"} 2' in text
     assert "balsamtally_contracts_version 7" in text
