--- a/balsamtally/runners.py
+++ b/balsamtally/runners.py
@@ -2,9 +2,17 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from balsamtally.backlogs import Backlogs, Load
+from balsamtally.balancing import (
+    INITIAL_CALL_S,
+    CallTimes,
+    find_full_s,
+    make_call_times,
+    measure_imbalance,
+    update_call_s,
+)
 from balsamtally.calls import Backend, Engine
 from balsamtally.catalog import Catalog
 from balsamtally.dedicated_runners import (
@@ -49,6 +57,8 @@
     :ivar load: its work
     :ivar slow_factor: observed slowdown relative to the expected speed, 1 or more
     :ivar cache: estimate of the prompt parts that it holds
+    :ivar told: calls on it that are known from announcements only, 0 for a model runner
+    :ivar far: calls on it that come from another region, 0 for a model runner
     """
 
     backend: Backend
@@ -58,6 +68,8 @@
     load: Load
     slow_factor: float
     cache: PrefixCache
+    told: int = 0
+    far: int = 0
 
 
 @dataclass(frozen=True)
@@ -80,10 +92,12 @@
 
     :ivar speed: estimated speed of its engines
     :ivar streams: statistics of its streams with a tight inter-event latency bound
+    :ivar call_s: moving average of the time per call, in seconds; of plain services
     """
 
     speed: EngineSpeed = field(default_factory=EngineSpeed)
     streams: StreamStatistics = field(default_factory=StreamStatistics)
+    call_s: float = INITIAL_CALL_S
 
 
 class Runners:
@@ -95,6 +109,7 @@
     :param region: the local region
     :param permits: permits for backend servers that limit the rate of requests
     :param clock: monotonic clock in seconds
+    :param coordinates: returns whether this entry VM places the local region's calls of a service
     """
 
     def __init__(
@@ -105,6 +120,7 @@
         region: str,
         permits: Permits,
         clock: Callable[[], float] = time.monotonic,
+        coordinates: Callable[[str], bool] = lambda service: True,
     ):
         self._catalog = catalog
         self._backlogs = backlogs
@@ -113,6 +129,7 @@
         self._permits = permits
         self._clock = clock
         self._paces = Paces(clock, lambda key, within_s: self._permits.was_cold(key, within_s))
+        self._coordinates = coordinates
         self._health: dict[tuple[str, int], RunnerHealth] = {}
         self._caches: dict[tuple[str, int], PrefixCache] = {}
         self._full_until_s: dict[tuple[str, int], float] = {}
@@ -142,6 +159,22 @@
         """
         return self._statistics.setdefault(service, ServiceStatistics())
 
+    def spreads_evenly(self, service: str) -> bool:
+        """Return whether calls of a service are spread over its servers by their free slots.
+
+        Model runners are chosen by their caches, and a VM that hears of no other chooses by cost.
+
+        :param service: name of the service
+        """
+        return self.find_engine(service) is None and self._backlogs.count_reporting_peers() > 0
+
+    def find_call_times(self, service: str) -> CallTimes:
+        """Return what the estimates of a plain service's load depend on.
+
+        :param service: name of the service
+        """
+        return make_call_times(self.find_statistics(service).call_s, self._coordinates(service))
+
     def find_cache(self, service: str, key: tuple[str, int]) -> PrefixCache:
         """Return the estimate of the prompt parts that a runner holds in its cache.
 
@@ -223,6 +256,17 @@
         """
         return [runner.backend.name for runner in self._list_runners(service) if runner.at_home]
 
+    def measure_imbalances(self) -> dict[str, float]:
+        """Return the calls of the busiest server over the mean, by plain service."""
+        contracts = self._catalog.contracts
+        if contracts is None:
+            return {}
+        plain = [name for name in contracts.services if self.find_engine(name) is None]
+        running = {
+            name: [runner.load.running for runner in self._list_runners(name)] for name in plain
+        }
+        return {name: measure_imbalance(counts) for name, counts in running.items()}
+
     def _make_candidates(self, demand: Demand, runners: list[Runner]) -> list[Candidate]:
         held = [runner.cache.count_cached_tokens(demand.parts) for runner in runners]
         most_held = max(held, default=0)
@@ -237,10 +281,26 @@
         held = self._snapshots.get(service)
         if held and now - held.at_s < SNAPSHOT_TTL_S and held.changes == self._changes:
             return held.runners
-        runners = [self._observe_runner(service, each) for each in self._catalog.list_open(service)]
+        servers = self._catalog.list_open(service)
+        if self.spreads_evenly(service):
+            # The coordinator itself placed the calls that its region's peers announce.
+            is_local_told = not self._coordinates(service)
+            runners = [self._observe_server(service, each, is_local_told) for each in servers]
+        else:
+            runners = [self._observe_runner(service, each) for each in servers]
         self._snapshots[service] = Snapshot(runners, now, self._changes)
         return runners
 
+    def _observe_server(self, service: str, backend: Backend, is_local_told: bool) -> Runner:
+        """Return the state of a plain service's server, with the origin of its calls."""
+        runner = self._observe_runner(service, backend)
+        sources = self._backlogs.count_sources(backend.name)
+        return replace(
+            runner,
+            told=sources.remote + (sources.local if is_local_told else 0),
+            far=sources.remote if runner.at_home else sources.own + sources.local,
+        )
+
     def _observe_runner(self, service: str, backend: Backend) -> Runner:
         load = self._backlogs.find(backend.name)
         region = self._find_region(backend.domain)
@@ -285,6 +345,8 @@
             close=load.close,
             region=runner.region,
             cold=self._permits.has_limits and self._permits.is_cold(runner.backend.key),
+            told=runner.told,
+            far=runner.far,
         )
 
     def _apply_dedication(self, demand: Demand, candidates: list[Candidate]) -> list[Candidate]:
@@ -366,11 +428,25 @@
         elif report.finding == Finding.PAUSED:
             self._record_longest_gap(report)
         elif report.finding == Finding.FULL:
-            self._full_until_s[report.key] = self._clock() + FULL_S
+            self._full_until_s[report.key] = self._clock() + self._find_full_s(report)
         else:
             self._record_health(report)
+        backend = self._catalog.backends.get(report.backend)
+        plain = self.find_engine(report.service) is None
+        if report.finding == Finding.ANSWERED and plain and backend is not None:
+            far = self._find_region(backend.domain) != self._region
+            statistics = self.find_statistics(report.service)
+            statistics.call_s = update_call_s(statistics.call_s, report.took_s, far)
         self.record_change()
 
+    def _find_full_s(self, report: Report) -> float:
+        """Return for how long a backend server that refused a call is avoided, in seconds."""
+        backend = self._catalog.backends.get(report.backend)
+        if backend is None or not self.spreads_evenly(report.service):
+            return FULL_S
+        call_s = self.find_statistics(report.service).call_s
+        return min(FULL_S, find_full_s(call_s, backend.slots))
+
     def _record_longest_gap(self, report: Report) -> None:
         engine = self.find_engine(report.service)
         if engine is None or self._permits.was_cold(report.key, report.took_s):
