--- a/standins/grid.py
+++ b/standins/grid.py
@@ -30,6 +30,7 @@
 from standins.store import Store
 
 ROOT = Path(__file__).parents[1]
+COLD_BOUNDS = {"cold_overage": 1.5, "cold_slack": 5}
 DOMAINS = {"rocha-a": "uy-east", "mvd-a": "uy-south", "poa-a": "br-south"}
 SERVER_PORT = 8000
 STORE_PORT = 8100
@@ -142,6 +143,7 @@
     :ivar crashes: times of these crashes
     :ivar endless: part of an answer that is sent without end, one of ``ENDLESS``, empty for none
     :ivar slots: number of slots in the registration
+    :ivar cold_s: time for which the registration says that the server stays cold, in seconds
     """
 
     def __init__(self, store: Store, name: str, service: str, domain: str, attempts: Counter[str]):
@@ -158,6 +160,7 @@
         self.crashes: list[float] = []
         self.endless = ""
         self.slots = 8
+        self.cold_s = 0.0
         self._store = store
         self._domain = domain
         self._attempts = attempts
@@ -195,6 +198,7 @@
             "state": state,
             "born": self._born,
             "seq": next(self._numbers),
+            "cold_remaining_ms": 1000 * self.cold_s,
         }
 
     def crash(self) -> None:
@@ -335,7 +339,7 @@
             },
             "internal_port_range": [PEER_PORT, PEER_PORT + 5],
             "seeds": [f"{seed}:{CONTROL_PORT}" for seed in seeds],
-            "bounds": BOUNDS,
+            "bounds": BOUNDS | COLD_BOUNDS,
             "limits": {"memory_mb": MEMORY_MB},
             "platform": {"address": store},
         }
