--- a/balsamtally/permits.py
+++ b/balsamtally/permits.py
@@ -238,8 +238,11 @@
         """
         rate_per_s = 0.0
         for backend in backends:
-            own = self._look_up_decider(backend) is None
-            rate_per_s += self._find_own_rate(backend) * (1.0 if own else FOREIGN_RATE_SHARE)
+            if self._look_up_decider(backend) is None:
+                rate_per_s += self._find_own_rate(backend)
+            else:
+                # The decider may use a cold server although this entry VM may not.
+                rate_per_s += self._find_rate(backend, 1.0) * FOREIGN_RATE_SHARE
         return rate_per_s
 
     def estimate_wait_s(self, backends: Collection[Backend], before: int) -> float:
@@ -319,15 +322,22 @@
         return bucket
 
     def _find_own_rate(self, backend: Backend) -> float:
-        """Return the rate at which this entry VM may send as the decider, in requests per second.
+        """Return the requests per second that this entry VM may send or grant as the decider."""
+        return self._find_rate(backend, None)
 
-        It is the lower one of the limits that the server named and has while it is cold.
+    def _find_rate(self, backend: Backend, cold_share: float | None) -> float:
+        """Return the lower one of the rates by the limits that a server named and has while cold.
+
+        :param backend: the incarnation
+        :param cold_share: part of its limit as a cold server, ``None`` for that of this entry VM
         """
         named = self._limits.find_named(backend.key)
         cold = self._limits.find_cold(backend.key)
         rates = [self._find_named_rate(named)] if named is not None or cold is None else []
         if cold is not None:
-            rates.append(cold * self._look_up_cold_share(backend.domain))
+            if cold_share is None:
+                cold_share = self._look_up_cold_share(backend.domain)
+            rates.append(cold * cold_share)
         return min(rates)
 
     def _look_up_cold_share(self, domain: str) -> float:
--- a/tests/balsamtally/test_permits.py
+++ b/tests/balsamtally/test_permits.py
@@ -1,6 +1,7 @@
 """Permits for limited backend servers: rates over many VMs, with cuts, freezes and returns."""
 
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -8,6 +9,7 @@
 from balsamtally.coordination import rank_coordinators
 from balsamtally.permits import (
     ASK_INTERVAL_S,
+    COLD_PERMIT_TTL_S,
     MIN_RATE_PER_S,
     PERMIT_TTL_S,
     PermitAsk,
@@ -280,3 +282,52 @@
     assert [schedule.reserve("q", 1.0, 2.0) for _ in range(3)] == [1.0, 1.5, 2.0]
     assert schedule.reserve("other", 1.0, 2.0) == 1.0
     assert max(schedule.reserve("q", 1.0, 2.0) for _ in range(100)) == MAX_RETURN_S
+
+
+def test_calls_count_on_a_cold_server_that_another_vm_decides_on():
+    """Guards against a refusal at once in a region that doesn't decide on the cold server."""
+    now = 100.0
+    limits = ServerLimits(lambda key: True, lambda: now, lambda service: 5.0)
+    limits.record_cold(make_backend("two", cold_s=3.0))
+    cold = replace(SERVER, cold_s=3.0)
+    limits.record_cold(cold)
+    decider = make_beat("other")
+    permits = Permits(
+        limits, lambda backend: decider, clock=lambda: now, find_cold_share=lambda domain: 0.0
+    )
+    assert permits.find_rate([cold]) == 2.5
+    assert permits.estimate_wait_s([cold], 2) == 0.8
+    assert permits.estimate_wait_s([cold], 100) == 3.0
+    decider, now = None, now + 1.0
+    assert permits.find_rate([cold]) == 0.0
+    assert permits.estimate_wait_s([cold], 1) == 2.0
+
+
+def test_vm_that_may_spend_nothing_more_keeps_no_token():
+    """Guards against a burst of the last tokens of many VMs that are cut off at once."""
+    now, share = 100.0, 1.0
+    limits = ServerLimits(lambda key: True, lambda: now, lambda service: 5.0)
+    limits.record_cold(replace(SERVER, cold_s=30.0))
+    permits = Permits(limits, clock=lambda: now, find_cold_share=lambda domain: share)
+    permits.serve_asks([SERVER])
+    now += 1.0
+    assert permits.is_sendable(SERVER)
+    now, share = now + 1.0, 0.0
+    assert not permits.is_sendable(SERVER)
+
+
+def test_permit_for_a_cold_server_lapses_soon():
+    """Guards against permits of several seconds that are all used within one."""
+    now = 100.0
+    sent = []
+    limits = ServerLimits(lambda key: True, lambda: now, lambda service: 5.0)
+    limits.record_cold(replace(SERVER, cold_s=30.0))
+    permits = Permits(
+        limits, lambda backend: make_beat("other"), send=lambda ask, ip: sent.append(ask),
+        clock=lambda: now,
+    )  # fmt: skip
+    permits.request([SERVER], 1)
+    permits.handle_grant(PermitGrant(sent[0].number, 1), "x")
+    assert permits.is_sendable(SERVER)
+    now += COLD_PERMIT_TTL_S
+    assert not permits.is_sendable(SERVER)
