--- a/balsamtally/request_history.py
+++ b/balsamtally/request_history.py
@@ -16,6 +16,7 @@
     ("backend_added", "backend_leaving", "backend_removed", "backend_lapsed", "backend_ejected")
     + ("backend_kept", "contracts_in_force", "platform_lost", "platform_back", "lines_dropped")
     + ("backend_crashed", "part_quarantined", "part_released", "late_answer")
+    + ("backend_silent_streams", "runners_dedicated")
     + ("started", "leaving", "stopped", "settings_changed", "peer_silent")
 )
 
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -50,6 +50,7 @@
 SERVICES = "tests/balsamtally/test_services.py"
 RETRIES = "tests/balsamtally/test_retries.py"
 BODIES = "tests/balsamtally/test_bodies.py"
+STALLS = "tests/balsamtally/test_stalls.py"
 STREAMS = "tests/balsamtally/test_streams.py"
 LINKS = "tests/balsamtally/test_links.py"
 CONFIGURATION = "tests/balsamtally/test_configuration.py"
@@ -496,7 +497,55 @@
         "",
         DEDICATED_RUNNERS,
     ),
-    Mutation("dedicated_runners", "if runners < MIN_RUNNERS:", "if False:", DEDICATED_RUNNERS),
+    Mutation(
+        "dedicated_runners",
+        "if runners < MIN_RUNNERS or not streams:",
+        "if not streams:",
+        DEDICATED_RUNNERS,
+    ),
+    Mutation(
+        "dedicated_runners",
+        "return 0 < event_s * speed.tokens_per_s <= reading_tokens",
+        "return True",
+        DISPATCH,
+    ),
+    Mutation(
+        "dedicated_runners", "EVENT_TIME_SHARE if speed.has_learnt_beside else N", "N", DISPATCH
+    ),
+    Mutation("runners", "streams.is_observed(self._clock())", "False", DISPATCH),
+    Mutation("runners", "and now >= health.ejected_until", "", DISPATCH),
+    Mutation("stalls", "        if paused:", "        if False:", STALLS),
+    Mutation(
+        "stalls", "if not silent or not self._is_network_up(len(silent), now):", "if False:", STALLS
+    ),
+    Mutation("stalls", "enough = silent >= MIN_SILENT_STREAMS and", "enough =", STALLS),
+    Mutation("stalls", "and 2 * silent >= opened", "", STALLS),
+    Mutation(
+        "stalls", "any(each.open and each.heard_s < limit_s for each in told)", "False", STALLS
+    ),
+    Mutation(
+        "stalls", "SILENCE_FACTOR * max(bound_s, recent_s)", "SILENCE_FACTOR * bound_s", STALLS
+    ),
+    Mutation("stalls", "bound_s = 0.0 if self.is_told(now_s) else min", "bound_s = min", STALLS),
+    Mutation(
+        "stalls",
+        "self._activity.verdict_s >= self._begun_s",
+        "self._activity.verdict_s > 0",
+        STALLS,
+    ),
+    Mutation("stalls", "if self._event_s > self._activity.resumed_s:", "if self._event_s:", STALLS),
+    Mutation(
+        "forwarding",
+        "isinstance(failure, BackendSilent) and progress.former_may_run",
+        "False",
+        FORWARDING,
+    ),
+    Mutation(
+        "backends",
+        "            if not has_input(self._sock):\n                self.check()",
+        "            pass",
+        FORWARDING,
+    ),
     Mutation("held_bytes", "if self.has_room(size):", "if True:", HELD_BYTES),
     Mutation("held_bytes", "not is_largest and ", "", HELD_BYTES),
     Mutation("held_bytes", "if self._by_backend.total() + size", "if size", HELD_BYTES),
--- a/tests/balsamtally/test_dispatch.py
+++ b/tests/balsamtally/test_dispatch.py
@@ -625,10 +625,11 @@
 def test_silent_runner_is_ejected_once_for_all_its_streams(world):
     """Each of the streams that end with a verdict reports it."""
     silent = world.add("a")
-    world.add("b")
+    for name in "bcdefg":
+        world.add(name)
     for number in range(8):
         world.dispatch.record_outcome(silent, world.plan(number), BackendSilent(), 1.5)
-    assert world.choose(world.plan(90)).backend.name == "b"
+    assert world.choose(world.plan(90)).backend != silent
     world.now += EJECT_S + 0.1
     health = world.dispatch.runners._health[silent.key]
     assert health.ejections == 1 and health.limit_slots(64, world.now) == 1
--- a/tests/balsamtally/test_stalls.py
+++ b/tests/balsamtally/test_stalls.py
@@ -180,6 +180,30 @@
     assert world.find_ended([*silent, *others]) == silent
 
 
+def test_silent_streams_that_are_fewer_than_half_of_the_open_ones_are_no_verdict():
+    """Streams with a loose bound may still wait for the next event of a runner under load."""
+    world = StreamWorld(vms=3)
+    for vm, gap_s in ((0, LIVE_GAP_S), (1, LIVE_GAP_S), *[(2, LONG_GAP_S)] * 3):
+        world.open(0, gap_s, vm)
+    others = [world.open(1, vm=vm) for vm in range(3)]
+    world.run(SILENCE_FACTOR * LONG_GAP_S - 3 * STEP_S, *others)
+    assert not world.verdicts
+    world.run(2 * SETTLE_S + 4 * STEP_S, *others)
+    assert {vm for vm, _ in world.verdicts} == {0, 1, 2}
+
+
+def test_pause_of_this_process_is_no_gap_of_a_runner():
+    """The silence that counts would be three times the pause for some time after it."""
+    world = StreamWorld()
+    streams, other = [world.open(0) for _ in range(3)], world.open(1)
+    world.run(1.0, *streams, other)
+    world.now += 3.0
+    world.step()
+    world.run(1.0, *streams, other)
+    world.run(MIN_SILENCE_S + SETTLE_S + 2 * STEP_S, other)
+    assert len(world.verdicts) == 1
+
+
 def test_event_at_another_vm_prevents_the_verdict():
     world = StreamWorld(vms=3)
     silent = [world.open(0, vm=vm) for vm in (0, 0, 1)]
