--- a/tests/balsamtally/test_stalls.py
+++ b/tests/balsamtally/test_stalls.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+from random import Random
 
 import pytest
 
@@ -51,8 +52,10 @@
                     watch.record_event(self.now)
             self.step()
 
-    def step(self):
+    def step(self, running=None):
         for number, vm in enumerate(self.vms):
+            if running is not None and number not in running:
+                continue
             found = vm.decide()
             self.verdicts += [(number, verdict) for verdict in found]
             if not self.lost:
@@ -177,6 +180,30 @@
     assert world.find_ended([*silent, *others]) == silent
 
 
+def test_silent_streams_that_are_fewer_than_half_of_the_open_ones_are_no_verdict():
+    """Streams with a loose bound may still wait for the next event of a runner under load."""
+    world = StreamWorld(vms=3)
+    for vm, gap_s in ((0, LIVE_GAP_S), (1, LIVE_GAP_S), *[(2, LONG_GAP_S)] * 3):
+        world.open(0, gap_s, vm)
+    others = [world.open(1, vm=vm) for vm in range(3)]
+    world.run(SILENCE_FACTOR * LONG_GAP_S - 3 * STEP_S, *others)
+    assert not world.verdicts
+    world.run(2 * SETTLE_S + 4 * STEP_S, *others)
+    assert {vm for vm, _ in world.verdicts} == {0, 1, 2}
+
+
+def test_pause_of_this_process_is_no_gap_of_a_runner():
+    """The silence that counts would be three times the pause for some time after it."""
+    world = StreamWorld()
+    streams, other = [world.open(0) for _ in range(3)], world.open(1)
+    world.run(1.0, *streams, other)
+    world.now += 3.0
+    world.step()
+    world.run(1.0, *streams, other)
+    world.run(MIN_SILENCE_S + SETTLE_S + 2 * STEP_S, other)
+    assert len(world.verdicts) == 1
+
+
 def test_event_at_another_vm_prevents_the_verdict():
     world = StreamWorld(vms=3)
     silent = [world.open(0, vm=vm) for vm in (0, 0, 1)]
@@ -202,3 +229,40 @@
     world.stack.close()
     stalls.forget_removed(())
     assert not stalls._runners
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_only_the_runners_that_went_silent_get_verdicts(seed):
+    """A healthy runner that got one would be ejected at peak load.
+
+    VMs come and go with streams at runners whose events are up to twice their bound apart; some VMs
+    pause, and notices are lost. Run by hand with 50 and more seeds.
+    """
+    random = Random(seed)
+    world = StreamWorld(vms=6, runners=8)
+    streams = []
+    dark_from_s = {runner: 103.0 + random.random() for runner in random.sample(range(8), 2)}
+    paused_until_s = dict.fromkeys(range(6), 0.0)
+    for _ in range(160):
+        world.now += STEP_S
+        world.lost = random.random() < 0.2
+        for vm in range(6):
+            if random.random() < 0.004:
+                paused_until_s[vm] = world.now + random.uniform(0.5, 3.0)
+        while len(streams) < 40:
+            runner, vm = random.randrange(8), random.randrange(6)
+            if world.now < dark_from_s.get(runner, 1e9):
+                gap_s = random.choice((LIVE_GAP_S, 0.4, LONG_GAP_S))
+                watch = world.open(runner, gap_s, vm)
+                streams.append([runner, vm, watch, world.now + gap_s * random.random()])
+        for each in streams:
+            runner, vm, watch, due_s = each
+            is_sent = world.now < dark_from_s.get(runner, 1e9) and world.now >= due_s
+            if is_sent and paused_until_s[vm] < world.now:
+                watch.record_event(world.now)
+                each[3] = world.now + random.uniform(0.0, 2 * watch._gap_s)
+        running = [vm for vm in range(6) if paused_until_s[vm] < world.now]
+        world.step(running)
+    found = {verdict.key[0] for _, verdict in world.verdicts}
+    assert found <= {f"r{runner}" for runner in dark_from_s}
+    assert found
