--- a/tests/balsamtally/test_backlogs.py
+++ b/tests/balsamtally/test_backlogs.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from balsamtally.backlogs import PEER_LOAD_TTL_S, URGENCIES, Backlogs, Load, Size
+from balsamtally.backlogs import PEER_LOAD_TTL_S, URGENCIES, Backlogs, Load, Size, Sources
 
 
 @given(
@@ -118,3 +118,13 @@
     [load] = backlogs.list_own().values()
     assert msgspec.msgpack.decode(msgspec.msgpack.encode(load), type=Load) == load
     assert load.running == 3
+
+
+def test_calls_at_a_server_are_counted_by_sender():
+    """Guards against own calls that are taken for announced ones, which may have changed since."""
+    backlogs = Backlogs(lambda: 0.0)
+    assert backlogs.count_sources("a") == Sources()
+    backlogs.begin("a", Size(), lambda: None, lambda: None)
+    backlogs.record_peer_loads("vm2", {"a": Load(2)})
+    backlogs.record_region_loads("vm3", {"a": Load(4)})
+    assert backlogs.count_sources("a") == Sources(own=1, local=2, remote=4)
--- a/tests/balsamtally/test_balancing.py
+++ b/tests/balsamtally/test_balancing.py
@@ -21,7 +21,8 @@
 TIMES = CallTimes(0.09)
 # Before calls were drawn by free slots, operators saw 1.2 to 1.6 over a whole day.
 MAX_DAY_RATIO = 1.2
-# Bounds on calls refused for good by full servers while a third of all slots is free.
+# Largest share of calls whose two attempts both find a full server while a third of all slots is
+# free. No published figure exists; one in 20 is chosen.
 MAX_REFUSED_SHARE = 0.05
 VMS = (9, 78, 195, 340)
 
@@ -100,7 +101,7 @@
 def test_coordinated_vms_load_servers_evenly_and_calls_find_slots(call_s):
     """Guards against servers that are full in turn while others idle, at two thirds of the slots.
 
-    Of 1,000 calls 207 (90 ms) and 229 (23 ms) were refused before, nearly all after two attempts.
+    Of 1,000 calls 204 (90 ms) and 229 (23 ms) were refused before, after two attempts.
     """
     result = Replay(Scenario(vms=78, call_s=call_s, time_s=3.0)).run()
     assert result.day_ratio <= MAX_DAY_RATIO
