--- a/balsamtally/balancing.py
+++ b/balsamtally/balancing.py
@@ -173,6 +173,23 @@
     return max(running) * len(running) / sum(running) if any(running) else 1.0
 
 
+def find_shares(
+    candidates: Sequence[Candidate], target_s: float, size_bytes: int, times: CallTimes
+) -> list[tuple[Candidate, float]]:
+    """Return the servers that a call is drawn among, with the probability of each.
+
+    :param candidates: servers that may be used, at least one
+    :param target_s: time left until the answer should begin, in seconds
+    :param size_bytes: size of the call's body
+    :param times: times of the service's calls
+    """
+    preferred = find_preferred(candidates, target_s, size_bytes, times)
+    busy = [estimate_busy(candidate, times) for candidate in preferred]
+    slots = [count_slots(candidate) for candidate in preferred]
+    shares = divide_calls(busy, slots, 1.0 + estimate_unseen(preferred, times))
+    return list(zip(preferred, shares, strict=True))
+
+
 def choose_evenly(
     candidates: Sequence[Candidate], target_s: float, size_bytes: int, times: CallTimes, draw: float
 ) -> Candidate | None:
@@ -186,13 +203,10 @@
     """
     if not candidates:
         return None
-    preferred = find_preferred(candidates, target_s, size_bytes, times)
-    busy = [estimate_busy(candidate, times) for candidate in preferred]
-    slots = [count_slots(candidate) for candidate in preferred]
-    shares = divide_calls(busy, slots, 1.0 + estimate_unseen(preferred, times))
-    for candidate, share in zip(preferred, shares, strict=True):
+    shares = find_shares(candidates, target_s, size_bytes, times)
+    for candidate, share in shares:
         draw -= share
         if draw < 0.0 and share > 0.0:
             return candidate
     # Rounding may leave a rest of the draw.
-    return max(zip(preferred, shares, strict=True), key=lambda pair: pair[1])[0]
+    return max(shares, key=lambda pair: pair[1])[0]
--- a/balsamtally/cli.py
+++ b/balsamtally/cli.py
@@ -4,7 +4,7 @@
 import sys
 from collections.abc import Iterable
 from pathlib import Path
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 import defopt
 import msgspec
@@ -217,6 +217,39 @@
     return EXIT_OK
 
 
+def explain_placement(
+    host: str,
+    path: str,
+    *,
+    vm: str,
+    customer: str = "",
+    parts: list[str] | None = None,
+    json: bool = False,
+) -> int:
+    """Show where a call would be placed now and why, without sending it.
+
+    :param host: host that the caller names
+    :param path: path of the call
+    :param vm: IP:port of the peers' port of an entry VM
+    :param customer: name of the customer
+    :param parts: parts of the prompt, each as NAME:TOKENS
+    :param json: print JSON
+    :return: exit code: 1 if the call would be refused
+    """
+    query = urlencode({"host": host, "path": path, "customer": customer, "part": parts or []}, True)
+    page = porcelain.fetch(vm, f"/explain?{query}")
+    refused = page.get("error")
+    if json:
+        _print_json(page)
+    elif refused:
+        print(f"error {refused['code']}: {refused['message']}", file=sys.stderr)
+    else:
+        _print_rows(page.pop("servers"))
+        for name, value in page.items():
+            print(f"{name}: {value}")
+    return EXIT_FAULT if refused else EXIT_OK
+
+
 def _explain_from_logs(request: str, logs: list[str], json: bool) -> int:
     """Print the history of a request from the log lines of its VMs."""
     texts: list[str] = []
@@ -304,6 +337,7 @@
     "runners": show_runners,
     "queues": show_queues,
     "explain": explain,
+    "explain-placement": explain_placement,
     "drain": drain,
     "key": {"new": new_key, "link": new_link_key},
 }
--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -192,7 +192,7 @@
         """
         prefill_s = self.runners.record_demand(demand)
         if self.runners.find_engine(demand.service) is None and not self._waits(demand):
-            chosen = self._choose_among(demand, self.runners.list_candidates(demand))
+            chosen = self.choose_among(demand, self.runners.list_candidates(demand))
             return self._reserve(demand, chosen) if chosen is not None else None
         return self._wait(Waiting(demand, make_waiter(demand, prefill_s), Event()), on_wait)
 
@@ -383,14 +383,35 @@
                 make_capacity(candidate, engine), demand.tier, demand.memory_tokens, late
             )
         ]
-        best = self._choose_among(demand, candidates)
+        best = self.choose_among(demand, candidates)
         if best is None or best in open_now:
             return best, bool(open_now)
         load = waiting_loads.setdefault(best.backend.name, LoadCounter())
         load.reading[min(demand.urgency, URGENCIES - 1)] += best.fresh_tokens
         return None, bool(open_now)
 
-    def _choose_among(self, demand: Demand, candidates: list[Candidate]) -> Candidate | None:
+    def preview(self, demand: Demand) -> list[Candidate]:
+        """Return the candidates for a call with the prompts that wait for them; changes nothing.
+
+        :param demand: requirements of the call
+        """
+        waits = self._waiting.get(demand.service)
+        loads = self._waiting_loads.get(demand.service, {}) if waits else {}
+        return [add_waiting_load(each, loads) for each in self.runners.preview(demand)]
+
+    def make_waiter(self, demand: Demand) -> Waiter:
+        """Return the queue entry that a call would have; changes nothing.
+
+        :param demand: requirements of the call
+        """
+        return make_waiter(demand, self.runners.estimate_prefill_s(demand))
+
+    def choose_among(self, demand: Demand, candidates: list[Candidate]) -> Candidate | None:
+        """Return the best of some candidates for a call, ``None`` if there are none.
+
+        :param demand: requirements of the call
+        :param candidates: the candidates
+        """
         left_s = demand.arrived_s + demand.target_s - self._clock()
         service = demand.service
         if self.runners.spreads_evenly(service):
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -27,6 +27,7 @@
 from balsamtally.crash_evidence import list_keys
 from balsamtally.dispatch import Dispatch
 from balsamtally.errors import BalsamtallyError, GraceEnded, Leaving, NoAnswer, OutcomeUnknown
+from balsamtally.explanations import EXPLAIN_PATH, answer_page
 from balsamtally.forwarding import Choice, Forwarder, ForwardingHooks, Wire
 from balsamtally.gateway_settings import GatewaySettings
 from balsamtally.grace_period import END_SHARE, TELL_SHARE, GracePeriod, StopCounts
@@ -364,6 +365,10 @@
         elif path == QUARANTINE_PATH:
             body = msgspec.json.encode(self._quarantine.list_entries())
             caller.answer(200, ((b"Content-Type", b"application/json"),), body)
+        elif path == EXPLAIN_PATH:
+            find = self.peers.find_coordinator
+            page = answer_page(query, self._dispatch, self.catalog, find, self.settings.vm)
+            caller.answer(page[0], ((b"Content-Type", b"application/json"),), page[1])
         elif path == RELEASE_PATH:
             caller.answer(self._release(request, query), (), b"")
         else:
--- a/balsamtally/runners.py
+++ b/balsamtally/runners.py
@@ -1,5 +1,6 @@
 """This entry VM's view of the backend servers: load, speed, health and cached prompt parts."""
 
+import copy
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -220,6 +221,56 @@
                 return left
         return []
 
+    def preview(self, demand: Demand) -> list[Candidate]:
+        """Return what :meth:`list_candidates` would, without a change of the streams' statistics.
+
+        :param demand: requirements of the call
+        """
+        statistics = self.find_statistics(demand.service)
+        dedicated = self._dedicated.get(demand.service, set())
+        self._statistics[demand.service] = copy.deepcopy(statistics)
+        try:
+            return self.list_candidates(demand)
+        finally:
+            self._statistics[demand.service] = statistics
+            self._dedicated[demand.service] = dedicated
+
+    def estimate_prefill_s(self, demand: Demand) -> float:
+        """Return the average prefill time of a route's prompts, in seconds.
+
+        :param demand: requirements of a call of the route
+        """
+        mean = self._sizes.get(demand.route, float(demand.prompt_tokens))
+        return mean / self.find_statistics(demand.service).speed.tokens_per_s
+
+    def is_limited(self, backend: Backend) -> bool:
+        """Return whether a backend server limits the rate of requests.
+
+        :param backend: the backend server
+        """
+        return self._permits.is_limited(backend.key)
+
+    def explain_absence(self, demand: Demand, backend: Backend) -> str:
+        """Return why a backend server is no candidate for a call.
+
+        :param demand: requirements of the call
+        :param backend: the backend server
+        """
+        found = [each for each in self._list_runners(demand.service) if each.backend is backend]
+        if backend.leaving:
+            return "draining"
+        if not found:
+            return "not open, as its failure domain is evacuated"
+        if not demand.allows_region(found[0].region):
+            return "outside the allowed regions"
+        if not self._permits.is_sendable(backend):
+            return "limits its requests, and there is no permit now"
+        if self._full_until_s.get(backend.key, 0.0) > self._clock():
+            return "refused a call as full a moment ago"
+        if not found[0].usable:
+            return "ejected, or takes few calls after an ejection"
+        return "kept for calls with another bound on the time between events"
+
     def list_limited(self, demand: Demand) -> list[Candidate]:
         """Return the backend servers that a call may be sent to as soon as it has a permit.
 
--- a/tests/balsamtally/test_cli.py
+++ b/tests/balsamtally/test_cli.py
@@ -16,10 +16,12 @@
 from balsamtally.admin import describe_state, make_admin_app
 from balsamtally.cli import run
 from balsamtally.decisions import Decisions
+from balsamtally.explanations import answer_page
 from balsamtally.facts import Facts
 from balsamtally.machines import EntryVm
 from balsamtally.messages import TicketNotice
 from balsamtally.tickets import decode_ticket
+from tests.balsamtally.test_dispatch import World
 
 ROOT = Path(__file__).parents[2]
 EXAMPLES = ROOT / "examples"
@@ -144,3 +146,29 @@
 def check_hash(outcome):
     made = json.loads(outcome.out)
     assert hashlib.sha256(made["key"].encode()).hexdigest() == made["hash"]
+
+
+@pytest.mark.parametrize(("path", "code"), [("/a/x", 0), ("/none", 1)])
+def test_placement_is_explained_with_servers_or_the_refusal(path, code, capsys):
+    world = World()
+    world.add("a")
+    pages = []
+
+    def answer(environ, start_response):
+        pages.append(environ["PATH_INFO"])
+        query = environ["QUERY_STRING"]
+        status, body = answer_page(query, world.dispatch, world.catalog, lambda name: None, "vm1")
+        start_response(f"{status} -", [("Content-Type", "application/json")])
+        return [body]
+
+    server = WSGIServer(("127.0.0.1", 0), answer, log=None)
+    server.start()
+    try:
+        command = ["explain-placement", "host.example", path, "--customer", "cabo"]
+        address = f"127.0.0.1:{server.server_port}"
+        assert run([*command, "--vm", address, "--parts", "s:100", "o:20"]) == code
+    finally:
+        server.stop()
+    out, err = capsys.readouterr()
+    assert pages == ["/explain"]
+    assert ("chosen: a" in out) if code == 0 else ("error" in err and not out)
