Order waiting calls fairly between customers, by the work given to them

Calls of one urgency and lateness class are ordered by start-time fair queueing when several customers wait; the order of one customer's calls is unchanged. The virtual times are shared with the fair queues of the chat interface.

--- a/balsamtally/assessment.py
+++ b/balsamtally/assessment.py
@@ -98,6 +98,8 @@
         answer_tokens=demand.answer_tokens,
         prefill_s=prefill_s,
         lead_time_s=find_lead_time_s(prefill_s, demand.target_s),
+        customer=demand.customer,
+        work_tokens=demand.prompt_tokens + demand.answer_tokens,
     )
 
 
--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -4,10 +4,8 @@
 import sys
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import gevent
-import msgspec
 from gevent.event import Event
 
 from balsamtally.assessment import (
@@ -21,6 +19,7 @@
 from balsamtally.call_log import log_placement
 from balsamtally.calls import Backend, PromptPart
 from balsamtally.catalog import Catalog
+from balsamtally.customer_shares import CustomerShares
 from balsamtally.demands import Demand, make_demand
 from balsamtally.errors import BalsamtallyError, TargetHopeless
 from balsamtally.forwarding import Choice
@@ -34,12 +33,11 @@
 from balsamtally.server_limits import ServerLimits
 from balsamtally.waiting import (
     TOKEN_S,
-    Waiter,
     cannot_meet_deadline,
     has_capacity,
-    sort_waiters,
     will_miss_target,
 )
+from balsamtally.waiting_calls import Reservation, Waiting, add_waiting_load, spread_loads
 
 # Longest time after which a waiting call is re-evaluated, to find calls that cannot meet their
 # deadline.
@@ -58,34 +56,6 @@
 RETRY_JITTER_S = 0.5
 
 
-@dataclass(frozen=True)
-class Reservation:
-    """The placement of a call, with its work counted at the backend server.
-
-    :ivar place: the placement target
-    :ivar work: the counted work
-    """
-
-    place: PlacementTarget
-    work: Work
-
-
-@dataclass
-class Waiting:
-    """A call that waits for a backend server.
-
-    :ivar demand: requirements of the call
-    :ivar waiter: what its rank in the queue depends on
-    :ivar chosen: set once a backend server is chosen
-    :ivar reservation: the placement of the call, ``None`` while it waits
-    """
-
-    demand: Demand
-    waiter: Waiter
-    chosen: Event
-    reservation: Reservation | None = None
-
-
 def ignore(*_) -> None:
     """Do nothing; the default of optional callbacks."""
 
@@ -121,6 +91,7 @@
         self._permits = permits or Permits(ServerLimits(catalog.is_known))
         self.runners = Runners(catalog, backlogs, find_region, region, self._permits, clock)
         self._returns = ReturnSchedule(clock)
+        self._shares = CustomerShares()
         self._catalog = catalog
         self._find_region = find_region
         self._region = region
@@ -299,7 +270,8 @@
         waiting_loads: dict[str, LoadCounter] = {}
         self._waiting_loads[service] = waiting_loads
         now = self._clock()
-        ranked = sort_waiters((waiting.waiter for waiting in pending.values()), now)
+        waiters = [waiting.waiter for waiting in pending.values()]
+        ranked = self._shares.sort(service, waiters, now)
         for waiter in ranked:
             waiting = pending[id(waiter)]
             regions = waiting.demand.allowed_regions
@@ -326,11 +298,7 @@
         """
         local_names = self.runners.list_local(service) if unevaluated else []
         local = [demand for demand in unevaluated if demand.allows_region(self._region)]
-        for demand in local if local_names else ():
-            rank = min(demand.urgency, URGENCIES - 1)
-            for name in local_names:
-                reading = waiting_loads.setdefault(name, LoadCounter()).reading
-                reading[rank] += demand.prompt_tokens // len(local_names)
+        spread_loads(local, local_names, waiting_loads)
 
     def list_waiting_loads(self) -> dict[str, Load]:
         """Return the prompt tokens of waiting calls by name of the intended backend server."""
@@ -409,12 +377,21 @@
             self._permits.take(chosen.backend),
         )
         self._last_placed_s[demand.tier] = self._clock()
+        self._charge_customer(demand, chosen.fresh_tokens)
         work = self._count(demand, target)
         self.runners.find_cache(demand.service, target.key).record_read(demand.parts)
         shared = tuple((part.name, part.tokens) for part in demand.parts[:-1])
         self._announce_read(PromptRead(target.backend, shared))
         return Reservation(target, work)
 
+    def _charge_customer(self, demand: Demand, fresh_tokens: int) -> None:
+        """Count a call's work as given to its customer; further attempts are no new claim."""
+        if demand.attempt == 1:
+            tokens = fresh_tokens + demand.answer_tokens
+            self._shares.record_placement(
+                demand.service, demand.urgency, demand.customer, tokens, self._clock()
+            )
+
     def _count(self, demand: Demand, target: PlacementTarget) -> Work:
         begun_s = self._clock()
 
@@ -519,20 +496,3 @@
     def forget_removed(self) -> None:
         """Drop the state of removed backend servers and routes."""
         self.runners.forget_removed()
-
-
-def add_waiting_load(candidate: Candidate, waiting_loads: dict[str, LoadCounter]) -> Candidate:
-    """Return a candidate whose backlog includes the prompts that wait for its backend server.
-
-    :param candidate: the candidate
-    :param waiting_loads: prompts of waiting calls, by name of the backend server
-    """
-    load = waiting_loads.get(candidate.backend.name)
-    if load is None:
-        return candidate
-    tokens = sum(load.reading)
-    return msgspec.structs.replace(
-        candidate,
-        reading_tokens=candidate.reading_tokens + tokens,
-        beside_tokens=candidate.beside_tokens + tokens,
-    )
--- a/balsamtally/fair_queues.py
+++ b/balsamtally/fair_queues.py
@@ -8,6 +8,7 @@
 
 from balsamtally.contracts import RequestClass
 from balsamtally.messages import Ask
+from balsamtally.virtual_times import VirtualTimes
 
 MAX_CREDIT_S = 30.0
 MAX_DEBT_S = 10.0
@@ -56,7 +57,7 @@
         self.find_weight = find_weight
         self.queues: dict[str, OrderedDict[str, QueuedRequest]] = {}
         self.heap: list[tuple[float, int, str]] = []
-        self.virtual_time = 0.0
+        self.times = VirtualTimes()
         self.size = 0
 
     def add(self, waiting: QueuedRequest) -> None:
@@ -65,7 +66,8 @@
         queue = self.queues.get(customer)
         if queue is None:
             queue = self.queues[customer] = OrderedDict()
-            heapq.heappush(self.heap, (self.virtual_time, next(_sequence), customer))
+            start = self.times.find_start(customer)
+            heapq.heappush(self.heap, (start, next(_sequence), customer))
         queue[waiting.ask.request] = waiting
         self.size += 1
 
@@ -86,11 +88,12 @@
             if not queue:
                 heapq.heappop(self.heap)
                 del self.queues[customer]
+                self.times.forget(customer)
                 continue
             _, waiting = queue.popitem(last=False)
             self.size -= 1
-            self.virtual_time = start
-            finish = start + 1.0 / self.find_weight(customer)
+            self.times.advance(start)
+            finish = self.times.charge(customer, 1.0 / self.find_weight(customer))
             heapq.heapreplace(self.heap, (finish, next(_sequence), customer))
             return waiting
         return None
--- a/balsamtally/waiting.py
+++ b/balsamtally/waiting.py
@@ -69,6 +69,8 @@
     :ivar answer_tokens: expected tokens of the answer
     :ivar prefill_s: average prefill time of the prompts of its route, in seconds
     :ivar lead_time_s: time before the target by which the call must be sent, in seconds
+    :ivar customer: name of the customer, empty on a public route
+    :ivar work_tokens: prompt tokens to be read and expected answer tokens
     """
 
     id: str
@@ -79,6 +81,8 @@
     answer_tokens: int = 0
     prefill_s: float = 0.0
     lead_time_s: float = 0.0
+    customer: str = ""
+    work_tokens: int = 0
 
 
 def find_lead_time_s(prefill_s: float, target_s: float) -> float:
@@ -117,6 +121,14 @@
     return not limit or not capacity.running or capacity.memory_tokens + tokens <= limit
 
 
+def find_effective_target_s(waiter: Waiter) -> float:
+    """Return the target by which calls of one urgency are ordered, in seconds of the clock.
+
+    :param waiter: the call
+    """
+    return waiter.target_at_s + waiter.prefill_s * LONG_PROMPT_PENALTY
+
+
 def sort_waiters(waiters: Iterable[Waiter], now_s: float) -> list[Waiter]:
     """Return waiting calls in the order in which they are placed.
 
@@ -125,8 +137,8 @@
     """
 
     def rank(waiter: Waiter) -> tuple[int, bool, float]:
-        effective_target_s = waiter.target_at_s + waiter.prefill_s * LONG_PROMPT_PENALTY
-        return waiter.urgency, will_miss_target(waiter, now_s), effective_target_s
+        late = will_miss_target(waiter, now_s)
+        return waiter.urgency, late, find_effective_target_s(waiter)
 
     return sorted(waiters, key=rank)
 
--- a/tests/balsamtally/test_dispatch.py
+++ b/tests/balsamtally/test_dispatch.py
@@ -525,3 +525,33 @@
 
 def make_demand_for(world, number):
     return make_demand(world.plan(number), CallProgress())
+
+
+def reserve_for(world, customer, number, attempt=1, later_s=0.0):
+    parts = (PromptPart(f"own{number}", 25_000),)
+    demand = make_demand(world.plan(number, parts), CallProgress())
+    arrived_s = world.now + later_s
+    changes = {"customer": customer, "attempt": attempt, "arrived_s": arrived_s}
+    return world.dispatch.reserve(msgspec.structs.replace(demand, **changes))
+
+
+@pytest.mark.parametrize("attempt, first", [(1, "light"), (2, "heavy")])
+def test_customer_that_was_given_more_work_waits_longer_unless_it_was_for_retries(
+    world, attempt, first
+):
+    """Guards against a customer's burst that takes the others' capacity."""
+    world.add("a")
+    placed = reserve_for(world, "heavy", 1, attempt)
+    order = []
+
+    def run(customer, number, later_s):
+        reserve_for(world, customer, number, later_s=later_s)
+        order.append(customer)
+
+    # The target of the light customer's call comes later.
+    tasks = [gevent.spawn(run, "light", 2, 0.01), gevent.spawn(run, "heavy", 3, 0.0)]
+    gevent.sleep(0)
+    placed.work.record_answer_start()
+    gevent.sleep(5 * SCHEDULING_DELAY_S)
+    assert order == [first]
+    gevent.killall(tasks)
