Tell refused callers a true time to return, and expect them

A call is refused when the calls placed before it make it too late, unless a runner has capacity for it.

--- a/balsamtally/assessment.py
+++ b/balsamtally/assessment.py
@@ -100,6 +100,7 @@
         lead_time_s=find_lead_time_s(prefill_s, demand.target_s),
         customer=demand.customer,
         work_tokens=demand.prompt_tokens + demand.answer_tokens,
+        target_s=demand.target_s,
     )
 
 
--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -1,6 +1,5 @@
 """Queueing of calls, and their placement on backend servers."""
 
-import random
 import sys
 import time
 from collections.abc import Callable
@@ -25,9 +24,10 @@
 from balsamtally.forwarding import Choice
 from balsamtally.logs import log
 from balsamtally.permits import MIN_RATE_PER_S, Permits
+from balsamtally.placed_tiers import PlacedTiers
 from balsamtally.plans import CallProgress, Plan
-from balsamtally.reports import Finding, Report, report_outcome
-from balsamtally.returns import ReturnSchedule
+from balsamtally.refusals import Refusals
+from balsamtally.reports import Finding, Report, report_outcome, report_pause
 from balsamtally.runners import Runners
 from balsamtally.selection import Candidate, choose, predict_first_event_s
 from balsamtally.server_limits import ServerLimits
@@ -37,7 +37,13 @@
     has_capacity,
     will_miss_target,
 )
-from balsamtally.waiting_calls import Reservation, Waiting, add_waiting_load, spread_loads
+from balsamtally.waiting_calls import (
+    Reservation,
+    Waiting,
+    WorkAhead,
+    add_waiting_load,
+    spread_loads,
+)
 
 # Longest time after which a waiting call is re-evaluated, to find calls that cannot meet their
 # deadline.
@@ -47,13 +53,8 @@
 SCHEDULING_DELAY_S = 0.01
 # A backlog that takes at least this time to read counts as sustained load, not as a chance event.
 SUSTAINED_BACKLOG_S = 0.1
-# A call isn't refused because of calls of a lower tier that were placed within this time. Operators
-# compare the service of different kinds of calls over the same span.
-TIER_WINDOW_S = 5.0
 # Above any tier, where calls of all tiers may still find capacity.
 NO_TIER_FULL = sys.maxsize
-# Retries of refused calls are spread over this time, to avoid synchronized retries.
-RETRY_JITTER_S = 0.5
 
 
 def ignore(*_) -> None:
@@ -90,7 +91,7 @@
     ):
         self._permits = permits or Permits(ServerLimits(catalog.is_known))
         self.runners = Runners(catalog, backlogs, find_region, region, self._permits, clock)
-        self._returns = ReturnSchedule(clock)
+        self._refusals = Refusals(clock)
         self._shares = CustomerShares()
         self._catalog = catalog
         self._find_region = find_region
@@ -103,7 +104,7 @@
         self._on_work_change = on_work_change
         self._waiting: dict[str, dict[int, Waiting]] = {}
         self._waiting_loads: dict[str, dict[str, LoadCounter]] = {}
-        self._last_placed_s: dict[int, float] = {}
+        self._placed_tiers = PlacedTiers(clock)
         self._pass_scheduled = False
 
     def choose(self, plan: Plan, progress: CallProgress) -> Choice | None:
@@ -171,6 +172,7 @@
 
     def _wait(self, waiting: Waiting, on_wait: Callable[[], None]) -> Reservation | None:
         queue = self._waiting.setdefault(waiting.demand.service, {})
+        self._refusals.recognise_return(waiting)
         queue[id(waiting)] = waiting
         taken = False
         try:
@@ -195,18 +197,35 @@
                 waiting.reservation.work.cancel()
 
     def _check_deadline(self, waiting: Waiting, candidates: list[Candidate]) -> None:
+        """Check whether a call can be complete in time, given the calls placed before it.
+
+        :raises TargetHopeless: if its answer can't be complete by its deadline
+        """
+        demand = waiting.demand
+        waiting.update_fresh_tokens(candidates)
         best = min(candidates, key=predict_first_event_s)
-        first_event_s = predict_first_event_s(best)
-        token_s = self._predict_token_s(waiting.demand, best)
-        if cannot_meet_deadline(waiting.waiter, first_event_s, token_s, self._clock()):
-            left_s = waiting.waiter.until_s - self._clock()
-            raise TargetHopeless(
-                f"{left_s:.2f} s remain until the deadline; {best.backend.name} would send the"
-                f" first event in {first_event_s:.2f} s, after {best.reading_tokens} prompt tokens"
-                f" of other calls, and the answer is expected to have"
-                f" {waiting.waiter.answer_tokens} tokens",
-                retry_after_s=first_event_s + random.uniform(0, RETRY_JITTER_S),
+        late = will_miss_target(waiting.waiter, self._clock())
+        token_s = self._predict_token_s(demand, best)
+        self._refusals.check(
+            waiting,
+            candidates,
+            token_s,
+            lambda: bool(self._list_open_now(demand, candidates, late)),
+        )
+
+    def _list_open_now(
+        self, demand: Demand, candidates: list[Candidate], late: bool
+    ) -> list[Candidate]:
+        """Return the candidates that have capacity for a call now."""
+        engine = self.runners.find_engine(demand.service)
+        return [
+            candidate
+            for candidate in candidates
+            if engine is None
+            or has_capacity(
+                make_capacity(candidate, engine), demand.tier, demand.memory_tokens, late
             )
+        ]
 
     def _wait_for_permit(self, waiting: Waiting, limited: list[Candidate]) -> None:
         """Wait for a permit for one of some backend servers, the only ones that are left.
@@ -220,11 +239,12 @@
         first_event_s = predict_first_event_s(min(limited, key=predict_first_event_s))
         now = self._clock()
         if cannot_meet_deadline(waiting.waiter, wait_s + first_event_s, TOKEN_S, now):
-            queue = (waiting.demand.service, waiting.demand.urgency)
             raise TargetHopeless(
                 f"all backend servers limit their requests, together to {rate_per_s:.2f} a second,"
                 f" and {before} calls go first",
-                retry_after_s=self._returns.reserve(queue, wait_s + 1 / rate_per_s, rate_per_s),
+                retry_after_s=self._refusals.reserve_permit_turn(
+                    waiting.demand, wait_s + 1 / rate_per_s, rate_per_s
+                ),
             )
         self._permits.request(backends, before + 1)
         if not waiting.chosen.wait(RECHECK_INTERVAL_S):
@@ -244,12 +264,7 @@
         placed recently: a call isn't refused because of less urgent calls.
         """
         reading = candidate.beside_tokens > candidate.tokens_per_s * SUSTAINED_BACKLOG_S
-        since_s = self._clock() - TIER_WINDOW_S
-        lowest_tier = max(
-            (tier for tier, placed_s in self._last_placed_s.items() if placed_s >= since_s),
-            default=0,
-        )
-        if not reading or demand.tier < lowest_tier:
+        if not reading or demand.tier < self._placed_tiers.find_lowest():
             return TOKEN_S
         return self.runners.find_statistics(demand.service).speed.token_reading_s
 
@@ -267,6 +282,7 @@
         }
         full_tiers: dict[frozenset[str] | None, int] = {}
         unevaluated: list[Demand] = []
+        work_ahead = WorkAhead()
         waiting_loads: dict[str, LoadCounter] = {}
         self._waiting_loads[service] = waiting_loads
         now = self._clock()
@@ -280,12 +296,15 @@
                 full_tiers.get(None, NO_TIER_FULL), full_tiers.get(regions, NO_TIER_FULL)
             ):
                 unevaluated.append(waiting.demand)
+                work_ahead.add(waiting)
                 continue
             chosen, any_capacity = self._find_capacity(waiting, waiting_loads)
             if chosen is not None:
                 waiting.reservation = self._reserve(waiting.demand, chosen)
                 waiting.chosen.set()
-            elif not any_capacity and not will_miss_target(waiter, now):
+                continue
+            work_ahead.add(waiting)
+            if not any_capacity and not will_miss_target(waiter, now):
                 full_tiers[regions] = waiter.tier
         self._spread_waiting_loads(service, unevaluated, waiting_loads)
 
@@ -334,15 +353,7 @@
             for candidate in self.runners.list_candidates(demand)
         ]
         late = will_miss_target(waiting.waiter, self._clock())
-        engine = self.runners.find_engine(demand.service)
-        open_now = [
-            candidate
-            for candidate in candidates
-            if engine is None
-            or has_capacity(
-                make_capacity(candidate, engine), demand.tier, demand.memory_tokens, late
-            )
-        ]
+        open_now = self._list_open_now(demand, candidates, late)
         best = self._choose_among(demand, candidates)
         if best is None or best in open_now:
             return best, bool(open_now)
@@ -376,7 +387,7 @@
             self._backlogs.count_reporting_peers(),
             self._permits.take(chosen.backend),
         )
-        self._last_placed_s[demand.tier] = self._clock()
+        self._placed_tiers.record(demand.tier)
         self._charge_customer(demand, chosen.fresh_tokens)
         work = self._count(demand, target)
         self.runners.find_cache(demand.service, target.key).record_read(demand.parts)
@@ -468,16 +479,7 @@
         :param plan: the call's plan
         :param gap_s: the longest time between two events, in seconds
         """
-        self._handle_own_report(
-            Report(
-                Finding.PAUSED,
-                backend.service,
-                backend.name,
-                backend.born,
-                gap_s,
-                expected_s=plan.route.gap_s,
-            )
-        )
+        self._handle_own_report(report_pause(backend, plan, gap_s))
 
     def record_outcome(
         self, backend: Backend, plan: Plan, failure: BalsamtallyError | None, took_s: float
--- a/balsamtally/reports.py
+++ b/balsamtally/reports.py
@@ -119,3 +119,20 @@
     if isinstance(failure, (BackendLeaving, GraceEnded, Leaving, PartQuarantined)):
         return False
     return not isinstance(failure, NoAnswer) or took_s >= plan.route.target_s * MIN_SILENCE_TARGETS
+
+
+def report_pause(backend: Backend, plan: Plan, gap_s: float) -> Report:
+    """Return the report of the longest inter-event time of a stream.
+
+    :param backend: the backend server that sent the stream
+    :param plan: plan of the call
+    :param gap_s: the longest time between two events, in seconds
+    """
+    return Report(
+        Finding.PAUSED,
+        backend.service,
+        backend.name,
+        backend.born,
+        gap_s,
+        expected_s=plan.route.gap_s,
+    )
--- a/balsamtally/waiting.py
+++ b/balsamtally/waiting.py
@@ -71,6 +71,7 @@
     :ivar lead_time_s: time before the target by which the call must be sent, in seconds
     :ivar customer: name of the customer, empty on a public route
     :ivar work_tokens: prompt tokens to be read and expected answer tokens
+    :ivar target_s: time from the call's arrival to its target, in seconds
     """
 
     id: str
@@ -83,6 +84,7 @@
     lead_time_s: float = 0.0
     customer: str = ""
     work_tokens: int = 0
+    target_s: float = 0.0
 
 
 def find_lead_time_s(prefill_s: float, target_s: float) -> float:
--- a/balsamtally/waiting_calls.py
+++ b/balsamtally/waiting_calls.py
@@ -1,6 +1,7 @@
 """Calls that wait for a backend server, and the work that waits before each of them."""
 
-from dataclasses import dataclass
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
 
 import msgspec
 from gevent.event import Event
@@ -32,12 +33,66 @@
     :ivar waiter: what its rank in the queue depends on
     :ivar chosen: set once a backend server is chosen
     :ivar reservation: the placement of the call, ``None`` while it waits
+    :ivar returned: whether the call was refused before, or is a retry of this gateway
+    :ivar ahead_tokens: prompt tokens of the waiting calls that come before it in the last pass,
+        and that are read at the same backend servers
+    :ivar fresh_tokens: prompt tokens that the backend server which holds most of them must read
     """
 
     demand: Demand
     waiter: Waiter
     chosen: Event
     reservation: Reservation | None = None
+    returned: bool = False
+    ahead_tokens: int = 0
+    fresh_tokens: int = field(init=False)
+
+    def __post_init__(self):
+        self.fresh_tokens = self.demand.prompt_tokens
+
+    def update_fresh_tokens(self, candidates: Sequence[Candidate]) -> None:
+        """Update the work of the call from what the backend servers hold of its prompt.
+
+        :param candidates: backend servers that may run the call, at least one
+        """
+        fresh_tokens = min(candidate.fresh_tokens for candidate in candidates)
+        if fresh_tokens != self.fresh_tokens:
+            self.fresh_tokens = fresh_tokens
+            work_tokens = fresh_tokens + self.demand.answer_tokens
+            self.waiter = replace(self.waiter, work_tokens=work_tokens)
+
+
+class WorkAhead:
+    """Sums the prompt tokens of waiting calls in the order in which they are placed."""
+
+    def __init__(self):
+        self._tokens: dict[frozenset[str] | None, int] = {}
+        self._shared_parts: set[str] = set()
+
+    def add(self, waiting: Waiting) -> None:
+        """Set the work ahead of a waiting call, and add its own for the calls behind it.
+
+        A call with a regional limit counts only the calls that can't go elsewhere. Shared prompt
+        parts count once, since they may be read once for all calls.
+
+        :param waiting: the call
+        """
+        regions = waiting.demand.allowed_regions
+        waiting.ahead_tokens = sum(
+            tokens
+            for limit, tokens in self._tokens.items()
+            if regions is None or (limit is not None and limit <= regions)
+        )
+        self._tokens[regions] = self._tokens.get(regions, 0) + self._count_least_tokens(waiting)
+
+    def _count_least_tokens(self, waiting: Waiting) -> int:
+        parts = waiting.demand.parts
+        if not parts:
+            return waiting.fresh_tokens
+        counted = sum(part.tokens for part in parts[:-1] if part.name in self._shared_parts)
+        self._shared_parts.update(part.name for part in parts[:-1])
+        own_tokens = min(parts[-1].tokens, waiting.fresh_tokens)
+        return max(waiting.fresh_tokens - counted, own_tokens)
 
 
 def add_waiting_load(candidate: Candidate, waiting_loads: dict[str, LoadCounter]) -> Candidate:
