--- a/balsamtally/customer_shares.py
+++ b/balsamtally/customer_shares.py
@@ -12,6 +12,7 @@
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 
+from balsamtally.demands import Demand
 from balsamtally.virtual_times import VirtualTimes
 from balsamtally.waiting import Waiter, find_effective_target_s, sort_waiters, will_miss_target
 
@@ -65,6 +66,14 @@
             ordered += interleave(group, starts, now_s) if len(customers) > 1 else group
         return ordered
 
+    def find_lead_of(self, demand: Demand) -> int:
+        """Return the work that a call's customer was given beyond the least served that waits.
+
+        :param demand: requirements of the call
+        :return: the work in tokens
+        """
+        return self.find_lead(demand.service, demand.urgency, demand.customer)
+
     def find_lead(self, service: str, urgency: int, customer: str) -> int:
         """Return the work that a customer was given beyond the least served one that waits.
 
--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -91,8 +91,8 @@
     ):
         self._permits = permits or Permits(ServerLimits(catalog.is_known))
         self.runners = Runners(catalog, backlogs, find_region, region, self._permits, clock)
-        self._refusals = Refusals(clock)
         self._shares = CustomerShares()
+        self._refusals = Refusals(clock, self._shares.find_lead_of)
         self._catalog = catalog
         self._find_region = find_region
         self._region = region
--- a/balsamtally/refusals.py
+++ b/balsamtally/refusals.py
@@ -136,10 +136,17 @@
     """Refuses waiting calls, and hands out turns to return.
 
     :param clock: monotonic clock in seconds
+    :param find_lead: returns the work that a call's customer was given beyond the least served one
+        that waits, in tokens; for the log
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic):
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        find_lead: Callable[[Demand], int] = lambda _: 0,
+    ):
         self._clock = clock
+        self._find_lead = find_lead
         self._schedule = ReturnSchedule(clock)
         self._expected = ExpectedReturns(clock)
 
@@ -221,6 +228,7 @@
             request=waiting.demand.request,
             customer=waiting.demand.customer,
             urgency=waiting.demand.urgency,
+            lead_tokens=self._find_lead(waiting.demand),
             ahead_tokens=waiting.ahead_tokens,
             drain_ms=round(outlook.queue_s * 1000),
             return_ms=round(return_s * 1000),
