--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -42,6 +42,7 @@
     Waiting,
     WorkAhead,
     add_waiting_load,
+    count_before,
     spread_loads,
 )
 
@@ -252,10 +253,7 @@
 
     def _count_before(self, waiting: Waiting) -> int:
         """Return how many waiting calls of the same service are placed before a call."""
-        queue = self._waiting[waiting.demand.service].values()
-        unplaced = [other for other in queue if other.reservation is None]
-        ranked = sorted(unplaced, key=lambda each: (each.demand.urgency, each.waiter.target_at_s))
-        return ranked.index(waiting)
+        return count_before(waiting, self._waiting[waiting.demand.service].values())
 
     def _predict_token_s(self, demand: Demand, candidate: Candidate) -> float:
         """Return the expected time per answer token at a runner under its present load, in seconds.
--- a/balsamtally/waiting_calls.py
+++ b/balsamtally/waiting_calls.py
@@ -1,6 +1,6 @@
 """Calls that wait for a backend server, and the work that waits before each of them."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field, replace
 
 import msgspec
@@ -95,6 +95,17 @@
         return max(waiting.fresh_tokens - counted, own_tokens)
 
 
+def count_before(waiting: Waiting, queue: Iterable[Waiting]) -> int:
+    """Return how many waiting calls of a queue are placed before one of them.
+
+    :param waiting: the call
+    :param queue: all calls of the queue
+    """
+    unplaced = [other for other in queue if other.reservation is None]
+    ranked = sorted(unplaced, key=lambda each: (each.demand.urgency, each.waiter.target_at_s))
+    return ranked.index(waiting)
+
+
 def add_waiting_load(candidate: Candidate, waiting_loads: dict[str, LoadCounter]) -> Candidate:
     """Return a candidate whose backlog includes the prompts that wait for its backend server.
 
--- a/tests/balsamtally/test_dispatch.py
+++ b/tests/balsamtally/test_dispatch.py
@@ -1,6 +1,7 @@
 """Placement, queueing and outcomes of calls with the real components and a simulated clock."""
 
 from dataclasses import replace
+from random import Random
 
 import gevent
 import msgspec
@@ -24,6 +25,7 @@
 )
 from balsamtally.plans import CallProgress, make_plan
 from balsamtally.runners import FULL_S, SNAPSHOT_TTL_S
+from balsamtally.waiting import sort_waiters
 from tests.balsamtally.scripted import make_backend, make_call, make_contracts, make_route
 
 DRAFT = (PromptPart("first", 2500), PromptPart("session", 3800), PromptPart("own", 2900))
@@ -555,3 +557,45 @@
     gevent.sleep(5 * SCHEDULING_DELAY_S)
     assert order == [first]
     gevent.killall(tasks)
+
+
+def place_waiting_calls(world, seed):
+    """Return the placements in order of one customer's calls that wait for two runners.
+
+    Their prompts can be read within the deadline: there is no overload.
+    """
+    random = Random(seed)
+    for name in "ab":
+        world.add(name)
+    order, tasks, begun = [], [], []
+
+    def run(number, tokens, arrived_s):
+        demand = make_demand(
+            world.plan(number, (PromptPart(f"own{number}", tokens),)), CallProgress()
+        )
+        demand = msgspec.structs.replace(demand, customer="only", arrived_s=arrived_s)
+        reservation = world.dispatch.reserve(demand)
+        order.append((number, reservation.place.backend))
+        begun.append(reservation)
+
+    for number in range(12):
+        arrived_s = world.now + random.uniform(0.0, 0.2)
+        tasks.append(gevent.spawn(run, number, random.randrange(3_000, 10_000), arrived_s))
+    gevent.sleep(0)
+    while begun:
+        begun.pop(0).work.record_answer_start()
+        gevent.sleep(2 * SCHEDULING_DELAY_S)
+    gevent.killall(tasks)
+    return order
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_placements_of_one_customers_calls_are_as_without_shares_and_turns(seed, monkeypatch):
+    """Differential test against the order and the refusals without customers."""
+    present, former = World(), World()
+    monkeypatch.setattr(
+        former.dispatch._shares, "sort", lambda service, waiters, now: sort_waiters(waiters, now)
+    )
+    monkeypatch.setattr(former.dispatch._refusals, "check", lambda *_: None)
+    order = place_waiting_calls(present, seed)
+    assert len(order) == 12 and order == place_waiting_calls(former, seed)
