--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -4,10 +4,8 @@
 import sys
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import gevent
-import msgspec
 from gevent.event import Event
 
 from balsamtally.assessment import (
@@ -22,14 +20,16 @@
 from balsamtally.call_log import log_placement
 from balsamtally.calls import Backend, PromptPart
 from balsamtally.catalog import Catalog
+from balsamtally.customer_shares import CustomerShares
 from balsamtally.demands import Demand, make_demand
 from balsamtally.errors import BalsamtallyError, TargetHopeless
 from balsamtally.forwarding import Choice
 from balsamtally.logs import log
 from balsamtally.permits import MIN_RATE_PER_S, Permits
+from balsamtally.placed_tiers import PlacedTiers
 from balsamtally.plans import CallProgress, Plan
-from balsamtally.reports import Finding, Report, report_outcome
-from balsamtally.returns import ReturnSchedule
+from balsamtally.refusals import Refusals
+from balsamtally.reports import Finding, Report, report_outcome, report_pause
 from balsamtally.runners import Runners
 from balsamtally.selection import Candidate, choose, predict_first_event_s
 from balsamtally.server_limits import ServerLimits
@@ -38,9 +38,16 @@
     Waiter,
     cannot_meet_deadline,
     has_capacity,
-    sort_waiters,
     will_miss_target,
 )
+from balsamtally.waiting_calls import (
+    Reservation,
+    Waiting,
+    WorkAhead,
+    add_waiting_load,
+    count_before,
+    spread_loads,
+)
 
 # Longest time after which a waiting call is re-evaluated, to find calls that cannot meet their
 # deadline.
@@ -50,41 +57,8 @@
 SCHEDULING_DELAY_S = 0.01
 # A backlog that takes at least this time to read counts as sustained load, not as a chance event.
 SUSTAINED_BACKLOG_S = 0.1
-# A call isn't refused because of calls of a lower tier that were placed within this time. Operators
-# compare the service of different kinds of calls over the same span.
-TIER_WINDOW_S = 5.0
 # Above any tier, where calls of all tiers may still find capacity.
 NO_TIER_FULL = sys.maxsize
-# Retries of refused calls are spread over this time, to avoid synchronized retries.
-RETRY_JITTER_S = 0.5
-
-
-@dataclass(frozen=True)
-class Reservation:
-    """The placement of a call, with its work counted at the backend server.
-
-    :ivar place: the placement target
-    :ivar work: the counted work
-    """
-
-    place: PlacementTarget
-    work: Work
-
-
-@dataclass
-class Waiting:
-    """A call that waits for a backend server.
-
-    :ivar demand: requirements of the call
-    :ivar waiter: what its rank in the queue depends on
-    :ivar chosen: set once a backend server is chosen
-    :ivar reservation: the placement of the call, ``None`` while it waits
-    """
-
-    demand: Demand
-    waiter: Waiter
-    chosen: Event
-    reservation: Reservation | None = None
 
 
 def ignore(*_) -> None:
@@ -128,7 +102,8 @@
             catalog, backlogs, find_region, region, self._permits, clock, coordinates
         )
         self._draw = draw
-        self._returns = ReturnSchedule(clock)
+        self._shares = CustomerShares()
+        self._refusals = Refusals(clock, self._shares.find_lead_of)
         self._catalog = catalog
         self._find_region = find_region
         self._region = region
@@ -140,7 +115,7 @@
         self._on_work_change = on_work_change
         self._waiting: dict[str, dict[int, Waiting]] = {}
         self._waiting_loads: dict[str, dict[str, LoadCounter]] = {}
-        self._last_placed_s: dict[int, float] = {}
+        self._placed_tiers = PlacedTiers(clock)
         self._pass_scheduled = False
 
     def choose(self, plan: Plan, progress: CallProgress) -> Choice | None:
@@ -208,6 +183,7 @@
 
     def _wait(self, waiting: Waiting, on_wait: Callable[[], None]) -> Reservation | None:
         queue = self._waiting.setdefault(waiting.demand.service, {})
+        self._refusals.recognise_return(waiting)
         queue[id(waiting)] = waiting
         taken = False
         try:
@@ -232,18 +208,35 @@
                 waiting.reservation.work.cancel()
 
     def _check_deadline(self, waiting: Waiting, candidates: list[Candidate]) -> None:
+        """Check whether a call can be complete in time, given the calls placed before it.
+
+        :raises TargetHopeless: if its answer can't be complete by its deadline
+        """
+        demand = waiting.demand
+        waiting.update_fresh_tokens(candidates)
         best = min(candidates, key=predict_first_event_s)
-        first_event_s = predict_first_event_s(best)
-        token_s = self._predict_token_s(waiting.demand, best)
-        if cannot_meet_deadline(waiting.waiter, first_event_s, token_s, self._clock()):
-            left_s = waiting.waiter.until_s - self._clock()
-            raise TargetHopeless(
-                f"{left_s:.2f} s remain until the deadline; {best.backend.name} would send the"
-                f" first event in {first_event_s:.2f} s, after {best.reading_tokens} prompt tokens"
-                f" of other calls, and the answer is expected to have"
-                f" {waiting.waiter.answer_tokens} tokens",
-                retry_after_s=first_event_s + random.uniform(0, RETRY_JITTER_S),
+        late = will_miss_target(waiting.waiter, self._clock())
+        token_s = self._predict_token_s(demand, best)
+        self._refusals.check(
+            waiting,
+            candidates,
+            token_s,
+            lambda: bool(self._list_open_now(demand, candidates, late)),
+        )
+
+    def _list_open_now(
+        self, demand: Demand, candidates: list[Candidate], late: bool
+    ) -> list[Candidate]:
+        """Return the candidates that have capacity for a call now."""
+        engine = self.runners.find_engine(demand.service)
+        return [
+            candidate
+            for candidate in candidates
+            if engine is None
+            or has_capacity(
+                make_capacity(candidate, engine), demand.tier, demand.memory_tokens, late
             )
+        ]
 
     def _wait_for_permit(self, waiting: Waiting, limited: list[Candidate]) -> None:
         """Wait for a permit for one of some backend servers, the only ones that are left.
@@ -257,12 +250,13 @@
         first_event_s = predict_first_event_s(min(limited, key=predict_first_event_s))
         now = self._clock()
         if cannot_meet_deadline(waiting.waiter, wait_s + first_event_s, TOKEN_S, now):
-            queue = (waiting.demand.service, waiting.demand.urgency)
             raise TargetHopeless(
                 f"all backend servers limit their requests, together to {rate_per_s:.2f} a second,"
                 f" and {before} calls go first",
-                retry_after_s=self._returns.reserve(
-                    queue, self._permits.estimate_wait_s(backends, before + 1), rate_per_s
+                retry_after_s=self._refusals.reserve_permit_turn(
+                    waiting.demand,
+                    self._permits.estimate_wait_s(backends, before + 1),
+                    rate_per_s,
                 ),
             )
         self._permits.request(backends, before + 1)
@@ -271,10 +265,7 @@
 
     def _count_before(self, waiting: Waiting) -> int:
         """Return how many waiting calls of the same service are placed before a call."""
-        queue = self._waiting[waiting.demand.service].values()
-        unplaced = [other for other in queue if other.reservation is None]
-        ranked = sorted(unplaced, key=lambda each: (each.demand.urgency, each.waiter.target_at_s))
-        return ranked.index(waiting)
+        return count_before(waiting, self._waiting[waiting.demand.service].values())
 
     def _predict_token_s(self, demand: Demand, candidate: Candidate) -> float:
         """Return the expected time per answer token at a runner under its present load, in seconds.
@@ -283,12 +274,7 @@
         placed recently: a call isn't refused because of less urgent calls.
         """
         reading = candidate.beside_tokens > candidate.tokens_per_s * SUSTAINED_BACKLOG_S
-        since_s = self._clock() - TIER_WINDOW_S
-        lowest_tier = max(
-            (tier for tier, placed_s in self._last_placed_s.items() if placed_s >= since_s),
-            default=0,
-        )
-        if not reading or demand.tier < lowest_tier:
+        if not reading or demand.tier < self._placed_tiers.find_lowest():
             return TOKEN_S
         return self.runners.find_statistics(demand.service).speed.token_reading_s
 
@@ -306,10 +292,12 @@
         }
         full_tiers: dict[frozenset[str] | None, int] = {}
         unevaluated: list[Demand] = []
+        work_ahead = WorkAhead()
         waiting_loads: dict[str, LoadCounter] = {}
         self._waiting_loads[service] = waiting_loads
         now = self._clock()
-        ranked = sort_waiters((waiting.waiter for waiting in pending.values()), now)
+        waiters = [waiting.waiter for waiting in pending.values()]
+        ranked = self._shares.sort(service, waiters, now)
         for waiter in ranked:
             waiting = pending[id(waiter)]
             regions = waiting.demand.allowed_regions
@@ -318,12 +306,15 @@
                 full_tiers.get(None, NO_TIER_FULL), full_tiers.get(regions, NO_TIER_FULL)
             ):
                 unevaluated.append(waiting.demand)
+                work_ahead.add(waiting)
                 continue
             chosen, any_capacity = self._find_capacity(waiting, waiting_loads)
             if chosen is not None:
                 waiting.reservation = self._reserve(waiting.demand, chosen)
                 waiting.chosen.set()
-            elif not any_capacity and not will_miss_target(waiter, now):
+                continue
+            work_ahead.add(waiting)
+            if not any_capacity and not will_miss_target(waiter, now):
                 full_tiers[regions] = waiter.tier
         self._spread_waiting_loads(service, unevaluated, waiting_loads)
 
@@ -336,11 +327,7 @@
         """
         local_names = self.runners.list_local(service) if unevaluated else []
         local = [demand for demand in unevaluated if demand.allows_region(self._region)]
-        for demand in local if local_names else ():
-            rank = min(demand.urgency, URGENCIES - 1)
-            for name in local_names:
-                reading = waiting_loads.setdefault(name, LoadCounter()).reading
-                reading[rank] += demand.prompt_tokens // len(local_names)
+        spread_loads(local, local_names, waiting_loads)
 
     def list_waiting_loads(self) -> dict[str, Load]:
         """Return the prompt tokens of waiting calls by name of the intended backend server."""
@@ -376,15 +363,7 @@
             for candidate in self.runners.list_candidates(demand)
         ]
         late = will_miss_target(waiting.waiter, self._clock())
-        engine = self.runners.find_engine(demand.service)
-        open_now = [
-            candidate
-            for candidate in candidates
-            if engine is None
-            or has_capacity(
-                make_capacity(candidate, engine), demand.tier, demand.memory_tokens, late
-            )
-        ]
+        open_now = self._list_open_now(demand, candidates, late)
         best = self.choose_among(demand, candidates)
         if best is None or best in open_now:
             return best, bool(open_now)
@@ -443,13 +422,22 @@
             self._backlogs.count_reporting_peers(),
             self._permits.take(chosen.backend),
         )
-        self._last_placed_s[demand.tier] = self._clock()
+        self._placed_tiers.record(demand.tier)
+        self._charge_customer(demand, chosen.fresh_tokens)
         work = self._count(demand, target)
         self.runners.find_cache(demand.service, target.key).record_read(demand.parts)
         shared = tuple((part.name, part.tokens) for part in demand.parts[:-1])
         self._announce_read(PromptRead(target.backend, shared))
         return Reservation(target, work)
 
+    def _charge_customer(self, demand: Demand, fresh_tokens: int) -> None:
+        """Count a call's work as given to its customer; further attempts are no new claim."""
+        if demand.attempt == 1:
+            tokens = fresh_tokens + demand.answer_tokens
+            self._shares.record_placement(
+                demand.service, demand.urgency, demand.customer, tokens, self._clock()
+            )
+
     def _count(self, demand: Demand, target: PlacementTarget) -> Work:
         begun_s = self._clock()
 
@@ -526,16 +514,7 @@
         :param plan: the call's plan
         :param gap_s: the longest time between two events, in seconds
         """
-        self._handle_own_report(
-            Report(
-                Finding.PAUSED,
-                backend.service,
-                backend.name,
-                backend.born,
-                gap_s,
-                expected_s=plan.route.gap_s,
-            )
-        )
+        self._handle_own_report(report_pause(backend, plan, gap_s))
 
     def record_outcome(
         self, backend: Backend, plan: Plan, failure: BalsamtallyError | None, took_s: float
@@ -554,20 +533,3 @@
     def forget_removed(self) -> None:
         """Drop the state of removed backend servers and routes."""
         self.runners.forget_removed()
-
-
-def add_waiting_load(candidate: Candidate, waiting_loads: dict[str, LoadCounter]) -> Candidate:
-    """Return a candidate whose backlog includes the prompts that wait for its backend server.
-
-    :param candidate: the candidate
-    :param waiting_loads: prompts of waiting calls, by name of the backend server
-    """
-    load = waiting_loads.get(candidate.backend.name)
-    if load is None:
-        return candidate
-    tokens = sum(load.reading)
-    return msgspec.structs.replace(
-        candidate,
-        reading_tokens=candidate.reading_tokens + tokens,
-        beside_tokens=candidate.beside_tokens + tokens,
-    )
--- a/balsamtally/held_bytes.py
+++ b/balsamtally/held_bytes.py
@@ -2,9 +2,9 @@
 
 Answers of backend servers and bodies of callers share one account, whose limit follows from the
 memory of the machine. Input that is read ahead counts too. Small items are accepted beyond the
-limit, up to SMALL_SHARE of it. A part of it is kept for answers, so that large bodies of callers can't fail them. Where the rest is
-used up, the backend server that holds the most loses an answer, and the others go on: bytes without
-end come from few backend servers.
+limit, up to SMALL_SHARE of it. A part of it is kept for answers, so that large bodies of callers
+can't fail them. Where the rest is used up, the backend server that holds the most loses an answer,
+and the others go on: bytes without end come from few backend servers.
 """
 
 import random
--- a/tests/balsamtally/test_dispatch.py
+++ b/tests/balsamtally/test_dispatch.py
@@ -1,6 +1,7 @@
 """Placement, queueing and outcomes of calls with the real components and a simulated clock."""
 
 from dataclasses import replace
+from random import Random
 
 import gevent
 import msgspec
@@ -27,6 +28,7 @@
 from balsamtally.health import EJECT_S
 from balsamtally.plans import CallProgress, make_plan
 from balsamtally.runners import FULL_S, SNAPSHOT_TTL_S
+from balsamtally.waiting import sort_waiters
 from tests.balsamtally.scripted import make_backend, make_call, make_contracts, make_route
 
 DRAFT = (PromptPart("first", 2500), PromptPart("session", 3800), PromptPart("own", 2900))
@@ -633,3 +635,75 @@
     world.now += EJECT_S + 0.1
     health = world.dispatch.runners._health[silent.key]
     assert health.ejections == 1 and health.limit_slots(64, world.now) == 1
+
+
+def reserve_for(world, customer, number, attempt=1, later_s=0.0):
+    parts = (PromptPart(f"own{number}", 25_000),)
+    demand = make_demand(world.plan(number, parts), CallProgress())
+    arrived_s = world.now + later_s
+    changes = {"customer": customer, "attempt": attempt, "arrived_s": arrived_s}
+    return world.dispatch.reserve(msgspec.structs.replace(demand, **changes))
+
+
+@pytest.mark.parametrize("attempt, first", [(1, "light"), (2, "heavy")])
+def test_customer_that_was_given_more_work_waits_longer_unless_it_was_for_retries(
+    world, attempt, first
+):
+    """Guards against a customer's burst that takes the others' capacity."""
+    world.add("a")
+    placed = reserve_for(world, "heavy", 1, attempt)
+    order = []
+
+    def run(customer, number, later_s):
+        reserve_for(world, customer, number, later_s=later_s)
+        order.append(customer)
+
+    # The target of the light customer's call comes later.
+    tasks = [gevent.spawn(run, "light", 2, 0.01), gevent.spawn(run, "heavy", 3, 0.0)]
+    gevent.sleep(0)
+    placed.work.record_answer_start()
+    gevent.sleep(5 * SCHEDULING_DELAY_S)
+    assert order == [first]
+    gevent.killall(tasks)
+
+
+def place_waiting_calls(world, seed):
+    """Return the placements in order of one customer's calls that wait for two runners.
+
+    Their prompts can be read within the deadline: there is no overload.
+    """
+    random = Random(seed)
+    for name in "ab":
+        world.add(name)
+    order, tasks, begun = [], [], []
+
+    def run(number, tokens, arrived_s):
+        demand = make_demand(
+            world.plan(number, (PromptPart(f"own{number}", tokens),)), CallProgress()
+        )
+        demand = msgspec.structs.replace(demand, customer="only", arrived_s=arrived_s)
+        reservation = world.dispatch.reserve(demand)
+        order.append((number, reservation.place.backend))
+        begun.append(reservation)
+
+    for number in range(12):
+        arrived_s = world.now + random.uniform(0.0, 0.2)
+        tasks.append(gevent.spawn(run, number, random.randrange(3_000, 10_000), arrived_s))
+    gevent.sleep(0)
+    while begun:
+        begun.pop(0).work.record_answer_start()
+        gevent.sleep(2 * SCHEDULING_DELAY_S)
+    gevent.killall(tasks)
+    return order
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_placements_of_one_customers_calls_are_as_without_shares_and_turns(seed, monkeypatch):
+    """Differential test against the order and the refusals without customers."""
+    present, former = World(), World()
+    monkeypatch.setattr(
+        former.dispatch._shares, "sort", lambda service, waiters, now: sort_waiters(waiters, now)
+    )
+    monkeypatch.setattr(former.dispatch._refusals, "check", lambda *_: None)
+    order = place_waiting_calls(present, seed)
+    assert len(order) == 12 and order == place_waiting_calls(former, seed)
