--- a/balsamtally/callers.py
+++ b/balsamtally/callers.py
@@ -484,7 +484,7 @@
                 continue
             longest.end_after_answer()
             self.closed_idle += 1
-            gevent.sleep(0)
+            return
 
     def _serve(self, sock: socket.socket) -> None:
         with Caller(sock, self._find_limits, self._clock, self._account) as caller:
--- a/balsamtally/held_bytes.py
+++ b/balsamtally/held_bytes.py
@@ -2,9 +2,10 @@
 
 Answers of backend servers and bodies of callers share one account, whose limit follows from the
 memory of the machine. Input that is read ahead counts too. Small items are accepted beyond the
-limit, up to SMALL_SHARE of it. A part of it is kept for answers, so that large bodies of callers can't fail them. Where the rest is
-used up, the backend server that holds the most loses an answer, and the others go on: bytes without
-end come from few backend servers.
+limit, up to SMALL_SHARE of it for bodies. A part of it is kept for answers, so that large bodies of
+callers can't fail them. Where the rest is used up, the backend server that holds the most loses an
+answer, and the others go on: bytes without end come from few backend servers. Bodies of callers
+that stall lose their place to others.
 """
 
 import random
@@ -20,12 +21,13 @@
 # Part of the account that only answers may use.
 RESERVE_SHARE = 0.25
 BYTES_PER_MB = 1_000_000
-# Items up to this size are accepted beyond the limit, up to SMALL_SHARE of it.
+# Items up to this size are accepted beyond the limit; bodies up to SMALL_SHARE of it.
 SMALL_BYTES = 16_384
 SMALL_SHARE = 1.25
 # A body that is being received may be refused for another one if nothing of it arrived for this
-# time, in seconds.
-STALL_S = 1.0
+# time, in seconds, or less than this in a second.
+STALL_S = 3.0
+MIN_BYTES_PER_S = 4_096
 # Memory that a byte of an unfinished answer takes: the answer, and what its buffers leave unused.
 ANSWER_FACTOR = 2.0
 # Limits of the time after which a caller with a refused body may return, in seconds.
@@ -88,9 +90,9 @@
 
         :param size: the bytes
         """
-        latest_s = self._clock() - STALL_S
-        stalled = [b for b in self._bodies if b.is_evictable and b.progressed_s < latest_s]
+        stalled = [body for body in self._bodies if body.is_evictable and body.is_stalled()]
         needed = self.used_bytes + size - (1.0 - RESERVE_SHARE) * self.limit_bytes
+        needed -= sum(body.size for body in self._bodies if body.is_evicted)
         for body in sorted(stalled, key=lambda body: body.size, reverse=True):
             if needed <= 0:
                 break
@@ -150,8 +152,8 @@
     :param account: the account
     :param backend: backend server of an answer, empty for the body of a caller
     :param on_evict: called to refuse the body of a caller, ``None`` if it can't be refused
-    :ivar is_evictable: whether the body is being received, so that it may be refused
-    :ivar progressed_s: monotonic time at which a part of the body arrived last, in seconds
+    :ivar is_evictable: whether input of the body is awaited, so that it may be refused
+    :ivar is_evicted: whether it was refused to make room, and its bytes are about to be released
     """
 
     def __init__(
@@ -164,8 +166,9 @@
         self._backend = backend
         self._on_evict = on_evict
         self._size = 0.0
-        self.is_evictable = False
-        self.progressed_s = 0.0
+        self.is_evictable = self.is_evicted = False
+        self._began_s = self._progressed_s = 0.0
+        self._received = 0
 
     def __enter__(self) -> "Holding":
         return self
@@ -193,7 +196,9 @@
             self._refuse_body(grown)
         if self._on_evict is not None:
             if not self._size:
-                self.progressed_s = self._account.read_clock()
+                self._began_s = self._progressed_s = self._account.read_clock()
+                self._received = 0
+                self.is_evicted = False
             self._account.watch(self, counted > 0)
         self._size = counted
         self._account.add(grown, self._backend)
@@ -213,9 +218,25 @@
             self._account.estimate_return_s(grown),
         )
 
+    def progress(self, size: int) -> None:
+        """Record that a part of the body arrived.
+
+        :param size: its bytes, with framing
+        """
+        self._progressed_s = self._account.read_clock()
+        self._received += size
+
+    def is_stalled(self) -> bool:
+        """Return whether the body arrives too slowly to keep others out."""
+        now = self._account.read_clock()
+        age_s = now - self._began_s
+        is_slow = age_s > STALL_S and self._received < age_s * MIN_BYTES_PER_S
+        return is_slow or now - self._progressed_s > STALL_S
+
     def evict(self) -> bool:
         """Refuse the body; return whether that was begun now."""
         self.is_evictable = False
+        self.is_evicted = True
         if self._on_evict is not None:
             self._on_evict()
         return self._on_evict is not None
--- a/balsamtally/inboxes.py
+++ b/balsamtally/inboxes.py
@@ -13,9 +13,13 @@
 from balsamtally.held_bytes import HeldBytes, Holding
 
 READ_BYTES = 16_384
-# Input that is buffered while a request is received, at least the largest head.
-RECEIVE_BYTES = 65_536
-# Input beyond which reading stops while a request is handled: two reads at most are buffered.
+# Largest read of a body whose whole length is counted already.
+MAX_READ_BYTES = 65_536
+# Input of such a body from which on reading stops. With 64 KiB, reading and parsing take turns, and
+# bodies of 900 KB took over 3 s beside 180 callers.
+BODY_AHEAD_BYTES = 262_144
+# Input from which on reading stops, so that two reads at most are buffered; while a head is
+# received, it may be larger.
 READ_AHEAD_BYTES = 16_384
 # Reads with fewer bytes than this count as small. A caller may make FREE_SMALL_READS of them in a
 # request without a pause.
@@ -55,11 +59,12 @@
         self._has_space = Event()
         self._has_space.set()
         self._small_reads = 0
+        self._expected = 0
         self._reader: gevent.Greenlet | None = None
         self.data = bytearray()
         self.ended = False
         self.first_byte_s = 0.0
-        self.limit = RECEIVE_BYTES
+        self.limit = READ_AHEAD_BYTES
 
     def start(self) -> None:
         """Start to read the socket."""
@@ -79,10 +84,11 @@
             if pause_s > 0:
                 gevent.sleep(min(pause_s, MAX_PAUSE_S))
             try:
-                data = self._sock.recv(READ_BYTES)
+                data = self._sock.recv(min(max(READ_BYTES, self._expected), MAX_READ_BYTES))
             except OSError:
                 data = b""
             self.ended = not data
+            self._expected = max(0, self._expected - len(data))
             self._small_reads += len(data) < SMALL_READ_BYTES
             if not self.data:
                 self.first_byte_s = self._clock()
@@ -95,7 +101,7 @@
         """Count the input, and stop or resume reading."""
         if self._holding is not None:
             self._holding.record(len(self.data))
-        if len(self.data) < self.limit:
+        if len(self.data) < (BODY_AHEAD_BYTES if self._expected else self.limit):
             self._has_space.set()
         else:
             self._has_space.clear()
@@ -105,15 +111,24 @@
 
         :param max_head_bytes: size of the largest head that is accepted
         """
-        self._small_reads = 0
+        self._small_reads = self._expected = 0
         if len(self.data) >= self.limit:
             # Reading had stopped, so the rest of the head could not arrive.
             self.first_byte_s = self._clock()
-        self.limit = max(RECEIVE_BYTES, max_head_bytes + 1)
+        self.limit = max(READ_AHEAD_BYTES, max_head_bytes + 1)
+        self._count()
+
+    def expect(self, size: int) -> None:
+        """Read the rest of a body in large pieces, but not beyond its end.
+
+        :param size: length of the body, with the part that has been received
+        """
+        self._expected = max(0, size - len(self.data))
         self._count()
 
     def begin_handling(self) -> None:
         """Read ahead only a little until the next request is received."""
+        self._expected = 0
         self.limit = READ_AHEAD_BYTES
         self._count()
 
--- a/balsamtally/request_bodies.py
+++ b/balsamtally/request_bodies.py
@@ -19,7 +19,7 @@
     TooManyRequests,
 )
 from balsamtally.held_bytes import HeldBytes, Holding
-from balsamtally.inboxes import READ_BYTES, Inbox
+from balsamtally.inboxes import MAX_READ_BYTES, READ_BYTES, Inbox
 
 # Digits that are read of a length; one with more exceeds any limit.
 MAX_LENGTH_DIGITS = 15
@@ -60,7 +60,7 @@
         self._clock = clock
         self._account = account
         self._holding = Holding(account, on_evict=self._evict) if account is not None else None
-        self._is_evicted = False
+        self._is_evicted = self._is_chunked = False
         self._chunks = self._part_bytes = self._received = 0
 
     def release(self) -> None:
@@ -100,15 +100,11 @@
         self._is_evicted = False
         self._chunks = self._part_bytes = self._received = 0
         self._count(declared)
-        if self._holding is not None:
-            self._holding.is_evictable = True
-        try:
-            if http.they_are_waiting_for_100_continue:
-                send(h11.InformationalResponse(status_code=100, headers=[]))
-            return self._read_parts(http, declared, limits)
-        finally:
-            if self._holding is not None:
-                self._holding.is_evictable = False
+        self._inbox.expect(declared)
+        self._is_chunked = not declared
+        if http.they_are_waiting_for_100_continue:
+            send(h11.InformationalResponse(status_code=100, headers=[]))
+        return self._read_parts(http, declared, limits)
 
     def _read_parts(self, http: h11.Connection, declared: int, limits: Limits) -> bytes:
         body = bytearray()
@@ -134,8 +130,7 @@
         inbox = self._inbox
         if self._received > MAX_FRAMING_RATIO * size + MIN_FRAMING_BYTES:
             raise MalformedRequest("the framing of the chunks is much larger than the body")
-        self._check_evicted()
-        if not inbox.data and not inbox.wait_for_more(deadline_s, lambda: self._is_evicted):
+        if not inbox.data and not self._wait_for_more(deadline_s):
             self._check_evicted()
             if inbox.ended:
                 raise CallerLeft("the caller disconnected within its request")
@@ -145,14 +140,26 @@
         self._part_bytes = len(data)
         self._received += len(data)
         if self._holding is not None:
-            self._holding.progressed_s = self._clock()
+            self._holding.progress(len(data))
         http.receive_data(data)
 
+    def _wait_for_more(self, deadline_s: float) -> bool:
+        """Wait for input; a body that others wait for may be refused meanwhile."""
+        if self._holding is not None:
+            self._holding.is_evictable = True
+        try:
+            return self._inbox.wait_for_more(deadline_s, lambda: self._is_evicted)
+        finally:
+            if self._holding is not None:
+                self._holding.is_evictable = False
+
     def _wait_for_turn(self, deadline_s: float) -> int:
         """Let other greenlets run; return how much input may be parsed next, in bytes.
 
         :raises RequestTimeout: if other dense bodies wait too, and the time for the body has passed
         """
+        if not self._is_chunked:
+            return MAX_READ_BYTES
         size = self._part_bytes
         if self._chunks < MIN_DENSE_CHUNKS or self._chunks * DENSE_CHUNK_BYTES < size:
             gevent.sleep(0)
--- a/tests/balsamtally/test_callers.py
+++ b/tests/balsamtally/test_callers.py
@@ -12,7 +12,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from balsamtally.callers import CallerServer
+from balsamtally.callers import MAX_CALLERS, RESERVED_FDS, CallerServer, find_max_callers
 from balsamtally.calls import Limits
 from balsamtally.errors import (
     AnswerBegun,
@@ -22,6 +22,7 @@
     TooManyRequests,
 )
 from balsamtally.held_bytes import SMALL_BYTES, HeldBytes
+from balsamtally.inboxes import READ_AHEAD_BYTES
 from balsamtally.sockets import listen
 from tests.answer_grammar import read_answers
 from tests.polling import expect_soon
@@ -31,7 +32,7 @@
 
 
 @contextlib.contextmanager
-def serve(handle, limits=LIMITS, account=None):
+def serve(handle, limits=LIMITS, account=None, max_callers=MAX_CALLERS):
     """Run a server; yield a function that connects to it, the codes of refusals and the server."""
     refused = []
 
@@ -40,7 +41,13 @@
         caller.answer(error.status, (), b"%d" % error.code)
 
     server = CallerServer(
-        listen(("127.0.0.1", 0)), lambda: limits, handle, refuse, time.monotonic, account
+        listen(("127.0.0.1", 0)),
+        lambda: limits,
+        handle,
+        refuse,
+        time.monotonic,
+        account,
+        max_callers,
     )
     with server:
         address = server._listener.getsockname()
@@ -471,3 +478,76 @@
         expect_soon(lambda: account.used_bytes == 1_000_000)
         sock.close()
         expect_soon(lambda: account.used_bytes == 0)
+
+
+def test_input_is_read_ahead_only_a_little_while_a_request_is_handled():
+    """Guards against pipelined requests that fill the memory while the first one runs."""
+    account = HeldBytes(1e9)
+    go = Event()
+
+    def handle(caller, request):
+        go.wait()
+        caller.answer(200, (), b"")
+
+    with serve(handle, Limits(), account) as (connect, _, _):
+        sock = connect()
+        sock.settimeout(0.3)
+        with pytest.raises(TimeoutError):
+            while True:
+                sock.sendall(HEAD + b"\r\n")
+        held = account.used_bytes
+        go.set()
+        assert READ_AHEAD_BYTES <= held <= 2 * READ_AHEAD_BYTES
+
+
+def test_pipelined_request_is_served_only_when_the_former_answers_were_taken():
+    """Guards against answers that pile up for a caller that reads none."""
+    seen = []
+
+    def handle(caller, request):
+        seen.append(request)
+        caller.answer(200, (), b"x" * 50_000)
+
+    with serve(handle, Limits()) as (connect, _, _), contextlib.closing(connect()) as sock:
+        sock.sendall(400 * (HEAD + b"\r\n"))
+        gevent.sleep(1.0)
+        # 20 MB of answers would be sent; what the two kernels buffer isn't held by the process.
+        assert len(seen) < 400
+        received = b""
+        while received.count(b"HTTP/1.1 200") < 400:
+            received += sock.recv(1_000_000)
+    assert len(seen) == 400
+
+
+@pytest.mark.parametrize(
+    "piece", [b"1\r\nx\r\n", b"3;a=b\r\nxyz\r\n", b"100\r\n" + b"y" * 256 + b"\r\n"]
+)
+def test_body_in_many_chunks_arrives_whole_with_what_follows(piece):
+    """Guards against a body that is changed where it is parsed in turns."""
+    data = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + 3_000 * piece + b"0\r\n\r\n"
+    seen, refused, _ = exchange(data + HEAD + b"\r\n", Limits())
+    content = piece.split(b"\r\n")[1]
+    assert [request.body for request in seen] == [3_000 * content, b""] and refused == []
+
+
+def test_framing_much_larger_than_the_body_is_refused():
+    """Guards against chunk extensions without end, which no limit on the body bounds."""
+    piece = b"1;odd=" + b"x" * 50 + b"\r\nx\r\n"
+    data = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + 5_000 * piece
+    assert exchange(data, Limits())[1] == [MalformedRequest.code]
+
+
+def test_new_connection_replaces_the_one_that_was_idle_the_longest():
+    """Guards against idle connections that keep ordinary callers out."""
+    with serve(echo([]), Limits(idle_timeout_s=60.0), max_callers=3) as (connect, _, server):
+        idle = [connect() for _ in range(3)]
+        with contextlib.closing(connect()) as sock:
+            sock.sendall(HEAD + b"\r\n")
+            assert sock.recv(1000).startswith(b"HTTP/1.1 200")
+        assert idle[0].recv(10) == b"" and server.closed_idle == 1
+
+
+def test_connections_leave_descriptors_for_backend_servers_and_files():
+    assert find_max_callers(0) == find_max_callers(4_100) == MAX_CALLERS
+    assert 0 < 2 * find_max_callers(800) < 800 - RESERVED_FDS
+    assert find_max_callers(100) == 1
--- a/tests/balsamtally/test_held_bytes.py
+++ b/tests/balsamtally/test_held_bytes.py
@@ -10,6 +10,8 @@
     MAX_RETURN_S,
     RESERVE_SHARE,
     SMALL_BYTES,
+    SMALL_SHARE,
+    STALL_S,
     HeldBytes,
     Holding,
     find_limit,
@@ -102,3 +104,55 @@
 
 def test_limit_follows_from_the_memory_of_the_machine():
     assert find_limit(150.0) == 2 * find_limit(75.0) > 0
+
+
+def receive(account, size, evicted):
+    """Return the holding of a body that is being received."""
+    holding = Holding(account, on_evict=lambda: evicted.append(holding))
+    holding.resize(size)
+    holding.is_evictable = True
+    return holding
+
+
+def test_small_bodies_are_refused_when_very_many_hold_more_than_the_account(account):
+    """Guards against 500 bodies of 16 KB each, of which none counts as large."""
+    with pytest.raises(TooManyRequests) as refusal:
+        for _ in range(LIMIT):
+            hold(account, SMALL_BYTES)
+    assert refusal.value.outcome is Outcome.NOT_RUN
+    assert LIMIT < account.used_bytes <= SMALL_SHARE * LIMIT
+
+
+def test_input_read_ahead_takes_the_room_of_bodies(account):
+    """Guards against input that is held but not counted."""
+    inbox = Holding(account)
+    inbox.record(FOR_BODIES)
+    with pytest.raises(TooManyRequests):
+        hold(account, SMALL_BYTES + 1)
+    inbox.record(0)
+    hold(account, SMALL_BYTES + 1)
+
+
+def test_largest_stalled_body_makes_room_for_another(account):
+    """Guards against bodies that are never completed and keep others out until their time-out."""
+    evicted = []
+    small, large = (receive(account, size, evicted) for size in (100_000, 600_000))
+    account._clock.now_s += STALL_S + 0.1
+    moving = receive(account, 40_000, evicted)
+    with pytest.raises(TooManyRequests):
+        hold(account, 200_000)
+    assert evicted == [large] and account.evicted == 1
+    assert small.is_evictable and moving.is_evictable and not large.is_evictable
+
+
+def test_body_that_arrives_by_single_bytes_is_stalled_and_one_at_a_usual_pace_is_not(account):
+    """Guards against a body that is kept from eviction by a byte now and then."""
+    evicted = []
+    slow, usual = (receive(account, 300_000, evicted) for _ in range(2))
+    for _ in range(20):
+        account._clock.now_s += STALL_S / 4
+        slow.progress(1)
+        usual.progress(50_000)
+    with pytest.raises(TooManyRequests):
+        hold(account, 700_000)
+    assert evicted == [slow]
