--- a/balsamtally/errors.py
+++ b/balsamtally/errors.py
@@ -389,6 +389,8 @@
 class BackendSilent(AnswerCut):
     """The backend server stopped sending to several streams."""
 
+    code = 3011
+    outcome = Outcome.UNKNOWN
     default = "the backend server has stopped sending"
 
 
