--- a/balsamtally/explanations.py
+++ b/balsamtally/explanations.py
@@ -169,7 +169,13 @@
 def share_out(
     demand: Demand, candidates: list[Candidate], dispatch: Dispatch, now_s: float
 ) -> dict[str, float]:
-    """Return the probability with which each candidate would be chosen, by name."""
+    """Return the probability with which each candidate would be chosen, by name.
+
+    :param demand: requirements of the call
+    :param candidates: the backend servers that it may be sent to
+    :param dispatch: the view of the entry VM
+    :param now_s: monotonic clock in seconds
+    """
     if not candidates:
         return {}
     if dispatch.runners.spreads_evenly(demand.service):
@@ -189,7 +195,15 @@
     shares: dict[str, float],
     now_s: float,
 ) -> ServerExplanation:
-    """Return what a placement would take into account of a backend server."""
+    """Return what a placement would take into account of a backend server.
+
+    :param backend: the backend server
+    :param candidate: its state as a candidate, ``None`` if it is none
+    :param demand: requirements of the call
+    :param dispatch: the view of the entry VM
+    :param shares: probability of each candidate by name
+    :param now_s: monotonic clock in seconds
+    """
     limited = dispatch.runners.is_limited(backend)
     if candidate is None:
         why = dispatch.runners.explain_absence(demand, backend)
@@ -215,7 +229,13 @@
 
 
 def explain_wait(demand: Demand, chosen: Candidate | None, dispatch: Dispatch, now_s: float) -> str:
-    """Return why a call would wait or be refused, empty if it would be placed at once."""
+    """Return why a call would wait or be refused, empty if it would be placed at once.
+
+    :param demand: requirements of the call
+    :param chosen: the backend server that it would go to, ``None`` if there is none
+    :param dispatch: the view of the entry VM
+    :param now_s: monotonic clock in seconds
+    """
     if chosen is None:
         limited = dispatch.runners.list_limited(demand)
         return "waits for a permit of a limited server" if limited else "refused: no server"
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -101,36 +101,12 @@
         self._count_dropped = count_dropped
         self._metrics = CallMetrics(self._read_gauges)
         self._backlogs = Backlogs()
-        self._server_limits = ServerLimits(
-            self.catalog.is_known,
-            find_cold_limit=lambda service: self._make_cold_rule().find_limit(
-                self.catalog.find_cold_rate_per_s(service)
-            ),
-        )
-        self._cold_membership = ColdMembership(
-            make_initial_beat(settings, incarnation),
-            settings.regions,
-            settings.find_region,
-            lambda: bool(set(self.settings.seeds) - {settings.peer_address[0]}),
-            lambda: [peer.beat for peer in self.peers.list_alive()],
-        )
-        self._permits = self._make_permits()
-        self._dispatch = Dispatch(
-            self.catalog,
-            self._backlogs,
-            settings.find_region,
-            settings.find_region(settings.domain),
-            lambda read: self.peers.record_read(read),
-            observe_lag=self._metrics.observe_lag,
-            forward_report=self._forward_report,
-            on_work_change=self._announce_work,
-            permits=self._permits,
-            coordinates=lambda service: self.peers.coordinates(service),
-        )
-        self.catalog.on_cold = self._server_limits.record_cold
+        initial_beat = make_initial_beat(settings, incarnation)
+        self._connect_limits(initial_beat)
+        self._dispatch = self._make_dispatch()
         self.catalog.on_evacuation = self._dispatch.dispatch_soon
         self.peers = Peers(
-            make_initial_beat(settings, incarnation),
+            initial_beat,
             settings.peer_address[1],
             settings.seeds,
             self.catalog,
@@ -169,8 +145,20 @@
             find_max_callers(self.settings.max_fds),
         )
 
-    def _make_permits(self) -> Permits:
-        return Permits(
+    def _connect_limits(self, initial_beat: Beat) -> None:
+        """Create the limits of backend servers and of cold ones, and the permits for both."""
+        self._server_limits = ServerLimits(
+            self.catalog.is_known, find_cold_limit=self._find_cold_limit
+        )
+        self.catalog.on_cold = self._server_limits.record_cold
+        self._cold_membership = ColdMembership(
+            initial_beat,
+            self.settings.regions,
+            self.settings.find_region,
+            lambda: bool(set(self.settings.seeds) - {initial_beat.ip}),
+            lambda: [peer.beat for peer in self.peers.list_alive()],
+        )
+        self._permits = Permits(
             self._server_limits,
             lambda backend: self.peers.find_decider(backend),
             lambda: self.peers.find_share(),
@@ -178,8 +166,23 @@
             find_cold_share=self._cold_membership.find_share,
         )
 
-    def _make_cold_rule(self) -> ColdRule:
-        return ColdRule(self.settings.cold_overage, self.settings.cold_slack)
+    def _find_cold_limit(self, service: str) -> float | None:
+        rule = ColdRule(self.settings.cold_overage, self.settings.cold_slack)
+        return rule.find_limit(self.catalog.find_cold_rate_per_s(service))
+
+    def _make_dispatch(self) -> Dispatch:
+        return Dispatch(
+            self.catalog,
+            self._backlogs,
+            self.settings.find_region,
+            self.settings.find_region(self.settings.domain),
+            lambda read: self.peers.record_read(read),
+            observe_lag=self._metrics.observe_lag,
+            forward_report=self._forward_report,
+            on_work_change=self._announce_work,
+            permits=self._permits,
+            coordinates=lambda service: self.peers.coordinates(service),
+        )
 
     def _connect_placement(self, incarnation: str) -> None:
         """Create both sides of placement and connect them to the peers."""
--- a/tests/balsamtally/test_explanations.py
+++ b/tests/balsamtally/test_explanations.py
@@ -54,6 +54,8 @@
     )
     servers = {name: world.add(name) for name in ("full", "gone", "leaving", "open", "other")}
     world.add("far", "elsewhere")
+    world.add("moved", "evacuated")
+    world.catalog.evacuations.begin("evacuated", 1, "test")
     world.catalog.backends["leaving"] = replace(servers["leaving"], leaving=True)
     world.dispatch.record_outcome(servers["full"], world.plan(1), BackendRefused(), 0.1)
     world.dispatch.record_outcome(servers["gone"], world.plan(1), BackendUnreachable(), 0.1)
@@ -65,6 +67,7 @@
         "full": "refused a call as full a moment ago",
         "gone": "ejected, or takes few calls after an ejection",
         "leaving": "draining",
+        "moved": "not open, as its failure domain is evacuated",
     }
 
 
