Drop the rest of refused bodies in the kernel, in large reads

Accepted bodies then reached their backend servers too late for their deadline.

Also tests that a machine of 88 MB serves one body of 4 MB.

--- a/balsamtally/callers.py
+++ b/balsamtally/callers.py
@@ -371,9 +371,7 @@
             self._sock.shutdown(socket.SHUT_WR)
         except OSError:
             return
-        with gevent.Timeout(LINGER_S, False):
-            while not self._inbox.ended:
-                self._inbox.discard()
+        self._inbox.discard_until_end(LINGER_S)
 
     def end_after_answer(self) -> None:
         """Serve no request after the current one; close the connection if it is idle."""
--- a/balsamtally/inboxes.py
+++ b/balsamtally/inboxes.py
@@ -13,6 +13,9 @@
 from balsamtally.held_bytes import HeldBytes, Holding
 
 READ_BYTES = 16_384
+# Largest read of input that is discarded. The kernel drops it without a copy, so the buffer isn't
+# written, and all connections share it.
+DISCARD_BYTES = 262_144
 # Largest read of a body whose whole length is counted already.
 MAX_READ_BYTES = 65_536
 # Input of such a body from which on reading stops. With 64 KiB, reading and parsing take turns, and
@@ -29,6 +32,7 @@
 # callers that send single bytes then cause 7,200 reads in a second.
 PAUSE_STEP_S = 0.001
 MAX_PAUSE_S = 0.25
+_discarded = bytearray(DISCARD_BYTES)
 
 
 class Inbox:
@@ -60,6 +64,7 @@
         self._has_space.set()
         self._small_reads = 0
         self._expected = 0
+        self._discards = False
         self._reader: gevent.Greenlet | None = None
         self.data = bytearray()
         self.ended = False
@@ -83,20 +88,38 @@
             pause_s = (self._small_reads - FREE_SMALL_READS) * PAUSE_STEP_S
             if pause_s > 0:
                 gevent.sleep(min(pause_s, MAX_PAUSE_S))
-            try:
-                data = self._sock.recv(min(max(READ_BYTES, self._expected), MAX_READ_BYTES))
-            except OSError:
-                data = b""
-            self.ended = not data
-            self._expected = max(0, self._expected - len(data))
-            self._small_reads += len(data) < SMALL_READ_BYTES
-            if not self.data:
-                self.first_byte_s = self._clock()
-            self.data += data
-            self._count()
-            self._arrived.set()
+            if self._discards:
+                self._discard_next()
+            else:
+                self._read_next()
+        self._arrived.set()
         self._on_end()
 
+    def _read_next(self) -> None:
+        try:
+            data = self._sock.recv(min(max(READ_BYTES, self._expected), MAX_READ_BYTES))
+        except OSError:
+            data = b""
+        self.ended = not data
+        self._small_reads += len(data) < SMALL_READ_BYTES
+        if self._discards:
+            # This began while the read waited.
+            return
+        self._expected = max(0, self._expected - len(data))
+        if not self.data:
+            self.first_byte_s = self._clock()
+        self.data += data
+        self._count()
+        self._arrived.set()
+
+    def _discard_next(self) -> None:
+        try:
+            size = self._sock.recv_into(_discarded, 0, socket.MSG_TRUNC)
+        except OSError:
+            size = 0
+        self.ended = not size
+        self._small_reads += size < SMALL_READ_BYTES
+
     def _count(self) -> None:
         """Count the input, and stop or resume reading."""
         if self._holding is not None:
@@ -150,12 +173,21 @@
         self.data[:0] = data
         self._count()
 
-    def discard(self) -> None:
-        """Remove all input, and wait for further input or the end."""
-        self._arrived.clear()
+    def discard_until_end(self, timeout_s: float) -> None:
+        """Discard all input until the caller closes the connection; no request can follow.
+
+        Each read takes what the kernel holds. With reads of 16 KiB, the rest of refused bodies took
+        so much processor time that accepted ones reached their backend servers too late.
+
+        :param timeout_s: longest time, in seconds
+        """
+        self._discards = True
         self.data.clear()
+        self._expected = 0
         self._count()
-        self._arrived.wait()
+        self._arrived.clear()
+        if not self.ended:
+            self._arrived.wait(timeout_s)
 
     def wake(self) -> None:
         """Wake what waits for input."""
--- a/tests/standins/test_held_bytes.py
+++ b/tests/standins/test_held_bytes.py
@@ -3,8 +3,9 @@
 import gevent
 import pytest
 
-from standins.grid import ENDLESS, MEMORY_MB, Grid
+from standins.grid import ENDLESS, MEMORY_MB, Grid, make_config
 from standins.grid_callers import GridCaller
+from tests.polling import expect_soon
 
 CALLERS = 300
 SOUND_CALLERS = 4
@@ -75,3 +76,27 @@
     assert refused and all("retry-after" in answer.headers for answer in refused)
     assert not any(answer.id in arrived for answer in refused)
     assert any(answer.good for answer in uploads)
+
+
+SMALLEST_MEMORY_MB = 88
+LARGEST_BODY_BYTES = 4_000_000
+
+
+def test_largest_body_is_served_by_the_smallest_machine():
+    """Guards against bounds that refuse a single caller within the published limits."""
+    with Grid(vms=1, servers=2, domains=1, limits={"memory_mb": SMALLEST_MEMORY_MB}) as grid:
+        [vm] = grid.vms
+        config = make_config(2)
+        config["limits"]["max_body_bytes"] = LARGEST_BODY_BYTES
+        grid.store.put("op/config", config)
+        answers = []
+
+        def ask():
+            with GridCaller(vm) as caller:
+                answers.append(caller.ask("lookup", b"x" * LARGEST_BODY_BYTES))
+            return answers[-1].status != 413
+
+        # Until the new limit is in force, the body is too large.
+        expect_soon(ask)
+        assert answers[-1].good, answers[-1].status
+        assert vm.read_peak_mb() <= SMALLEST_MEMORY_MB
