Test the log line of silent runners apart from the logger's first use

In a whole run the line wasn't captured: the logger keeps the processors of its first use, and other tests configure new ones. Seen in two whole runs, not in runs of the file.

--- a/tests/balsamtally/test_stall_exchange.py
+++ b/tests/balsamtally/test_stall_exchange.py
@@ -5,8 +5,10 @@
 
 import gevent
 import msgspec
-from structlog.testing import capture_logs
+import structlog
+from structlog.testing import LogCapture
 
+from balsamtally import stall_exchange
 from balsamtally.decoding import decode
 from balsamtally.peers import Beat, Message
 from balsamtally.stall_exchange import StallExchange
@@ -60,16 +62,20 @@
         gevent.sleep(0.05)
 
 
-def test_vms_with_one_stream_each_count_and_log_a_runner_that_falls_silent():
+def test_vms_with_one_stream_each_count_and_log_a_runner_that_falls_silent(monkeypatch):
     """Each of them alone has too few streams there, and its caller waited until the deadline."""
     dark, alive = make_backend("dark"), make_backend("alive")
-    with Region(("one", "two")) as region, capture_logs() as lines:
+    # The logger keeps the processors of its first use, which earlier tests may have replaced.
+    capture = LogCapture()
+    log = structlog.wrap_logger(None, processors=[capture])
+    monkeypatch.setattr(stall_exchange, "log", log)
+    with Region(("one", "two")) as region:
         for stalls in region.stalls.values():
             begin_stream(stalls, dark)
         others = [begin_stream(stalls, alive) for stalls in region.stalls.values()]
         sender = gevent.spawn(keep_sending, others)
         expect_soon(lambda: sorted(region.counted) == [("one", "dark"), ("two", "dark")])
         sender.kill()
-    [line, _] = [line for line in lines if line["event"] == "backend_silent_streams"]
+    [line, _] = [line for line in capture.entries if line["event"] == "backend_silent_streams"]
     assert (line["backend"], line["silent"], line["open"]) == ("dark", 2, 2)
     assert line["silent_s"] >= 1.0
