--- a/balsamtally/runners.py
+++ b/balsamtally/runners.py
@@ -58,6 +58,7 @@
     :ivar load: its work
     :ivar slow_factor: observed slowdown relative to the expected speed, 1 or more
     :ivar cache: estimate of the prompt parts that it holds
+    :ivar cold: whether it is cold
     :ivar told: calls on it that are known from announcements only, 0 for a model runner
     :ivar far: calls on it that come from another region, 0 for a model runner
     """
@@ -69,6 +70,7 @@
     load: Load
     slow_factor: float
     cache: PrefixCache
+    cold: bool = False
     told: int = 0
     far: int = 0
 
@@ -158,7 +160,10 @@
 
         :param service: name of the service
         """
-        return self._statistics.setdefault(service, ServiceStatistics())
+        statistics = self._statistics.get(service)
+        if statistics is None:
+            statistics = self._statistics[service] = ServiceStatistics()
+        return statistics
 
     def spreads_evenly(self, service: str) -> bool:
         """Return whether calls of a service are spread over its servers by their free slots.
@@ -217,11 +222,12 @@
             return suitable
         # The choice of dedicated runners doesn't depend on the runners that one call avoids, or
         # that its regional limit excludes.
-        for choices in (suitable, candidates, self._make_candidates(demand, runners)):
+        for choices in (suitable, candidates):
             left = [candidate for candidate in choices if is_eligible(demand, candidate)]
             if left:
                 return left
-        return []
+        every = self._make_candidates(demand, runners)
+        return [candidate for candidate in every if is_eligible(demand, candidate)]
 
     def preview(self, demand: Demand) -> list[Candidate]:
         """Return what :meth:`list_candidates` would, without a change of the streams' statistics.
@@ -296,8 +302,10 @@
             return self._apply_dedication(demand, candidates)
         if self.has_tight_bound(demand):
             candidates = [each for each in candidates if not each.cold] or candidates
-        limited = [each for each in candidates if self._permits.is_limited(each.backend.key)]
-        others = [each for each in candidates if each not in limited]
+        limited, others = [], []
+        for candidate in candidates:
+            is_limited = self._permits.is_limited(candidate.backend.key)
+            (limited if is_limited else others).append(candidate)
         return limited + (self._apply_dedication(demand, others) if others else [])
 
     def list_local(self, service: str) -> list[str]:
@@ -363,6 +371,7 @@
             load=load,
             slow_factor=self._paces.find(backend.key),
             cache=self.find_cache(service, backend.key),
+            cold=self._permits.has_limits and self._permits.is_cold(backend.key),
         )
 
     def _is_usable(self, backend: Backend, running: int) -> bool:
@@ -395,7 +404,7 @@
             slow_factor=runner.slow_factor,
             close=load.close,
             region=runner.region,
-            cold=self._permits.has_limits and self._permits.is_cold(runner.backend.key),
+            cold=runner.cold,
             told=runner.told,
             far=runner.far,
         )
--- a/balsamtally/server_limits.py
+++ b/balsamtally/server_limits.py
@@ -10,6 +10,7 @@
 old, the time counts from when this entry VM learnt it, and a later entry never shortens it.
 """
 
+import math
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -90,6 +91,7 @@
         self._find_cold_limit = find_cold_limit
         self._cold: dict[Incarnation, str] = {}
         self._cold_until_s: dict[Incarnation, float] = {}
+        self._next_warm_s = math.inf
         self._statements: dict[Incarnation, Statement] = {}
         self._unlimited_s: dict[Incarnation, float] = {}
         self._limits: dict[Incarnation, float] = {}
@@ -97,7 +99,8 @@
     @property
     def is_empty(self) -> bool:
         """Whether no backend server has a limit or is cold."""
-        if self._cold:
+        # Called for each candidate of each waiting call.
+        if self._cold and self._clock() >= self._next_warm_s:
             self._end_cold()
         return not self._limits and not self._cold
 
@@ -107,6 +110,8 @@
         :param key: identity of its incarnation
         :return: the lower of the limits that it named and that it has as a cold server
         """
+        if key not in self._cold:
+            return self.find_named(key)
         limits = (self.find_named(key), self.find_cold(key))
         return min((limit for limit in limits if limit is not None), default=None)
 
@@ -160,12 +165,14 @@
             log.info("backend_cold", backend=key[0], born=key[1], cold_s=backend.cold_s)
         self._cold[key] = backend.service
         self._cold_until_s[key] = until_s
+        self._next_warm_s = min(self._next_warm_s, until_s)
 
     def _end_cold(self) -> None:
         now = self._clock()
         for key in [key for key in self._cold if self._cold_until_s[key] <= now]:
             del self._cold[key]
             log.info("backend_warm", backend=key[0], born=key[1])
+        self._next_warm_s = min((self._cold_until_s[key] for key in self._cold), default=math.inf)
 
     def list_limited(self) -> list[Incarnation]:
         """Return the incarnations that have a limit."""
