--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -11,7 +11,7 @@
 
 import gevent
 import h11
-from gevent import select, socket
+from gevent import socket
 
 from balsamtally.calls import BODILESS, AnswerHead, Backend, Headers
 from balsamtally.errors import (
@@ -29,6 +29,7 @@
     end_sending,
     has_input,
     is_idle,
+    wait_ready,
     was_closed_in_order,
 )
 
@@ -201,7 +202,7 @@
                 left_s = until_s - time.monotonic()
                 if left_s <= 0:
                     raise NoAnswer("the request could not be sent in time")
-                readable, writable, _ = select.select([self._sock], [self._sock], [], left_s)
+                readable, writable = wait_ready(self._sock, left_s)
                 if readable and sent_bytes < len(head):
                     raise ConnectionUnusable
                 if readable:
--- a/balsamtally/sockets.py
+++ b/balsamtally/sockets.py
@@ -1,6 +1,7 @@
 """TCP sockets for callers, backend servers and peers."""
 
 import contextlib
+import errno
 import fcntl
 import ipaddress
 import socket as plain
@@ -9,7 +10,7 @@
 import time
 
 import gevent
-from gevent import socket
+from gevent import monkey, select, socket
 
 # A peer that disappears without a reset is detected after about KEEPALIVE_IDLE_S +
 # KEEPALIVE_PROBES * KEEPALIVE_INTERVAL_S. The kernel takes whole seconds, of which these are the
@@ -28,6 +29,10 @@
 # States of TCP_INFO in which the other side has acknowledged the end: FIN_WAIT2, TIME_WAIT, and
 # CLOSE, which the kernel tells after both sides have ended; a time-out or reset sets an error too.
 _CONFIRMED_STATES = (5, 6, 7)
+READABLE = select.POLLIN | select.POLLHUP | select.POLLERR
+WRITABLE = select.POLLOUT | select.POLLERR
+# The poll that doesn't switch to other greenlets.
+_poll_now = monkey.get_original("select", "poll")
 _NO_LINGER = struct.pack("ii", 1, 0)
 
 
@@ -94,6 +99,26 @@
     return sock
 
 
+def wait_ready(sock: socket.socket, timeout_s: float) -> tuple[bool, bool]:
+    """Wait until a connection is readable or writable; return whether it is each of them.
+
+    ``select`` refuses descriptors from 1,024 on.
+
+    :param sock: a connected socket
+    :param timeout_s: longest wait in seconds
+    :raises OSError: if the socket was closed
+    """
+    for make_poll, wait_s in ((_poll_now, 0.0), (select.poll, timeout_s)):
+        poll = make_poll()
+        poll.register(sock.fileno(), select.POLLIN | select.POLLOUT)
+        events = dict(poll.poll(1000 * wait_s)).get(sock.fileno(), 0)
+        if events & select.POLLNVAL:
+            raise OSError(errno.EBADF, "the socket was closed")
+        if events:
+            break
+    return bool(events & READABLE), bool(events & WRITABLE)
+
+
 def is_idle(sock: socket.socket) -> bool:
     """Return whether a connection is open and has no unread input.
 
