--- a/balsamtally/dedicated_runners.py
+++ b/balsamtally/dedicated_runners.py
@@ -11,7 +11,7 @@
 """
 
 import math
-from collections.abc import Container, Sequence
+from collections.abc import Callable, Container, Sequence
 from dataclasses import dataclass, field
 from functools import lru_cache
 
@@ -282,7 +282,11 @@
 
 
 def choose_dedicated(
-    service: str, pool: Sequence[Candidate], streams: int, max_streams: float
+    service: str,
+    pool: Sequence[Candidate],
+    streams: int,
+    max_streams: float,
+    find_others: Callable[[Sequence[Candidate]], float] = count_needed_by_others,
 ) -> set[str]:
     """Return the names of the runners of a pool that are dedicated to streams.
 
@@ -290,11 +294,12 @@
     :param pool: the pool of runners
     :param streams: concurrent streams with a tight bound in the pool
     :param max_streams: how many of these streams one runner gets
+    :param find_others: returns how many runners of the pool the other calls need
     """
     count = count_dedicated(streams, max_streams, len(pool))
     # The other calls' work is summed only where the streams need more than the usual share.
     if count and streams > count * max_streams:
-        count = count_dedicated(streams, max_streams, len(pool), count_needed_by_others(pool))
+        count = count_dedicated(streams, max_streams, len(pool), find_others(pool))
     return set(rank_pool(service, tuple(candidate.backend.name for candidate in pool))[:count])
 
 
--- a/balsamtally/refusals.py
+++ b/balsamtally/refusals.py
@@ -49,7 +49,9 @@
     tokens_per_s: float
 
 
-def predict_outlook(candidates: Sequence[Candidate], ahead_tokens: int) -> Outlook:
+def predict_outlook(
+    candidates: Sequence[Candidate], ahead_tokens: int, best_s: float | None = None
+) -> Outlook:
     """Return when a waiting call can be expected to be served.
 
     Prompts at the candidates are assumed to be read at all of them evenly, which is the earliest
@@ -57,12 +59,13 @@
 
     :param candidates: backend servers that may run the call, at least one
     :param ahead_tokens: prompt tokens of waiting calls that are placed before the call
+    :param best_s: expected time to the first event at the best candidate, in seconds, ``None`` if
+        it isn't known yet
     """
-    best = min(candidates, key=predict_first_event_s)
+    first_event_s = min(map(predict_first_event_s, candidates)) if best_s is None else best_s
     tokens_per_s = sum(each.tokens_per_s / each.slow_factor for each in candidates)
     reading = sum(each.reading_tokens for each in candidates) * UNREAD_SHARE
     queue_s = (reading + ahead_tokens) / tokens_per_s
-    first_event_s = predict_first_event_s(best)
     if ahead_tokens:
         fewest = min(each.fresh_tokens / each.tokens_per_s for each in candidates)
         first_event_s = max(first_event_s, queue_s + fewest + FIRST_STEP_S)
@@ -182,11 +185,13 @@
         now = self._clock()
         best = min(candidates, key=predict_first_event_s)
         best_s = predict_first_event_s(best)
-        outlook = predict_outlook(candidates, waiting.ahead_tokens)
+        outlook = predict_outlook(candidates, waiting.ahead_tokens, best_s)
         if not waiting.returned and waiting.ahead_tokens:
             queue, _ = identify(waiting.demand)
             expected = self._expected.count_tokens(queue, outlook.queue_s)
-            outlook = predict_outlook(candidates, waiting.ahead_tokens + expected)
+            if expected:
+                ahead_tokens = waiting.ahead_tokens + expected
+                outlook = predict_outlook(candidates, ahead_tokens, best_s)
         if must_refuse(waiting.waiter, best_s, outlook, token_s, now, has_room):
             left_s = waiting.waiter.until_s - now
             raise TargetHopeless(
--- a/balsamtally/runners.py
+++ b/balsamtally/runners.py
@@ -2,8 +2,9 @@
 
 import copy
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
+from functools import partial
 
 from balsamtally.backlogs import Backlogs, Load
 from balsamtally.balancing import (
@@ -19,6 +20,7 @@
 from balsamtally.dedicated_runners import (
     StreamStatistics,
     choose_dedicated,
+    count_needed_by_others,
     estimate_miss_share,
     expects_misses,
     filter_candidates,
@@ -139,6 +141,7 @@
         self._sizes: dict[str, float] = {}
         self._statistics: dict[str, ServiceStatistics] = {}
         self._dedicated: dict[str, set[str]] = {}
+        self._needed_by_others: dict[tuple[str, str], tuple[Snapshot | None, float]] = {}
         self._snapshots: dict[str, Snapshot] = {}
         self._changes = 0
 
@@ -422,7 +425,13 @@
             peak = streams.record_running(name, running, now)
             if peak:
                 max_streams = streams.find_max_streams(pool[0].backend.slots, pool[0].tokens_per_s)
-                chosen = choose_dedicated(demand.service, pool, peak, max_streams)
+                chosen = choose_dedicated(
+                    demand.service,
+                    pool,
+                    peak,
+                    max_streams,
+                    partial(self._count_needed_by_others, (demand.service, name)),
+                )
                 dedicated |= chosen
                 local_dedicated |= chosen if at_home else set()
         self._record_dedicated(demand.service, dedicated, now)
@@ -431,6 +440,17 @@
             candidates = [each for each in candidates if demand.allows_region(each.region)]
         return filter_candidates(candidates, dedicated, local_dedicated, close)
 
+    def _count_needed_by_others(self, key: tuple[str, str], pool: Sequence[Candidate]) -> float:
+        """Return how many runners of a pool the other calls need, from the present snapshot.
+
+        The sum over the pool is the same for all calls of a scheduling pass.
+        """
+        snapshot = self._snapshots.get(key[0])
+        held = self._needed_by_others.get(key)
+        if held is None or held[0] is not snapshot:
+            held = self._needed_by_others[key] = (snapshot, count_needed_by_others(pool))
+        return held[1]
+
     def _record_dedicated(self, service: str, dedicated: set[str], now_s: float) -> None:
         """Record which runners of a service are dedicated, and log the first and the last one."""
         before = self._dedicated.get(service, set())
