--- a/tests/balsamtally/test_stall_exchange.py
+++ b/tests/balsamtally/test_stall_exchange.py
@@ -65,9 +65,10 @@
 def test_vms_with_one_stream_each_count_and_log_a_runner_that_falls_silent(monkeypatch):
     """Each of them alone has too few streams there, and its caller waited until the deadline."""
     dark, alive = make_backend("dark"), make_backend("alive")
-    # The logger keeps the processors of its first use, which earlier tests may have replaced.
+    # Other tests configure loggers that drop warnings.
     capture = LogCapture()
-    log = structlog.wrap_logger(None, processors=[capture])
+    every_level = structlog.make_filtering_bound_logger("debug")
+    log = structlog.wrap_logger(None, processors=[capture], wrapper_class=every_level)
     monkeypatch.setattr(stall_exchange, "log", log)
     with Region(("one", "two")) as region:
         for stalls in region.stalls.values():
