Ask whether a chat's caller has left through the shared peek

The check had its own select(), which refuses descriptors from 1,024 on: it then took a caller that waits for one that has left, by reading the code. Tests of entry and raw chats pass.

--- a/balsamtally/entry.py
+++ b/balsamtally/entry.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import secrets
-import select
 import socket
 import time
 from collections.abc import Callable, Iterator
@@ -37,6 +36,7 @@
 from balsamtally.services import qualify_refusal
 from balsamtally.settings import Settings, split_address
 from balsamtally.slots import CallerVanished
+from balsamtally.sockets import peek
 from balsamtally.streams import Chunk
 
 CALLER_TIMEOUT_S = 30.0
@@ -336,13 +336,7 @@
     """
 
     def has_vanished() -> bool:
-        if caller is None:
-            return False
-        try:
-            readable, _, _ = select.select([caller], [], [], 0)
-            return bool(readable) and caller.recv(1, socket.MSG_PEEK) == b""
-        except (OSError, ValueError):
-            return True
+        return caller is not None and peek(caller) == b""
 
     return has_vanished
 
