--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -212,22 +212,18 @@
 
         :raises TargetHopeless: if its answer can't be complete by its deadline
         """
-        demand = waiting.demand
         waiting.update_fresh_tokens(candidates)
-        best = min(candidates, key=predict_first_event_s)
-        late = will_miss_target(waiting.waiter, self._clock())
-        token_s = self._predict_token_s(demand, best)
         self._refusals.check(
             waiting,
             candidates,
-            token_s,
-            lambda: bool(self._list_open_now(demand, candidates, late)),
+            lambda best: self._predict_token_s(waiting.demand, best),
+            lambda: bool(self._list_open_now(waiting, candidates)),
         )
 
-    def _list_open_now(
-        self, demand: Demand, candidates: list[Candidate], late: bool
-    ) -> list[Candidate]:
-        """Return the candidates that have capacity for a call now."""
+    def _list_open_now(self, waiting: Waiting, candidates: list[Candidate]) -> list[Candidate]:
+        """Return the candidates that have capacity for a waiting call now."""
+        demand = waiting.demand
+        late = will_miss_target(waiting.waiter, self._clock())
         engine = self.runners.find_engine(demand.service)
         return [
             candidate
@@ -362,8 +358,7 @@
             add_waiting_load(candidate, waiting_loads)
             for candidate in self.runners.list_candidates(demand)
         ]
-        late = will_miss_target(waiting.waiter, self._clock())
-        open_now = self._list_open_now(demand, candidates, late)
+        open_now = self._list_open_now(waiting, candidates)
         best = self.choose_among(demand, candidates)
         if best is None or best in open_now:
             return best, bool(open_now)
--- a/balsamtally/refusals.py
+++ b/balsamtally/refusals.py
@@ -171,20 +171,20 @@
         self,
         waiting: Waiting,
         candidates: Sequence[Candidate],
-        token_s: float,
+        find_token_s: Callable[[Candidate], float],
         has_room: Callable[[], bool],
     ) -> None:
         """Check whether a waiting call can still be complete in time.
 
         :param waiting: the call
         :param candidates: backend servers that may run it, at least one
-        :param token_s: present time per answer token, in seconds
+        :param find_token_s: returns the present time per answer token at a candidate, in seconds
         :param has_room: returns whether a candidate has capacity for the call now
         :raises TargetHopeless: if its answer can't be complete by its deadline
         """
         now = self._clock()
         best = min(candidates, key=predict_first_event_s)
-        best_s = predict_first_event_s(best)
+        best_s, token_s = predict_first_event_s(best), find_token_s(best)
         outlook = predict_outlook(candidates, waiting.ahead_tokens, best_s)
         if not waiting.returned and waiting.ahead_tokens:
             queue, _ = identify(waiting.demand)
--- a/balsamtally/runners.py
+++ b/balsamtally/runners.py
@@ -208,7 +208,7 @@
         mean = self._sizes.get(demand.route, float(demand.prompt_tokens))
         mean += SMOOTHING * (demand.prompt_tokens - mean)
         self._sizes[demand.route] = mean
-        return mean / self.find_statistics(demand.service).speed.tokens_per_s
+        return self.estimate_prefill_s(demand)
 
     def list_candidates(self, demand: Demand) -> list[Candidate]:
         """Return the backend servers that a call may be sent to now.
@@ -290,9 +290,7 @@
         limited = [
             runner
             for runner in self._list_runners(demand.service)
-            if self._permits.is_limited(runner.backend.key)
-            and runner.backend.name not in demand.avoid
-            and demand.allows_region(runner.region)
+            if self._permits.is_limited(runner.backend.key) and is_eligible(demand, runner)
         ]
         return self._make_candidates(demand, limited)
 
@@ -588,10 +586,10 @@
             del self._sizes[name]
 
 
-def is_eligible(demand: Demand, candidate: Candidate) -> bool:
+def is_eligible(demand: Demand, server: Runner | Candidate) -> bool:
     """Return whether a call may be sent to a backend server, apart from the server's capacity.
 
     :param demand: requirements of the call
-    :param candidate: the backend server
+    :param server: the backend server
     """
-    return candidate.backend.name not in demand.avoid and demand.allows_region(candidate.region)
+    return server.backend.name not in demand.avoid and demand.allows_region(server.region)
--- a/tests/balsamtally/test_refusals.py
+++ b/tests/balsamtally/test_refusals.py
@@ -98,7 +98,7 @@
     former = cannot_meet_deadline(waiting.waiter, first_event_s, TOKEN_S, 100.0)
     refused = False
     try:
-        Refusals(lambda: 100.0).check(waiting, candidates, TOKEN_S, lambda: False)
+        Refusals(lambda: 100.0).check(waiting, candidates, lambda best: TOKEN_S, lambda: False)
     except TargetHopeless as error:
         refused = True
         assert error.retry_after_s > 0
@@ -203,7 +203,10 @@
     def check(self, waiting, candidates):
         if not self.former:
             self.refusals.check(
-                waiting, candidates, READING_TOKEN_S, lambda: self.has_room(waiting.waiter)
+                waiting,
+                candidates,
+                lambda best: READING_TOKEN_S,
+                lambda: self.has_room(waiting.waiter),
             )
             return
         first_event_s = min(predict_first_event_s(each) for each in candidates)
@@ -244,7 +247,7 @@
     waiting = make_waiting(demand)
     waiting.ahead_tokens = 300_000
     with pytest.raises(TargetHopeless) as refused:
-        first.check(waiting, candidates, TOKEN_S, lambda: False)
+        first.check(waiting, candidates, lambda best: TOKEN_S, lambda: False)
     now += refused.value.retry_after_s
     for refusals, returned in ((other, False), (first, True), (first, False)):
         back = make_waiting(demand)
@@ -257,6 +260,6 @@
     waiting = make_waiting(make_demand(1, 100.0, 101.0))
     with pytest.raises(TargetHopeless) as refused:
         Refusals(lambda: 100.0).check(
-            waiting, [make_candidate("a", 200_000)], TOKEN_S, lambda: False
+            waiting, [make_candidate("a", 200_000)], lambda best: TOKEN_S, lambda: False
         )
     assert refused.value.retry_after_s > 1.0 * HONOURED_SHARE
