Log what a pull from a peer and a listing of the platform covered

A pull wrote no line, so that a removal that it skipped could not be told from one that never arrived. Now a pull names the peer, the position it was asked from, the one it reached, and how many records and removals it had; a listing names its position and length.

--- a/balsamtally/peers.py
+++ b/balsamtally/peers.py
@@ -573,6 +573,14 @@
         except (BalsamtallyError, ValueError) as error:
             log.info("pull_failed", peer=peer.beat.vm, reason=str(error))
             return
+        log.info(
+            "records_pulled",
+            peer=peer.beat.vm,
+            since=position,
+            at=(update.era, update.complete_revision),
+            records=len(update.records),
+            removals=sum(record.value is None for record in update.records),
+        )
         self._catalog.merge_update(update, peer.beat.vm)
 
     def answer_pull(self, query: str) -> bytes:
--- a/balsamtally/platform/store.py
+++ b/balsamtally/platform/store.py
@@ -238,6 +238,7 @@
         if (first_era, first_at) < known:
             raise PlatformUnavailable(f"the listing is of era {first_era} and revision {first_at}")
         self._record_success()
+        log.info("platform_listed", at=(first_era, first_at), records=len(records))
         self._catalog.merge_listing(records, first_at, SOURCE, first_era)
         self._catalog.record_current(time.monotonic() - asked_s)
         self._watching = True
