Tell peers of removals that a restarted VM has no record of

Cause: an update told the records that changed after the receiver's revision, and the receiver took over the sender's complete revision. A VM that has listed the platform since its start has no record of what was removed before, so that its update held each change only after its own listing.

Change: a VM knows the revision after which it has each change, which is that of its last listing. To a peer that stands before it, the update is a listing: the changed records, and the keys of those that didn't change. What is in neither was removed. An update names its start, so that a gap is refused, and of a peer of an earlier release, which names none, all records are pulled. Evacuations are records too and were missed in the same way.

The stateful test of eras pulled by code of its own, which repeated the fault; it now calls that of the catalog. Two tests compared with an update that names no start; they name it.

--- a/balsamtally/catalog.py
+++ b/balsamtally/catalog.py
@@ -152,21 +152,25 @@
     def merge_update(self, update: Update, source: str) -> None:
         """Merge an update from a peer and adopt its grace period for removals.
 
-        An update of a later era holds all records, and one of a former era is ignored.
+        An update of a former era is ignored.
 
-        :param update: the update
+        :param update: the update; one that doesn't name its start must hold all records
         :param source: name of the peer, for the log
         """
         if update.era < self.records.era:
             log.info("update_outdated", source=source, era=update.era, known=self.records.era)
             return
+        if update.since and (update.era, update.since) > self.records.position:
+            log.warning("update_incomplete", source=source, since=update.since)
+            return
         self._grace_until_s = max(
             self._grace_until_s, self._clock() + min(update.grace_s, RETURN_GRACE_S)
         )
-        if update.era > self.records.era:
-            self.merge_listing(update.records, update.complete_revision, source, update.era)
+        at, era = update.complete_revision, update.era
+        if update.since:
+            self.merge(update.records, source, at, era)
         else:
-            self.merge(update.records, source, update.complete_revision, update.era)
+            self.merge_listing(update.records, at, source, era, update.unchanged_keys)
         if update.age_ms is not None:
             self.record_current(update.age_ms / 1000)
 
@@ -178,10 +182,27 @@
         """
         records = self.records
         grace_s = max(0.0, self._grace_until_s - self._clock())
-        changed = records.list_since(since) if era in (None, records.era) else records.list_all()
-        return Update(records.complete_revision, changed, grace_s, records.era, self.age_ms)
+        same_era = era in (None, records.era)
+        changed = records.list_since(since) if same_era else records.list_all()
+        lacks_removals = same_era and since < records.history_start
+        return Update(
+            records.complete_revision,
+            changed,
+            grace_s,
+            records.era,
+            self.age_ms,
+            since if same_era and not lacks_removals else 0,
+            records.list_unchanged_keys(since) if lacks_removals else [],
+        )
 
-    def merge_listing(self, records: Iterable[Record], at: int, source: str, era: int = 0) -> None:
+    def merge_listing(
+        self,
+        records: Iterable[Record],
+        at: int,
+        source: str,
+        era: int = 0,
+        unchanged_keys: Iterable[str] = (),
+    ) -> None:
         """Merge a complete listing; records that the listing lacks are removed.
 
         A platform that was restored lacks what was written after its copy, which its writers write
@@ -191,12 +212,13 @@
         :param at: revision at the start of the listing
         :param source: source of the listing, for the log
         :param era: era of the listing
+        :param unchanged_keys: further keys of the listing, whose records are known
         """
         if era > self.records.era and self.records.complete_revision:
             before = self.records.position
             log.warning("platform_restored", before=before, now=(era, at), source=source)
             self.start_removal_grace()
-        self._apply(self.records.merge_listing(records, at, era), source)
+        self._apply(self.records.merge_listing(records, at, era, unchanged_keys), source)
 
     @property
     def age_s(self) -> float:
--- a/balsamtally/peers.py
+++ b/balsamtally/peers.py
@@ -564,24 +564,38 @@
             self._pulling = False
 
     def _pull_from(self, peer: Peer, position: tuple[int, int]) -> None:
-        target = RECORDS_PATH + b"?era=%d&since=%d" % position
+        """Pull the records after a position of this entry VM from a peer.
+
+        A peer of an earlier release doesn't say whether it knows each removal after the position,
+        so all its records are pulled, which tell what was removed.
+        """
+        era, since = position
         try:
-            status, body = fetch((peer.beat.ip, self._port), target, PULL_TIMEOUT_S)
-            if status != 200:
-                raise ValueError(f"status {status}")
-            update = decode(_update, body)
+            update = self._fetch_update(peer, era, since)
+            if update.since is None and since and update.era == era:
+                update = self._fetch_update(peer, era, 0)
         except (BalsamtallyError, ValueError) as error:
             log.info("pull_failed", peer=peer.beat.vm, reason=str(error))
             return
+        self._catalog.merge_update(update, peer.beat.vm)
+
+    def _fetch_update(self, peer: Peer, era: int, since: int) -> Update:
+        target = RECORDS_PATH + b"?era=%d&since=%d" % (era, since)
+        status, body = fetch((peer.beat.ip, self._port), target, PULL_TIMEOUT_S)
+        if status != 200:
+            raise ValueError(f"status {status}")
+        update = decode(_update, body)
         log.info(
             "records_pulled",
             peer=peer.beat.vm,
-            since=position,
+            since=(era, since),
+            covers_since=update.since,
             at=(update.era, update.complete_revision),
             records=len(update.records),
             removals=sum(record.value is None for record in update.records),
+            unchanged_keys=len(update.unchanged_keys),
         )
-        self._catalog.merge_update(update, peer.beat.vm)
+        return update
 
     def answer_pull(self, query: str) -> bytes:
         """Return the records for a peer's pull.
--- a/balsamtally/records.py
+++ b/balsamtally/records.py
@@ -53,6 +53,10 @@
 class Update(msgspec.Struct, frozen=True, array_like=True):
     """Answer of one entry VM to another's pull.
 
+    It holds either each change after a revision, removals included, or a listing. A sender that
+    doesn't know each removal after the requested revision sends a listing: a key that is neither
+    among the records nor among the unchanged keys was removed.
+
     :ivar complete_revision: revision up to which the sender missed no change
     :ivar records: the records that changed after the requested revision, or all if the era differs
     :ivar grace_s: time for which the sender still delays removals, since the platform has only just
@@ -60,6 +64,10 @@
     :ivar era: era of the sender
     :ivar age_ms: time since the platform had no records beyond the sender's, in milliseconds;
         ``None`` from a sender that doesn't know it
+    :ivar since: revision after which the records are each change, 0 for a listing; ``None`` from
+        a sender that doesn't name it and may not know each removal
+    :ivar unchanged_keys: in a listing, keys of the values that didn't change after the requested
+        revision
     """
 
     complete_revision: Count
@@ -67,6 +75,8 @@
     grace_s: Seconds = 0.0
     era: Count = 0
     age_ms: Count | None = None
+    since: Count | None = None
+    unchanged_keys: list[str] = []
 
 
 def read_no_sequence(key: str, value: bytes) -> Sequence:
@@ -84,6 +94,8 @@
     :ivar era: the last known era
     :ivar complete_revision: revision of this era up to which no change was missed; single records
         may be newer, since the pages of a listing are read one after the other
+    :ivar history_start: revision of this era after which each change up to the complete one is
+        known. A key that was removed before may have no record here.
     :param read_sequence: returns the sequence that a value contains, by its key
     """
 
@@ -92,6 +104,7 @@
         self._read_sequence = read_sequence
         self.era = 0
         self.complete_revision = 0
+        self.history_start = 0
 
     @property
     def position(self) -> tuple[int, int]:
@@ -143,18 +156,21 @@
         sequence = max(record.removed_sequence, self._rank(held)[0])
         return msgspec.structs.replace(record, removed_sequence=sequence)
 
-    def merge_listing(self, records: Iterable[Record], at: int, era: int = 0) -> list[Record]:
+    def merge_listing(
+        self, records: Iterable[Record], at: int, era: int = 0, unchanged_keys: Iterable[str] = ()
+    ) -> list[Record]:
         """Merge a complete listing; known keys that it lacks were removed.
 
         :param records: all records of the platform
         :param at: revision at the start of the listing
         :param era: era of the listing; one of a former era is ignored
+        :param unchanged_keys: further keys of the listing, whose records are known
         :return: the records that changed a value, removals included
         """
-        if era < self.era:
-            return []
+        if (era, at) < self.position:
+            return self.merge(records)
         records = list(records)
-        listed = {record.key for record in records}
+        listed = {record.key for record in records}.union(unchanged_keys)
         removed = [
             Record(key, at, None, era, lost=held.era < era and self._is_lost(held))
             for key, held in self._records.items()
@@ -163,6 +179,9 @@
             and (held.value is not None or held.era < era)
         ]
         changed = self.merge([*records, *removed])
+        if (era, at) > self.position:
+            # Keys that were written and removed since the last complete revision have no record.
+            self.history_start = at
         self.record_complete_revision(at, era)
         return changed
 
@@ -185,6 +204,15 @@
         since = (self.era, revision)
         return [record for record in self._records.values() if record.position > since]
 
+    def list_unchanged_keys(self, revision: int) -> list[str]:
+        """Return the keys of the values that didn't change after a revision of this era.
+
+        :param revision: the revision
+        """
+        since = (self.era, revision)
+        records = self._records.values()
+        return [r.key for r in records if r.value is not None and r.position <= since]
+
     def list_all(self) -> list[Record]:
         """Return all records, removals included."""
         return list(self._records.values())
--- a/tests/balsamtally/test_catalog.py
+++ b/tests/balsamtally/test_catalog.py
@@ -136,6 +136,32 @@
     assert catalog.list_open("desk") == []
 
 
+def test_removal_is_learnt_from_a_peer_that_started_after_it(catalog, clock):
+    """Guards against a removal that is lost as the readers of the platform start again."""
+    listed = [Record("s/a", 1, b"1"), Record("s/b", 2, b"1")]
+    catalog.merge_listing(listed, 2, "platform")
+    started = Catalog(DECODER, clock)
+    started.merge_listing(listed[1:], 3, "platform")
+    started.merge([Record("s/c", 4, b"1")], "platform", 4)
+    update = started.make_update(*reversed(catalog.records.position))
+    assert update.since == 0 and [record.key for record in update.records] == ["s/c"]
+    catalog.merge_update(update, "peer")
+    assert set(catalog.backends) == {"b", "c"} and catalog.records.complete_revision == 4
+    # Later changes are told one by one again.
+    started.merge([Record("s/b", 5, None)], "platform", 5)
+    update = started.make_update(*reversed(catalog.records.position))
+    assert (update.since, update.unchanged_keys) == (4, [])
+    catalog.merge_update(update, "peer")
+    assert set(catalog.backends) == {"c"}
+
+
+def test_update_that_begins_after_the_known_revision_is_refused(catalog):
+    """Guards against a peer's answer whose gap would count as known."""
+    catalog.merge_listing([Record("s/a", 1, b"1")], 2, "platform")
+    catalog.merge_update(Update(9, [], since=5), "peer")
+    assert catalog.records.complete_revision == 2
+
+
 def test_route_with_the_longest_prefix_is_found():
     contracts = make_contracts(
         make_route(name="short"), make_route(name="long", path_prefix="/a/b/"), make_route(host="x")
--- a/tests/balsamtally/test_evacuations.py
+++ b/tests/balsamtally/test_evacuations.py
@@ -100,6 +100,15 @@
     assert joined.evacuated == {"north"}
 
 
+def test_end_of_an_evacuation_is_learnt_from_a_peer_that_started_after_it(catalog, clock):
+    """Guards against a domain that stays closed once the readers of the platform started again."""
+    catalog.merge_listing([Record(KEY, 5, b"{}")], 5, "platform")
+    started = Catalog(DECODER, clock)
+    started.merge_listing([], 6, "platform")
+    catalog.merge_update(started.make_update(5, 0), "peer")
+    assert not catalog.evacuated
+
+
 @pytest.mark.parametrize(
     ("key", "value"),
     [
--- a/tests/balsamtally/test_peers.py
+++ b/tests/balsamtally/test_peers.py
@@ -224,14 +224,35 @@
     with capture_logs() as lines:
         first.peers._pull_from(first.peers._peers["b"], (0, 0))
     assert "pull_failed" in [line["event"] for line in lines]
-    assert first.catalog.make_update(0) == Update(0, [])
+    assert first.catalog.make_update(0) == Update(0, [], since=0)
+
+
+def test_all_records_of_a_peer_of_an_earlier_release_are_pulled(fleet, monkeypatch):
+    """Guards against a removal that is lost in an update that doesn't name its start."""
+    first, second, _ = fleet
+    expect_soon(lambda: "b" in first.names)
+    first.peers._pulling = second.peers._pulling = True
+    first.catalog.merge_listing([Record("contracts", 3, b"3"), Record("gone", 4, b"4")], 4, "p")
+    second.catalog.merge_listing([Record("contracts", 3, b"3")], 5, "platform")
+    queries = []
+
+    def answer_pull(query):
+        queries.append(query)
+        update = msgspec.msgpack.decode(Peers.answer_pull(second.peers, query))
+        return msgspec.msgpack.encode(update[:5])
+
+    monkeypatch.setattr(second.peers, "answer_pull", answer_pull)
+    first.peers._pull_from(first.peers._peers["b"], (0, 4))
+    assert queries == ["era=0&since=4", "era=0&since=0"]
+    assert [r.key for r in first.catalog.records.list_all() if r.value is not None] == ["contracts"]
+    assert first.catalog.records.position == (0, 5)
 
 
 def test_pull_with_a_query_that_is_not_valid_is_refused(fleet):
     with pytest.raises(ValueError):
         fleet[0].peers.answer_pull("since=x")
     update = msgspec.msgpack.decode(fleet[0].peers.answer_pull(""), type=Update)
-    assert update == Update(0, [])
+    assert update == Update(0, [], since=0)
 
 
 @contextlib.contextmanager
--- a/tests/balsamtally/test_records_eras.py
+++ b/tests/balsamtally/test_records_eras.py
@@ -4,7 +4,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from balsamtally.records import Record, Records
+from balsamtally.catalog import Catalog, Decoder
+from balsamtally.records import Record
 
 KEYS = st.sampled_from("abc")
 VMS = st.integers(0, 2)
@@ -25,7 +26,9 @@
         self.copies = []
         self.written = {}
         self.sequence = 0
-        self.vms = [Records(read_sequence) for _ in range(3)]
+        decoder = Decoder(lambda record: None, lambda key: None, None, read_sequence)
+        self.catalogs = [Catalog(decoder) for _ in range(3)]
+        self.vms = [catalog.records for catalog in self.catalogs]
         self.seen = [{} for _ in self.vms]
         self.positions = [(0, 0)] * 3
 
@@ -80,14 +83,10 @@
 
     @rule(asking=VMS, asked=VMS)
     def pull(self, asking, asked):
-        records, source = self.vms[asking], self.vms[asked]
-        if source.position <= records.position:
-            return
-        if source.era > records.era:
-            records.merge_listing(source.list_all(), source.complete_revision, source.era)
-        else:
-            records.merge(source.list_since(records.complete_revision))
-            records.record_complete_revision(source.complete_revision, source.era)
+        era, since = self.vms[asking].position
+        if self.vms[asked].position > (era, since):
+            update = self.catalogs[asked].make_update(since, era)
+            self.catalogs[asking].merge_update(update, "peer")
 
     @invariant()
     def nothing_goes_back(self):
