Read the end of an answer once, where a reset can't be lost

What callers saw: an answer without a length, of which a faulty backend server sent a part before it reset the connection, came as a whole one: 200 with Content-Length, or a stream that ends as complete in chunks behind a whole event.

Cause: the kernel reports a reset once; the next read returns the empty bytes of an orderly end. While a reader waits, it looks every 0.1 s whether bytes have arrived that a late event loop didn't find yet. This look ignored errors, so that it took the reset when both came together, and the next read ended the answer in order. A backend server that runs on accepts a new connection, so that the check of its process found nothing either.

Change: the look is a read whose bytes, end or error count. No other call looks at a connection on which an answer is awaited: the pool's looks are followed by a close, and the witness of a process is asked once and never read. Nothing is added where bytes arrive in time.

The new test decides the order by hand; its four cases fail before and pass.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -29,6 +29,7 @@
     end_sending,
     has_input,
     is_idle,
+    receive_now,
     wait_ready,
     was_closed_in_order,
 )
@@ -341,7 +342,13 @@
         return event
 
     def _receive(self, until_s: float) -> bytes:
-        """Wait for bytes; call the check meanwhile."""
+        """Wait for bytes or the end; call the check meanwhile.
+
+        The kernel reports a reset once; the next read returns the empty bytes of an orderly end. So
+        nothing but a read whose result counts may look at the connection within an answer.
+
+        :raises OSError: if the connection was reset or has timed out
+        """
         while True:
             left_s = until_s - time.monotonic()
             checked = self.check is not None and left_s > CHECK_INTERVAL_S
@@ -352,9 +359,11 @@
                 # A time-out of the kernel has an error number.
                 if not checked or error.errno is not None:
                     raise
-            # A late event loop may find the timer before the bytes that have arrived.
-            if not has_input(self._sock):
-                self.check()
+            # A late event loop may find the timer before the bytes or the end that have arrived.
+            data = receive_now(self._sock, READ_BYTES)
+            if data is not None:
+                return data
+            self.check()
 
     def _count_bytes(self) -> None:
         """Count the bytes of the answer that are held: those of its body, and a part not parsed."""
--- a/balsamtally/sockets.py
+++ b/balsamtally/sockets.py
@@ -138,6 +138,9 @@
 def peek(sock: socket.socket) -> bytes | None:
     """Return the first byte of unread input, empty after the end, ``None`` if there is none yet.
 
+    This takes a pending error from the connection, which then looks as if it was closed in order,
+    so it is not for a connection on which the end of an answer is still to be read.
+
     :param sock: a connected socket
     """
     before = sock.gettimeout()
@@ -152,6 +155,23 @@
         sock.settimeout(before)
 
 
+def receive_now(sock: socket.socket, size: int) -> bytes | None:
+    """Return input that has arrived, empty after the end, ``None`` if there is none yet.
+
+    :param sock: a connected socket
+    :param size: most bytes to return
+    :raises OSError: if the connection was reset or has timed out
+    """
+    before = sock.gettimeout()
+    sock.settimeout(0)
+    try:
+        return sock.recv(size)
+    except BlockingIOError:
+        return None
+    finally:
+        sock.settimeout(before)
+
+
 def was_closed_in_order(sock: socket.socket) -> bool:
     """Return whether the other side closed a connection in order, and not by a reset.
 
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -542,10 +542,11 @@
     ),
     Mutation(
         "backends",
-        "            if not has_input(self._sock):\n                self.check()",
+        "            if data is not None:\n                return data\n            self.check()",
         "            pass",
         FORWARDING,
     ),
+    Mutation("backends", "receive_now(self._sock, READ_BYTES)", "None", FORWARDING),
     Mutation("held_bytes", "if self.has_room(size):", "if True:", HELD_BYTES),
     Mutation("held_bytes", "not is_largest and ", "", HELD_BYTES),
     Mutation("held_bytes", "if self._by_backend.total() + size", "if size", HELD_BYTES),
--- a/tests/balsamtally/test_backends.py
+++ b/tests/balsamtally/test_backends.py
@@ -6,6 +6,7 @@
 import gevent
 import h11
 import pytest
+from gevent import socket
 
 from balsamtally import backends
 from balsamtally.backends import (
@@ -18,7 +19,7 @@
     fetch,
 )
 from balsamtally.errors import AnswerCut, BalsamtallyError
-from balsamtally.sockets import connect
+from balsamtally.sockets import connect, listen, reset, wait_ready
 from tests.balsamtally.scripted import ScriptedBackend, hang, make_backend
 from tests.polling import expect_soon
 
@@ -168,6 +169,56 @@
     assert len(turns) > 10
 
 
+class LateSocket:
+    """A socket whose wait for more input times out just as the other side acts.
+
+    :param sock: the socket, in use
+    :param act: lets the other side act, after the first input
+    """
+
+    def __init__(self, sock, act):
+        self._sock, self._act = sock, act
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
+
+    def recv(self, size, flags=0):
+        if self._act is None or self._sock.gettimeout() == 0 or wait_ready(self._sock, 0.1)[0]:
+            return self._sock.recv(size, flags)
+        act, self._act = self._act, None
+        act()
+        expect_soon(lambda: wait_ready(self._sock, 0.0)[0])
+        raise TimeoutError("timed out")
+
+
+def end_in_order(sock):
+    sock.shutdown(socket.SHUT_WR)
+
+
+@pytest.mark.parametrize("body", [b"", b"u" * 16_000_000], ids=["whole request", "upload"])
+@pytest.mark.parametrize("act, whole", [(reset, False), (end_in_order, True)])
+def test_answer_without_a_length_that_is_reset_as_the_reader_checks_is_cut(body, act, whole):
+    """Guards against a part of an answer that looks whole: the kernel tells of a reset once."""
+    listener = listen(("127.0.0.1", 0))
+    with listener, socket.create_connection(listener.getsockname()) as sock:
+        other, _ = listener.accept()
+        connection = BackendConnection(LateSocket(sock, lambda: act(other)))
+        checks = []
+        connection.check = lambda: checks.append(time.monotonic())
+        until_s = time.monotonic() + DEADLINE_S
+        headers = ((b"Host", b"h"), (b"Content-Length", b"%d" % len(body)))
+        sending = gevent.spawn(connection.send, b"POST", b"/", headers, body, until_s)
+        other.recv(100)
+        other.sendall(OK + b"\r\n" + b"x" * 5000)
+        sending.get()
+        connection.read_head(until_s)
+        outcome = contextlib.nullcontext() if whole else pytest.raises(AnswerCut)
+        with outcome:
+            assert len(connection.read_whole(until_s, 10_000)) == 5000
+        assert not checks
+        other.close()
+
+
 def test_fetching_an_endless_page_is_aborted(monkeypatch):
     monkeypatch.setattr(backends, "MAX_FETCHED_BYTES", 200_000)
     beginning = OK + b"Content-Length: 99999999999\r\n\r\n"
