Refuse answers whose status is above 599

What callers saw: a backend server's answer with a status of 600 to 999 was passed on unchanged.

Cause: the parser refuses statuses below 100 and those that aren't three digits, but takes 600 to 999. RFC 9110, section 15, calls all of them invalid and has a client take them for a server error: a caller can't know what they mean, and whose they are.

Change: the head of such an answer is malformed, as one with status 000 is: another attempt where the call may be repeated, else an own 502.

The ten new cases with 600 and 999 fail before and pass; those with other statuses passed before.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -54,6 +54,8 @@
 # Idle connections for each backend server.
 MAX_IDLE_CONNECTIONS = 32
 MAX_HEAD_BYTES = 65_536
+# Statuses outside 100 to 599 are invalid by RFC 9110, section 15. The parser refuses lower ones.
+MAX_STATUS = 599
 # Interim answers (1xx) before a final answer; servers send one at most.
 MAX_INTERIM_ANSWERS = 8
 # Limits for reading a discarded answer in order to reuse its connection; a refusal has some hundred
@@ -235,6 +237,8 @@
                 break
         else:
             raise AnswerCut(f"received more than {MAX_INTERIM_ANSWERS} interim answers")
+        if event.status_code > MAX_STATUS:
+            raise AnswerCut(f"the answer is malformed: status {event.status_code}")
         headers = tuple((bytes(name), bytes(value)) for name, value in event.headers.raw_items())
         names = [name.lower() for name, _ in headers]
         if names.count(b"content-length") + names.count(b"transfer-encoding") > 1:
--- a/tests/balsamtally/test_raw_answers.py
+++ b/tests/balsamtally/test_raw_answers.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, replace
 
 import gevent
+import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
@@ -18,6 +19,7 @@
     RawCaller,
     Record,
     Run,
+    Script,
     find_header,
     frame,
 )
@@ -154,7 +156,9 @@
             assert run.script.head == "refused" or run.script.status == 421
 
 
-def play(backend_scripts, callers, pipelined=False, pause_s=0.0, same_id=False):
+def play(
+    backend_scripts, callers, pipelined=False, pause_s=0.0, same_id=False, make_answer=make_answer
+):
     """Play scripts and requests; check the bytes of all callers, and return their answers."""
     record, found = Record(), []
 
@@ -217,3 +221,33 @@
     backends, callers, pipelined, pause_s, same_id
 ):
     play(backends, callers, pipelined, pause_s, same_id)
+
+
+@pytest.mark.parametrize("status", [b"000", b"0", b"099", b"20", b"20x", b"2000", b"600", b"999"])
+@pytest.mark.parametrize(
+    "demand",
+    [
+        Demand(),
+        Demand("never"),
+        Demand(method=b"HEAD"),
+        Demand("stream"),
+        Demand("resume", last_event=2),
+    ],
+    ids=["whole", "once", "HEAD", "stream", "resumed"],
+)
+def test_answer_with_an_invalid_status_is_never_passed_on(status, demand):
+    """Guards against bytes that are no answer but reach the caller as one."""
+
+    def make_odd(run, head, body):
+        return make_answer(run, head, body).replace(b"1.1 200 X", b"1.1 %s X" % status, 1)
+
+    for script in (Script(), Script(framing="unframed")):
+        answers = play([[script], [script]], [[demand]], make_answer=make_odd)
+        assert [answer.status for answer in answers] == [502]
+
+
+@pytest.mark.parametrize("status", [b"000", b"600"])
+def test_answer_with_an_invalid_status_is_not_taken_for_an_interim_one(status):
+    scripts = [Script(interim=b"HTTP/1.1 %s X\r\n\r\n" % status)]
+    answers = play([scripts, scripts], [[Demand()]])
+    assert [answer.status for answer in answers] == [502]
