--- a/tests/balsamtally/test_records_eras.py
+++ b/tests/balsamtally/test_records_eras.py
@@ -15,6 +15,9 @@
     return (int(value),)
 
 
+DECODER = Decoder(lambda record: None, lambda key: None, None, read_sequence)
+
+
 class RestoredPlatform(RuleBasedStateMachine):
     """A platform that goes back to copies, its writers, and entry VMs that list, watch and pull."""
 
@@ -26,8 +29,7 @@
         self.copies = []
         self.written = {}
         self.sequence = 0
-        decoder = Decoder(lambda record: None, lambda key: None, None, read_sequence)
-        self.catalogs = [Catalog(decoder) for _ in range(3)]
+        self.catalogs = [Catalog(DECODER) for _ in range(3)]
         self.vms = [catalog.records for catalog in self.catalogs]
         self.seen = [{} for _ in self.vms]
         self.positions = [(0, 0)] * 3
@@ -65,6 +67,12 @@
         if key in self.written and self.content.get(key, (0, None))[1] != self.written[key]:
             self._write(key, self.written[key])
 
+    @rule(vm=VMS)
+    def restart(self, vm):
+        self.catalogs[vm] = Catalog(DECODER)
+        self.vms[vm] = self.catalogs[vm].records
+        self.seen[vm], self.positions[vm] = {}, (0, 0)
+
     def _list(self, records):
         items = [Record(key, at, value, self.era) for key, (at, value) in self.content.items()]
         records.merge_listing(items, self.revision, self.era)
