--- a/balsamtally/catalog.py
+++ b/balsamtally/catalog.py
@@ -161,7 +161,7 @@
             log.info("update_outdated", source=source, era=update.era, known=self.records.era)
             return
         if update.since and (update.era, update.since) > self.records.position:
-            log.warning("update_incomplete", source=source, since=update.since)
+            log.info("update_incomplete", source=source, since=update.since)
             return
         self._grace_until_s = max(
             self._grace_until_s, self._clock() + min(update.grace_s, RETURN_GRACE_S)
