--- a/balsamtally/catalog.py
+++ b/balsamtally/catalog.py
@@ -181,19 +181,18 @@
         :param era: its era, ``None`` if the peer doesn't know of eras
         """
         records = self.records
+        start, unchanged_keys = 0, []
+        if era not in (None, records.era):
+            changed = records.list_all()
+        else:
+            changed = records.list_since(since)
+            if since < records.history_start:
+                unchanged_keys = records.list_unchanged_keys(since)
+            else:
+                start = since
         grace_s = max(0.0, self._grace_until_s - self._clock())
-        same_era = era in (None, records.era)
-        changed = records.list_since(since) if same_era else records.list_all()
-        lacks_removals = same_era and since < records.history_start
-        return Update(
-            records.complete_revision,
-            changed,
-            grace_s,
-            records.era,
-            self.age_ms,
-            since if same_era and not lacks_removals else 0,
-            records.list_unchanged_keys(since) if lacks_removals else [],
-        )
+        at, era = records.complete_revision, records.era
+        return Update(at, changed, grace_s, era, self.age_ms, start, unchanged_keys)
 
     def merge_listing(
         self,
