Soak restarts of real daemons with changes and outages of the store, seeded

Six daemons are killed, stopped and reloaded in overlapping series while configurations, removals and registrations come and the store forgets its history or is busy; afterwards none may call a removed server.

--- a/tests/standins/test_restarted_readers.py
+++ b/tests/standins/test_restarted_readers.py
@@ -1,10 +1,14 @@
-"""A test with real daemons of which those that read the store are killed and start again."""
+"""Tests with real daemons of which those that read the store are killed and start again."""
 
+import os
+import random
+import signal
 import time
 
 import gevent
+import pytest
 
-from standins.grid import Grid, make_config
+from standins.grid import Grid, ask_ready, make_config
 from standins.grid_callers import GridCaller
 from tests.polling import expect_soon
 
@@ -14,12 +18,22 @@
 OBSERVED_S = 2.0
 CALL_INTERVAL_S = 0.1
 READERS = 3
+# Further seeds by hand.
+SEEDS = range(int(os.environ.get("SOAK_SEEDS", "2")))
+DISTURBED_S = 8.0
+# An entry that is missing after an outage of the store counts as removed this much later.
+GRACE_S = 2.0
 
 
 def list_reading(grid):
     return [vm for vm in grid.vms if grid.store.watching[vm.name]]
 
 
+def call(vm):
+    with GridCaller(vm) as caller:
+        return caller.ask("lookup", b"body")
+
+
 def test_vms_learn_of_a_removal_while_the_readers_of_the_store_start_again():
     """Guards against a removal that daemons never learn from those that started after it."""
     with Grid(vms=2, servers=1, domains=3) as grid:
@@ -39,11 +53,92 @@
             grid.start(vm)
         answers = []
         while time.monotonic() < acked_s + BOUND_S + OBSERVED_S:
-            for vm in others:
-                with GridCaller(vm) as caller:
-                    answers.append(caller.ask("lookup", b"body"))
+            answers += [call(vm) for vm in others]
             gevent.sleep(CALL_INTERVAL_S)
         ids = {answer.id for answer in answers}
         delays_s = [at_s - acked_s for attempt_id, at_s in gone.arrivals if attempt_id in ids]
         assert [delay_s for delay_s in delays_s if delay_s > BOUND_S] == []
         assert len(answers) > 20 * len(others)
+
+
+class Trouble:
+    """Restarts, changes and outages in a seeded order, overlapping."""
+
+    def __init__(self, grid, seed):
+        self._grid = grid
+        self._random = random.Random(seed)
+        self._restarts = {}
+        self._version = 1
+        self.removed = set()
+
+    def run(self, until_s):
+        steps = (self._restart, self._restart, self._configure, self._remove, self._register)
+        steps += (self._reload, self._grid.store.forget_history, self._interrupt_store)
+        while time.monotonic() < until_s:
+            self._random.choice(steps)()
+            gevent.sleep(self._random.uniform(0.0, 0.5))
+        self._grid.store.fault = ""
+        gevent.joinall(list(self._restarts.values()), raise_error=True)
+
+    def _restart(self):
+        restarting = [vm for vm, restart in self._restarts.items() if not restart.ready()]
+        vms = [vm for vm in self._grid.vms if vm not in restarting]
+        number = self._random.choice((signal.SIGKILL, signal.SIGKILL, signal.SIGTERM))
+        for vm in self._random.sample(vms, self._random.randint(0, len(vms))):
+            pause_s = self._random.uniform(0.05, 0.8)
+            self._restarts[vm] = gevent.spawn(self._restart_one, vm, number, pause_s)
+
+    def _restart_one(self, vm, number, pause_s):
+        vm.signal(number)
+        vm.wait()
+        gevent.sleep(pause_s)
+        self._grid.start(vm)
+
+    def _reload(self):
+        # The signal ends a process that hasn't come to ignore it yet.
+        for vm in self._grid.vms:
+            if ask_ready(vm) == 200 and vm.is_running():
+                vm.signal(signal.SIGHUP)
+
+    def _configure(self):
+        self._version += 1
+        self._grid.store.put("op/config", make_config(self._version))
+
+    def _remove(self):
+        present = [s for s in self._grid.list_servers("desk") if s not in self.removed]
+        if len(present) > 2:
+            self.removed.add(server := self._random.choice(present))
+            self._grid.store.remove(f"servers/{server.name}")
+
+    def _register(self):
+        if self.removed:
+            server = self._random.choice(sorted(self.removed, key=lambda server: server.name))
+            self.removed.remove(server)
+            server.register("ready")
+
+    def _interrupt_store(self):
+        self._grid.store.fault = "" if self._grid.store.fault else "busy"
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_vms_know_what_the_store_holds_after_restarts_changes_and_outages(seed):
+    """Guards against any order of restarts and removals after which a VM knows other servers."""
+    with Grid(vms=2, servers=2, domains=3) as grid:
+        callers = [GridCaller(vm) for vm in grid.vms]
+
+        def keep_asking(caller):
+            while True:
+                caller.ask("lookup", b"body", timeout_s=1.0)
+                gevent.sleep(CALL_INTERVAL_S)
+
+        asking = [gevent.spawn(keep_asking, caller) for caller in callers]
+        trouble = Trouble(grid, seed)
+        trouble.run(time.monotonic() + DISTURBED_S)
+        grid.wait_ready(grid.vms)
+        gevent.sleep(GRACE_S + BOUND_S)
+        gevent.killall(asking)
+        settled_s = time.monotonic()
+        answers = [call(vm) for _ in range(10) for vm in grid.vms]
+        assert {answer.status for answer in answers} == {200}
+        late = [s.name for s in trouble.removed if any(at > settled_s for _, at in s.arrivals)]
+        assert late == []
