Share the steady traffic and the watching daemons between tests

The tests of restarted readers had their own loop of callers and their own list of the daemons that watch the store, beside those of the tests of a silent store. Both use the ones of standins now. Restarts that are under way are ended with the test: one that failed left five daemons behind, whose handles a second start had replaced.

--- a/standins/grid.py
+++ b/standins/grid.py
@@ -505,6 +505,10 @@
         """Return the backend servers of a service."""
         return [server for server in self.servers if server.service == service]
 
+    def list_watching(self) -> list[Vm]:
+        """Return the entry VMs whose watch of the store waits."""
+        return [vm for vm in self.vms if self.store.watching[vm.name]]
+
     def stop(self, vm: Vm) -> int:
         """Stop an entry VM with SIGTERM, as the platform does, and return its exit code."""
         vm.signal(signal.SIGTERM)
--- a/standins/grid_callers.py
+++ b/standins/grid_callers.py
@@ -6,12 +6,16 @@
 import time
 from dataclasses import dataclass, field
 
+import gevent
+
 from balsamtally.backends import BackendConnection
 from balsamtally.errors import BalsamtallyError
 from balsamtally.sockets import connect
 from standins.grid import CALLER_PORT, CUSTOMER, HOST, KEY, Grid, Vm, list_ids, sign
 
 TIMEOUT_S = 10.0
+# Pause between two requests of a caller of steady traffic.
+CALL_INTERVAL_S = 0.1
 STREAM_EVENTS = 8
 # Statuses that guarantee that the request was not executed and never will be.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
@@ -113,6 +117,37 @@
             self._connection = None
 
 
+class Traffic:
+    """Steady requests to entry VMs over kept connections; a context manager that ends them.
+
+    :param vms: the entry VMs
+    :param key: API key of the callers
+    :ivar answers: the answers, in order
+    :ivar senders: names of the entry VMs by the ids of the answered requests
+    """
+
+    def __init__(self, vms: list[Vm], key: str = KEY):
+        self.answers: list[Answer] = []
+        self.senders: dict[str, str] = {}
+        self._vms = vms
+        self._key = key
+
+    def __enter__(self) -> "Traffic":
+        self._tasks = [gevent.spawn(self._send_to, vm) for vm in self._vms]
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        gevent.killall(self._tasks)
+
+    def _send_to(self, vm: Vm) -> None:
+        with GridCaller(vm, self._key) as caller:
+            while True:
+                answer = caller.ask("lookup", b"body")
+                self.answers.append(answer)
+                self.senders[answer.id] = vm.name
+                gevent.sleep(CALL_INTERVAL_S)
+
+
 def find_faults(grid: Grid, kind: str, answer: Answer) -> list[str]:
     """Check an answer against the requests that the backend servers executed.
 
--- a/tests/standins/test_restarted_readers.py
+++ b/tests/standins/test_restarted_readers.py
@@ -8,25 +8,19 @@
 import gevent
 import pytest
 
+from balsamtally.catalog import RETURN_GRACE_S
 from standins.grid import Grid, ask_ready, make_config
-from standins.grid_callers import GridCaller
+from standins.grid_callers import GridCaller, Traffic
 from tests.polling import expect_soon
 
 # The operators' bound for drains, from the acknowledgement of the change.
 BOUND_S = 3.0
 # The observation ends as long after the bound.
 OBSERVED_S = 2.0
-CALL_INTERVAL_S = 0.1
 READERS = 3
 # Further seeds by hand.
 SEEDS = range(int(os.environ.get("SOAK_SEEDS", "3")))
 DISTURBED_S = 8.0
-# An entry that is missing after an outage of the store counts as removed this much later.
-GRACE_S = 2.0
-
-
-def list_reading(grid):
-    return [vm for vm in grid.vms if grid.store.watching[vm.name]]
 
 
 def call(vm):
@@ -38,8 +32,8 @@
     """Guards against a removal that daemons never learn from those that started after it."""
     with Grid(vms=2, servers=1, domains=3) as grid:
         gevent.sleep(1.0)
-        expect_soon(lambda: len(list_reading(grid)) == READERS)
-        readers = list_reading(grid)
+        expect_soon(lambda: len(grid.list_watching()) == READERS)
+        readers = grid.list_watching()
         others = [vm for vm in grid.vms if vm not in readers]
         grid.store.put("op/config", make_config(2))
         gevent.sleep(0.4)
@@ -51,18 +45,17 @@
         for vm in readers:
             gevent.sleep(0.1)
             grid.start(vm)
-        answers = []
-        while time.monotonic() < acked_s + BOUND_S + OBSERVED_S:
-            answers += [call(vm) for vm in others]
-            gevent.sleep(CALL_INTERVAL_S)
-        ids = {answer.id for answer in answers}
-        delays_s = [at_s - acked_s for attempt_id, at_s in gone.arrivals if attempt_id in ids]
-        assert [delay_s for delay_s in delays_s if delay_s > BOUND_S] == []
-        assert len(answers) > 20 * len(others)
+        with Traffic(others) as traffic:
+            gevent.sleep(acked_s + BOUND_S + OBSERVED_S - time.monotonic())
+        arrived = [
+            at_s - acked_s for attempt_id, at_s in gone.arrivals if attempt_id in traffic.senders
+        ]
+        assert [delay_s for delay_s in arrived if delay_s > BOUND_S] == []
+        assert len(traffic.answers) > 20 * len(others)
 
 
 class Trouble:
-    """Restarts, changes and outages in a seeded order, overlapping."""
+    """Restarts, changes and outages in a seeded order, overlapping; ends what it began."""
 
     def __init__(self, grid, seed):
         self._grid = grid
@@ -71,6 +64,12 @@
         self._version = 1
         self.removed = set()
 
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        gevent.killall(list(self._restarts.values()))
+
     def run(self, until_s):
         steps = [self._restart, self._restart_readers, self._configure, self._register]
         steps += [self._remove, self._reload]
@@ -90,7 +89,7 @@
 
     def _restart_readers(self):
         """Kill those that read the store just before a removal."""
-        self._restart_all(list_reading(self._grid), signal.SIGKILL)
+        self._restart_all(self._grid.list_watching(), signal.SIGKILL)
         gevent.sleep(self._random.uniform(0.0, 0.05))
         self._remove()
 
@@ -135,20 +134,14 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_vms_know_what_the_store_holds_after_restarts_changes_and_outages(seed):
     """Guards against any order of restarts and removals after which a VM knows other servers."""
-    with Grid(vms=2, servers=2, domains=3) as grid:
-        callers = [GridCaller(vm) for vm in grid.vms]
-
-        def keep_asking(caller):
-            while True:
-                caller.ask("lookup", b"body", timeout_s=1.0)
-                gevent.sleep(CALL_INTERVAL_S)
-
-        asking = [gevent.spawn(keep_asking, caller) for caller in callers]
-        trouble = Trouble(grid, seed)
+    with (
+        Grid(vms=2, servers=2, domains=3) as grid,
+        Traffic(grid.vms),
+        Trouble(grid, seed) as trouble,
+    ):
         trouble.run(time.monotonic() + DISTURBED_S)
         grid.wait_ready(grid.vms)
-        gevent.sleep(GRACE_S + BOUND_S)
-        gevent.killall(asking)
+        gevent.sleep(RETURN_GRACE_S + BOUND_S)
         settled_s = time.monotonic()
         answers = [call(vm) for _ in range(10) for vm in grid.vms]
         assert {answer.status for answer in answers} == {200}
--- a/tests/standins/test_stalled_store.py
+++ b/tests/standins/test_stalled_store.py
@@ -6,43 +6,17 @@
 import pytest
 
 from standins.grid import KEY, Grid, make_config
-from standins.grid_callers import GridCaller
+from standins.grid_callers import Traffic
 
 # The operators' bound for drains and configurations, from the acknowledgement of the change.
 BOUND_S = 3.0
 # The observation ends as long after the bound.
 OBSERVED_S = 2.0
-CALL_INTERVAL_S = 0.1
 OTHER_KEY = "example-key-of-other-cabo"
 
 
-class Traffic:
-    """Steady requests to each entry VM."""
-
-    def __init__(self, grid, key=KEY):
-        self.answers = []
-        self.senders = {}
-        self._grid = grid
-        self._key = key
-
-    def __enter__(self):
-        self._tasks = [gevent.spawn(self._send_to, vm) for vm in self._grid.vms]
-        return self
-
-    def __exit__(self, *exc_info):
-        gevent.killall(self._tasks)
-
-    def _send_to(self, vm):
-        with GridCaller(vm, self._key) as caller:
-            while True:
-                answer = caller.ask("lookup", b"body")
-                self.answers.append(answer)
-                self.senders[answer.id] = vm.name
-                gevent.sleep(CALL_INTERVAL_S)
-
-
 def list_watching(grid):
-    return [vm.name for vm in grid.vms if grid.store.watching[vm.name]]
+    return [vm.name for vm in grid.list_watching()]
 
 
 def wait_for_watches(grid, count):
@@ -79,7 +53,7 @@
     domains, vms, kind, how
 ):
     """Guards against drains that are missed because the reading VMs wait for a silent store."""
-    with Grid(vms=vms, servers=2, domains=domains) as grid, Traffic(grid) as traffic:
+    with Grid(vms=vms, servers=2, domains=domains) as grid, Traffic(grid.vms) as traffic:
         gevent.sleep(1.0)
         for name in wait_for_watches(grid, domains):
             grid.store.stalled[name] = kind
@@ -101,7 +75,7 @@
     with Grid(vms=3, servers=1, domains=3) as grid:
         grid.store.put("op/config", make_config(2, keys=(KEY, OTHER_KEY)))
         gevent.sleep(BOUND_S)
-        with Traffic(grid, OTHER_KEY) as traffic:
+        with Traffic(grid.vms, OTHER_KEY) as traffic:
             gevent.sleep(0.5)
             for name in wait_for_watches(grid, 3):
                 grid.store.stalled[name] = "mute"
