List the guards of the change among the mutations, and test the one of former eras

The new guards of updates, listings, late answers, reads and statuses weren't in the list. The guard against an update of a former era passed without it, on as well: nothing checked that such an update doesn't make the records recent. A new test does, and fails without the guard.

--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -60,6 +60,7 @@
 BACKLOGS = "tests/balsamtally/test_backlogs.py"
 CALLERS = "tests/balsamtally/test_callers.py"
 CATALOG = "tests/balsamtally/test_catalog.py"
+CATALOG_RESTARTS = "tests/balsamtally/test_catalog_restarts.py"
 SERVER_LIMITS = "tests/balsamtally/test_server_limits.py"
 PERMITS = "tests/balsamtally/test_permits.py"
 RESTORED_STORE = "tests/balsamtally/platform/test_restored_store.py"
@@ -546,7 +547,8 @@
         "            pass",
         FORWARDING,
     ),
-    Mutation("backends", "receive_now(self._sock, READ_BYTES)", "None", FORWARDING),
+    Mutation("backends", "receive_now(self._sock, READ_BYTES)", "None", BACKENDS),
+    Mutation("backends", "if event.status_code > MAX_STATUS:", "if False:", RAW_ANSWERS),
     Mutation("held_bytes", "if self.has_room(size):", "if True:", HELD_BYTES),
     Mutation("held_bytes", "not is_largest and ", "", HELD_BYTES),
     Mutation("held_bytes", "if self._by_backend.total() + size", "if size", HELD_BYTES),
@@ -698,7 +700,21 @@
         "        " "self._apply",
         RESTORED_STORE,
     ),
-    Mutation("catalog", "if update.era < self.records.era:", "if False:", RESTORED_STORE),
+    Mutation("catalog", "if update.era < self.records.era:", "if False:", CATALOG),
+    Mutation("catalog", "if since < records.history_start:", "if False:", CATALOG),
+    Mutation(
+        "catalog",
+        "if update.since and (update.era, update.since) > self.records.position:",
+        "if False:",
+        CATALOG,
+    ),
+    Mutation("records", "self.history_start = at", "pass", CATALOG),
+    Mutation("records", ".union(unchanged_keys)", "", CATALOG),
+    Mutation("records", "r.key in self._records or r.position > position", "True", CATALOG),
+    Mutation("records", "if (era, at) < self.position:", "if False:", CATALOG_RESTARTS),
+    Mutation(
+        "peers", "if update.since is None and since and update.era == era:", "if False:", PEERS
+    ),
     Mutation("platform/store", "if era > known:", "if False:", RESTORED_STORE),
     Mutation(
         "platform/store",
--- a/tests/balsamtally/test_catalog.py
+++ b/tests/balsamtally/test_catalog.py
@@ -172,6 +172,14 @@
     assert catalog.records.complete_revision == 2
 
 
+def test_update_of_a_former_era_does_not_make_the_records_recent(catalog, clock):
+    """Guards against a VM that doesn't read the platform since a peer behind it seems current."""
+    catalog.merge_listing([Record("s/a", 1, b"1", 2)], 1, "platform", 2)
+    clock.now += 9.0
+    catalog.merge_update(Update(9, [], era=1, age_ms=0, since=0), "peer")
+    assert catalog.age_s == 9.0 and catalog.records.position == (2, 1)
+
+
 def test_route_with_the_longest_prefix_is_found():
     contracts = make_contracts(
         make_route(name="short"), make_route(name="long", path_prefix="/a/b/"), make_route(host="x")
