--- a/balsamtally/call_log.py
+++ b/balsamtally/call_log.py
@@ -36,6 +36,7 @@
         framing=progress.framing,
         last_event=progress.last_event,
         answer_begun=progress.attempt_begun,
+        silent_ms=measure_silence_ms(progress),
         parts=[part.name for part in plan.call.shared_parts],
         retry=not reason,
         reason=reason,
@@ -60,6 +61,15 @@
     )
 
 
+def measure_silence_ms(progress: CallProgress) -> int:
+    """Return the time since the last attempt's backend server sent something, in milliseconds.
+
+    :param progress: progress of the call
+    :return: the time since the sending if nothing came, 0 before the first attempt
+    """
+    return round((time.monotonic() - progress.heard_s) * 1000) if progress.sent else 0
+
+
 def find_code(error: BaseException | None) -> int:
     """Return the result code of a call, 0 after a complete answer.
 
@@ -89,6 +99,7 @@
         "ended",
         request=plan.call.id,
         route=plan.route.name,
+        version=plan.version,
         customer=plan.customer,
         backend=progress.backend.name if progress.backend is not None else "",
         status=progress.status,
@@ -103,6 +114,7 @@
         first_ms=round(began_s * 1000),
         total_ms=round((time.monotonic() - plan.call.arrived_s) * 1000),
         longest_gap_ms=round(progress.longest_gap_s * 1000),
+        silent_ms=measure_silence_ms(progress),
         on_time=on_time,
         left=isinstance(error, CallerLeft),
     )
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -370,6 +370,7 @@
             connection.check = watch.check
             head, verdict = self._read_head(plan, attempt, connection)
             watch.record_head()
+            progress.heard_s = time.monotonic()
             progress.framing = head.framing
             self._check_verdict(plan, progress, head, verdict, connection)
             self._connections.add_witness(backend, connection)
@@ -414,7 +415,7 @@
             progress.waited_s = time.monotonic() - call.arrived_s
         progress.sent += 1
         progress.backend = backend
-        progress.attempt_sent_s = time.monotonic()
+        progress.attempt_sent_s = progress.heard_s = time.monotonic()
         progress.attempt_begun = False
         progress.probed_parts.clear()
         headers = self._wire.make_headers(attempt)
@@ -531,7 +532,8 @@
         for piece in connection.read_body(lambda: plan.until_s):
             events = reader.read(piece)
             if events:
-                watch.record_event(time.monotonic())
+                progress.heard_s = time.monotonic()
+                watch.record_event(progress.heard_s)
                 work.record_answer_start()
                 self._record_begun(plan, progress)
                 self._pass_events(caller, progress, head, events)
--- a/balsamtally/plans.py
+++ b/balsamtally/plans.py
@@ -64,6 +64,8 @@
     :ivar failed_answer: a backend server's error answer, returned if no attempt succeeds
     :ivar stored_bytes: counts the bytes of that answer, ``None`` where none is stored
     :ivar attempt_sent_s: monotonic clock when the last attempt was sent, in seconds
+    :ivar heard_s: monotonic clock when its backend server last sent something, in seconds; that of
+        the sending before
     :ivar attempt_begun: whether the backend server of the last attempt began to answer it
     :ivar former_may_run: whether the last attempt's backend server stopped sending and may still
         work on the call, as it didn't confirm the end of the connection
@@ -92,6 +94,7 @@
     failed_answer: tuple[AnswerHead, bytes] | None = None
     stored_bytes: Holding | None = None
     attempt_sent_s: float = 0.0
+    heard_s: float = 0.0
     attempt_begun: bool = False
     former_may_run: bool = False
     probed_parts: set[tuple[str, ...]] = field(default_factory=set)
--- a/standins/grid.py
+++ b/standins/grid.py
@@ -142,6 +142,7 @@
         again after ``RESTART_S``; empty for none
     :ivar crashes: times of these crashes
     :ivar endless: part of an answer that is sent without end, one of ``ENDLESS``, empty for none
+    :ivar silent: whether it sends nothing, and goes on with its answers once this is false again
     :ivar slots: number of slots in the registration
     :ivar cold_s: time for which the registration says that the server stays cold, in seconds
     """
@@ -159,6 +160,7 @@
         self.deadly_part = ""
         self.crashes: list[float] = []
         self.endless = ""
+        self.silent = False
         self.slots = 8
         self.cold_s = 0.0
         self._store = store
@@ -279,6 +281,7 @@
         caller.begin(200, [*echo, (b"Content-Type", b"text/event-stream")])
         for number in range(first, last + 1):
             gevent.sleep(float(headers.get("event-s", EVENT_S)))
+            self._wait_while_silent()
             if self.fault == "cut" and number == first + 2:
                 caller.send(b"id: %d\nda" % number)
                 return
@@ -291,11 +294,16 @@
                 return
         caller.end()
 
+    def _wait_while_silent(self) -> None:
+        while self.silent:
+            gevent.sleep(EVENT_S)
+
     def _answer_whole(self, caller: Caller, request: Request, headers: dict, echo: list) -> None:
         """Answer after the time that the request asks for, or with 504 at its deadline."""
         work_s = float(headers.get("work-s", SERVICE_TIME_S))
         deadline_s = float(headers["deadline-ms"]) / 1000
         gevent.sleep(min(work_s, deadline_s))
+        self._wait_while_silent()
         if work_s > deadline_s:
             caller.answer(504, echo, b"")
             return
