Let calls leave a silent runner only for a place that they hold elsewhere

Callers saw streams that may not be resumed end midway 1.3 s after the last event of a sound runner that paused, and reported it beside a change of the configuration.

Cause: the verdict on a silent runner ended the wait of all its calls, and whether a call could go on elsewhere was asked after that. Silence was taken for proof of an end. Evidence: attempt_failed 3011 with a silence of 1.3 to 1.4 s, the same beside a SIGHUP and beside nothing.

Change: a verdict is a suspicion. The runner is ejected for a time by the verdict itself, since its calls may stay. A call there keeps waiting and meanwhile looks for a place elsewhere; it leaves once it holds one and a retry was taken, and an event that comes first ends the search. A call that hasn't begun leaves without the host's confirmation, as none of its events can be doubled.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -519,6 +519,22 @@
             return False
         return False
 
+    def is_reachable(self, backend: Backend) -> bool:
+        """Return whether a backend server's host answers an attempt to connect.
+
+        :param backend: the backend server
+        """
+        for _ in range(SILENT_ATTEMPTS):
+            try:
+                close(connect(backend.address, REFUSAL_TIMEOUT_S))
+            except ConnectionRefusedError:
+                return True
+            except OSError as error:
+                log.info("backend_silent", backend=backend.name, why=str(error))
+                continue
+            return True
+        return False
+
     def release(self, backend: Backend, connection: BackendConnection) -> None:
         """Return a connection to the pool, or close it if it can't be reused.
 
--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -29,7 +29,7 @@
 from balsamtally.placed_tiers import PlacedTiers
 from balsamtally.plans import CallProgress, Plan
 from balsamtally.refusals import Refusals
-from balsamtally.reports import Finding, Report, report_outcome, report_pause
+from balsamtally.reports import Finding, Report, report_outcome, report_pause, report_silence
 from balsamtally.runners import Runners
 from balsamtally.selection import Candidate, choose, predict_first_event_s
 from balsamtally.server_limits import ServerLimits
@@ -511,6 +511,16 @@
         """
         self._handle_own_report(report_pause(backend, plan, gap_s))
 
+    def record_silence(self, key: tuple[str, int], silent_s: float) -> None:
+        """Record that a backend server has stopped sending; it gets no new calls for a time.
+
+        :param key: identity of its incarnation
+        :param silent_s: time since it last sent anything, in seconds
+        """
+        backend = self._find_open(key)
+        if backend is not None:
+            self._handle_own_report(report_silence(backend, silent_s))
+
     def record_outcome(
         self, backend: Backend, plan: Plan, failure: BalsamtallyError | None, took_s: float
     ) -> None:
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -3,9 +3,9 @@
 import contextlib
 import time
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from balsamtally.backends import BackendConnection, Connections
+from balsamtally.backends import END_TIMEOUT_S, BackendConnection, Connections
 from balsamtally.backlogs import Work
 from balsamtally.call_log import log_failed_attempt, log_foreign_answer
 from balsamtally.callers import Caller, Request
@@ -44,8 +44,10 @@
 from balsamtally.events import Event, EventReader, holds_answer_head
 from balsamtally.held_bytes import HeldBytes, Holding
 from balsamtally.logs import log
+from balsamtally.moves import Move
 from balsamtally.plans import (
     CallProgress,
+    Choice,
     Plan,
     find_last_event,
     make_final_error,
@@ -95,18 +97,6 @@
     read_id: Callable[[AnswerHead], str]
 
 
-@dataclass(frozen=True)
-class Choice:
-    """The backend server selected for an attempt.
-
-    :ivar backend: the backend server
-    :ivar work: the attempt's share in the work counted at the backend server
-    """
-
-    backend: Backend
-    work: Work
-
-
 @dataclass(frozen=True)
 class ForwardingHooks:
     """The functions of the entry VM that a forwarder calls.
@@ -218,6 +208,8 @@
             error = failure
             raise
         finally:
+            if progress.place is not None:
+                progress.place.work.cancel()
             progress.answer, progress.sent_bytes = caller.answer_state, caller.sent_bytes
             self._hooks.record_end(plan, progress, error)
             # Its traceback refers to this frame, which would keep the call until a collection.
@@ -276,7 +268,9 @@
         """Try the next backend server; return the server, if one was found, and the failure."""
         try:
             self._hooks.admit(plan, progress)
-            choice = self._hooks.choose(plan, progress)
+            choice, progress.place = progress.place, None
+            if choice is None:
+                choice = self._hooks.choose(plan, progress)
         except CapacityError as error:
             return None, error
         if choice is None:
@@ -325,10 +319,12 @@
         if isinstance(failure, BackendUnreachable):
             # Each backend server is tried once, so that the number of attempts is bounded.
             return ""
+        if isinstance(failure, BackendSilent):
+            # The call left for a place that it holds, with a retry that was taken for it.
+            may_run = progress.former_may_run
+            return "the silent backend server may still work on the call" if may_run else ""
         if failure.outcome is not Outcome.NOT_RUN and not may_repeat(plan, begun):
             return "the call may have run and is not repeatable"
-        if isinstance(failure, BackendSilent) and progress.former_may_run:
-            return "the silent backend server may still work on the call"
         if progress.crashes >= MAX_CRASHES or self._is_suspect(plan, progress):
             return "the prompt is suspected of crashing backend servers"
         if not self._has_attempts(plan, progress, failure):
@@ -361,13 +357,15 @@
         connection = self._connections.acquire(backend, left_s, plan.call.id)
         gap_s = plan.route.gap_s if plan.route.streams else 0.0
         watch = self._stalls.watch(backend, gap_s)
-        with self._use(backend, connection), watch, self._end_if_silent(plan, progress, connection):
+        move = self._make_move(caller, plan, progress, backend, watch)
+        ending = self._end_if_silent(caller, plan, progress, connection, move)
+        with self._use(backend, connection), watch, move, ending:
             # The backend server may have begun to drain or to pause as the connection was opened.
             if not self._hooks.is_open(backend):
                 raise BackendLeaving(f"{backend.name} is draining or pauses")
             self._hooks.admit(plan, progress)
             attempt = self._send(plan, progress, backend, connection)
-            connection.check = watch.check
+            connection.check = move.check
             head, verdict = self._read_head(plan, attempt, connection)
             watch.record_head()
             progress.heard_s = time.monotonic()
@@ -389,19 +387,56 @@
             connection.holding = connection.check = None
             self._connections.release(backend, connection)
 
+    def _make_move(
+        self, caller: Caller, plan: Plan, progress: CallProgress, backend: Backend, watch: Watch
+    ) -> Move:
+        """Return the move of a call to another backend server, should this one stop sending."""
+        return Move(
+            plan.call.id,
+            watch.has_stopped,
+            lambda: self._find_place(caller, plan, progress, backend),
+            lambda: self._hooks.take_retry(plan.service),
+        )
+
+    def _find_place(
+        self, caller: Caller, plan: Plan, progress: CallProgress, backend: Backend
+    ) -> Choice | None:
+        """Wait for a place for a call that would leave its backend server; ``None`` if it may not.
+
+        A run goes on elsewhere only after the backend server's host has confirmed the end of the
+        connection, so that a call isn't withdrawn from a host that can't be reached.
+
+        :raises CapacityError: if the call would be refused
+        """
+        if not may_repeat(plan, caller.began_answer) or self._is_suspect(plan, progress):
+            return None
+        if progress.sent - progress.terminated >= plan.route.max_attempts:
+            return None
+        if self._hooks.find_end_s(plan) - time.monotonic() < MIN_LEFT_S + END_TIMEOUT_S:
+            return None
+        if goes_on(caller, plan) and not self._terminations.is_reachable(backend):
+            return None
+        avoid = progress.avoid | {backend.name}
+        attempt = replace(progress, avoid=avoid, paused=set())
+        self._hooks.admit(plan, attempt)
+        return self._hooks.choose(plan, attempt)
+
     @contextlib.contextmanager
     def _end_if_silent(
-        self, plan: Plan, progress: CallProgress, connection: BackendConnection
+        self,
+        caller: Caller,
+        plan: Plan,
+        progress: CallProgress,
+        connection: BackendConnection,
+        move: Move,
     ) -> Iterator[None]:
-        """End the connection to a backend server that stops sending within the context.
-
-        A run may only go on elsewhere after the backend server's host has confirmed the end.
-        """
+        """End the connection to a backend server that a call leaves within the context."""
         try:
             yield
         except BackendSilent:
+            progress.place = move.take_place()
             confirmed = connection.end_request()
-            progress.former_may_run = plan.route.repeat is Repeat.RESUME and not confirmed
+            progress.former_may_run = goes_on(caller, plan) and not confirmed
             raise
 
     def _send(
@@ -580,3 +615,12 @@
         progress.answer_attempt = progress.sent
         progress.status = head.status
         caller.begin(head.status, self._wire.pick_headers(head))
+
+
+def goes_on(caller: Caller, plan: Plan) -> bool:
+    """Return whether the next attempt continues a stream of which the caller has events.
+
+    :param caller: the caller's connection
+    :param plan: the call's plan
+    """
+    return plan.route.repeat is Repeat.RESUME and caller.began_answer
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -47,7 +47,7 @@
 from balsamtally.server_limits import ServerLimits
 from balsamtally.sockets import listen
 from balsamtally.stall_exchange import StallExchange
-from balsamtally.stalls import SilenceNotice, Stalls
+from balsamtally.stalls import SilenceNotice, SilentRunner, Stalls
 from balsamtally.tasks import spawn_repeating
 from balsamtally.terminations import Terminations
 
@@ -120,7 +120,9 @@
         self._grace_period = GracePeriod(lambda: self.settings.grace_s)
         self._budget = FleetBudget(settings.budget, self.peers.count_members)
         self._connections = Connections()
-        self._terminations = Terminations(self._connections.refuses_connections)
+        self._terminations = Terminations(
+            self._connections.refuses_connections, self._connections.is_reachable
+        )
         self._account = HeldBytes(find_limit(settings.memory_mb))
         self._connect_stalls()
         self._forwarder = Forwarder(
@@ -226,10 +228,14 @@
             self._stalls,
             self.peers.list_region_ips,
             self.peers.send_message,
-            self._metrics.count_silent,
+            self._record_silence,
         )
         self.peers.handlers[SilenceNotice] = self._stall_exchange.handle_notice
 
+    def _record_silence(self, verdict: SilentRunner) -> None:
+        self._metrics.count_silent(verdict.key[0])
+        self._dispatch.record_silence(verdict.key, verdict.silent_s)
+
     def _process_beat(self, beat: Beat) -> None:
         """Process a peer's heartbeat, after the backlog it reports was recorded."""
         self._reservations.release_confirmed(beat)
--- a/balsamtally/plans.py
+++ b/balsamtally/plans.py
@@ -4,6 +4,7 @@
 
 import xxhash
 
+from balsamtally.backlogs import Work
 from balsamtally.calls import Account, AnswerHead, Backend, Call, Repeat, Route
 from balsamtally.catalog import Contracts
 from balsamtally.errors import (
@@ -49,6 +50,18 @@
     allowed_regions: frozenset[str] | None = None
 
 
+@dataclass(frozen=True)
+class Choice:
+    """The backend server selected for an attempt.
+
+    :ivar backend: the backend server
+    :ivar work: the attempt's share in the work counted at the backend server
+    """
+
+    backend: Backend
+    work: Work
+
+
 @dataclass
 class CallProgress:
     """The progress of a call over its attempts.
@@ -69,6 +82,8 @@
     :ivar attempt_begun: whether the backend server of the last attempt began to answer it
     :ivar former_may_run: whether the last attempt's backend server stopped sending and may still
         work on the call, as it didn't confirm the end of the connection
+    :ivar place: place of the next attempt that was found while the last one still ran, ``None``
+        without one
     :ivar probed_parts: quarantined groups of prompt parts that the next attempt probes
     :ivar first_event_s: monotonic clock when the answer began, in seconds, 0 before
     :ivar last_piece_s: monotonic clock when the last chunk of a stream arrived, in seconds
@@ -97,6 +112,7 @@
     heard_s: float = 0.0
     attempt_begun: bool = False
     former_may_run: bool = False
+    place: Choice | None = None
     probed_parts: set[tuple[str, ...]] = field(default_factory=set)
     first_event_s: float = 0.0
     last_piece_s: float = 0.0
--- a/balsamtally/reports.py
+++ b/balsamtally/reports.py
@@ -122,6 +122,23 @@
     return not isinstance(failure, NoAnswer) or took_s >= plan.route.target_s * MIN_SILENCE_TARGETS
 
 
+def report_silence(backend: Backend, silent_s: float) -> Report:
+    """Return the report of a backend server that has stopped sending.
+
+    :param backend: the backend server
+    :param silent_s: time since it last sent anything, in seconds
+    """
+    return Report(
+        Finding.UNREACHABLE,
+        backend.service,
+        backend.name,
+        backend.born,
+        silent_s,
+        code=BackendSilent.code,
+        why=BackendSilent.default,
+    )
+
+
 def report_pause(backend: Backend, plan: Plan, gap_s: float) -> Report:
     """Return the report of the longest inter-event time of a stream.
 
--- a/balsamtally/stall_exchange.py
+++ b/balsamtally/stall_exchange.py
@@ -6,7 +6,7 @@
 import gevent
 
 from balsamtally.logs import log
-from balsamtally.stalls import Silence, SilenceNotice, Stalls
+from balsamtally.stalls import Silence, SilenceNotice, SilentRunner, Stalls
 from balsamtally.tasks import spawn_repeating
 
 DECISION_INTERVAL_S = 0.1
@@ -24,7 +24,7 @@
     :param stalls: what the backend servers sent
     :param list_ips: returns the IP numbers of the live peers of the region
     :param send: sends a message to an IP number; it may be lost
-    :param count_silent: counts a verdict, by name of the runner
+    :param on_verdict: called with each verdict of this entry VM
     """
 
     def __init__(
@@ -33,13 +33,13 @@
         stalls: Stalls,
         list_ips: Callable[[], list[str]],
         send: Callable[[SilenceNotice, str], None],
-        count_silent: Callable[[str], None],
+        on_verdict: Callable[[SilentRunner], None],
     ):
         self._vm = vm
         self._stalls = stalls
         self._list_ips = list_ips
         self._send = send
-        self._count_silent = count_silent
+        self._on_verdict = on_verdict
         self._told_s = self._changed_s = 0.0
         self._told_keys: set[tuple[str, int]] = set()
 
@@ -62,7 +62,6 @@
         gevent.sleep(DECISION_INTERVAL_S)
         for verdict in self._stalls.decide():
             backend, born = verdict.key
-            self._count_silent(backend)
             log.warning(
                 "backend_silent_streams",
                 backend=backend,
@@ -71,6 +70,7 @@
                 open=verdict.open,
                 silent_s=round(verdict.silent_s, 2),
             )
+            self._on_verdict(verdict)
         self._tell_peers(self._stalls.make_silences())
 
     def _tell_peers(self, silences: tuple[Silence, ...]) -> None:
--- a/balsamtally/stalls.py
+++ b/balsamtally/stalls.py
@@ -21,7 +21,6 @@
 
 from balsamtally.calls import Backend
 from balsamtally.decoding import Count, Seconds
-from balsamtally.errors import BackendSilent
 
 # Shortest silence that may lead to a verdict. It is several times the longest pause of an engine
 # step; a lost packet is sent again within it.
@@ -227,13 +226,9 @@
         self._event_s = now_s
         self._activity.record_heard(now_s)
 
-    def check(self) -> None:
-        """Check whether the attempt should wait any longer.
-
-        :raises BackendSilent: if the backend server has stopped sending
-        """
-        if self._activity.verdict_s >= self._begun_s:
-            raise BackendSilent
+    def has_stopped(self) -> bool:
+        """Return whether the backend server has stopped sending since the attempt began."""
+        return self._activity.verdict_s >= self._begun_s
 
 
 class Stalls:
--- a/tests/balsamtally/test_dispatch.py
+++ b/tests/balsamtally/test_dispatch.py
@@ -624,6 +624,13 @@
     assert not world.dispatch.runners.has_tight_bound(demand)
 
 
+def test_silent_runner_gets_no_new_calls_although_none_of_its_calls_leaves(world):
+    silent, other = world.add("silent"), world.add("other")
+    world.dispatch.record_silence(silent.key, 1.3)
+    plans = [world.plan(n, (PromptPart(f"s{n}", 10),)) for n in range(8)]
+    assert {world.choose(plan).backend.name for plan in plans} == {other.name}
+
+
 def test_silent_runner_is_ejected_once_for_all_its_streams(world):
     """Each of the streams that end with a verdict reports it."""
     silent = world.add("a")
