--- a/balsamtally/call_log.py
+++ b/balsamtally/call_log.py
@@ -29,6 +29,8 @@
         "attempt_failed",
         request=plan.call.id,
         backend=backend.name if backend is not None else "",
+        software=backend.software if backend is not None else "",
+        resumes=plan.call.resumes,
         code=failure.code,
         why=str(failure),
         attempt=progress.sent,
@@ -102,6 +104,9 @@
         version=plan.version,
         customer=plan.customer,
         backend=progress.backend.name if progress.backend is not None else "",
+        software=progress.backend.software if progress.backend is not None else "",
+        resumes=plan.call.resumes,
+        taken_up_after=plan.call.last_event,
         status=progress.status,
         code=find_code(error),
         why="" if error is None else str(error) or type(error).__name__,
@@ -121,12 +126,13 @@
 
 
 def log_placement(
-    demand: Demand, target: PlacementTarget, now_s: float, placed_by: str = ""
+    demand: Demand, target: PlacementTarget, software: str, now_s: float, placed_by: str = ""
 ) -> None:
     """Log the placement of a call with the values that it was based on.
 
     :param demand: requirements of the call
     :param target: the placement target
+    :param software: version of the backend server's software
     :param now_s: monotonic clock in seconds
     :param placed_by: name of the entry VM that placed the call, empty if it is this one
     """
@@ -138,6 +144,7 @@
         tier=demand.tier,
         urgency=demand.urgency,
         backend=target.backend,
+        software=software,
         expected_ms=round(target.first_event_s * 1000),
         waited_ms=round((now_s - demand.arrived_s) * 1000),
         running=target.running,
--- a/balsamtally/calls.py
+++ b/balsamtally/calls.py
@@ -142,6 +142,7 @@
     :ivar leaving: whether it is draining and receives no new work
     :ivar cold_s: time for which it stays cold after its entry was written, in seconds, 0 if it is
         warm
+    :ivar software: version of its software, empty if it isn't published
     """
 
     name: str
@@ -152,6 +153,7 @@
     slots: int
     leaving: bool = False
     cold_s: float = 0.0
+    software: str = ""
 
     @property
     def key(self) -> tuple[str, int]:
@@ -185,6 +187,8 @@
     :ivar headers: headers that are passed on to the backend server
     :ivar body: the request body
     :ivar last_event: id of the last event that the caller received, ``None`` to start a stream
+    :ivar resumes: id of the caller's attempt that brought the first event of the stream that this
+        call takes up, empty if the caller named none
     :ivar parts: parts of the prompt in order
     :ivar prompt_tokens: length of the prompt in tokens
     :ivar answer_tokens: maximum length of the answer in tokens
@@ -201,6 +205,7 @@
     headers: Headers
     body: bytes
     last_event: int | None = None
+    resumes: str = ""
     parts: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
     answer_tokens: int = 0
--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -131,8 +131,9 @@
         if reservation is None:
             return None
         target = reservation.place
-        log_placement(demand, target, self._clock())
-        return Choice(self._catalog.backends[target.backend], reservation.work)
+        backend = self._catalog.backends[target.backend]
+        log_placement(demand, target, backend.software, self._clock())
+        return Choice(backend, reservation.work)
 
     def accept(self, demand: Demand, target: PlacementTarget, placed_by: str) -> Choice | None:
         """Count the work of a call that another entry VM placed.
@@ -154,7 +155,7 @@
             return None
         work = self._count(demand, target)
         self.runners.find_cache(demand.service, target.key).record_read(demand.parts)
-        log_placement(demand, target, self._clock(), placed_by)
+        log_placement(demand, target, backend.software, self._clock(), placed_by)
         return Choice(backend, work)
 
     def reserve(self, demand: Demand, on_wait: Callable[[], None] = ignore) -> Reservation | None:
--- a/balsamtally/platform/wire.py
+++ b/balsamtally/platform/wire.py
@@ -16,6 +16,7 @@
 RETRY_AFTER = b"retry-after"
 SERVER_LIMIT = b"server-limit"
 LAST_EVENT = b"last-event-id"
+RESUMES = b"resumes"
 SCHEME = b"token"
 # Deadline of a call without a Deadline-Ms header; the route's timeout applies as well.
 NO_DEADLINE_S = 60.0
@@ -64,6 +65,7 @@
         headers=pick_call_headers(request),
         body=request.body,
         last_event=read_number(request.find_value(LAST_EVENT), "Last-Event-Id"),
+        resumes=read_resumes(request.find_value(RESUMES)),
         parts=read_parts(request.find_value(b"prompt-prefix")),
         prompt_tokens=prompt_tokens,
         answer_tokens=answer_tokens,
@@ -120,6 +122,20 @@
     return key.strip().decode("latin-1") if scheme.lower() == SCHEME else ""
 
 
+def read_resumes(value: bytes | None) -> str:
+    """Return the id of the attempt that began the stream which a call takes up.
+
+    :param value: value of the header
+    :return: the id, empty if the header is missing
+    :raises MalformedHeader: if it can't be an id
+    """
+    if value is None:
+        return ""
+    if not value or len(value) > MAX_ID_BYTES:
+        raise MalformedHeader("Resumes is empty or too long")
+    return value.decode("latin-1")
+
+
 def read_usage(value: bytes | None) -> tuple[int, int]:
     """Return the length of the prompt and the maximum length of the answer, in tokens.
 
--- a/standins/grid.py
+++ b/standins/grid.py
@@ -143,6 +143,7 @@
     :ivar crashes: times of these crashes
     :ivar endless: part of an answer that is sent without end, one of ``ENDLESS``, empty for none
     :ivar silent: whether it sends nothing, and goes on with its answers once this is false again
+    :ivar software: version of its software in the registration
     :ivar slots: number of slots in the registration
     :ivar cold_s: time for which the registration says that the server stays cold, in seconds
     """
@@ -161,6 +162,7 @@
         self.crashes: list[float] = []
         self.endless = ""
         self.silent = False
+        self.software = "v1"
         self.slots = 8
         self.cold_s = 0.0
         self._store = store
@@ -196,6 +198,7 @@
             "service": self.service,
             "address": f"{self._host}:{SERVER_PORT}",
             "zone": self._domain,
+            "version": self.software,
             "slots": self.slots,
             "state": state,
             "born": self._born,
