--- a/balsamtally/catalog.py
+++ b/balsamtally/catalog.py
@@ -1,5 +1,6 @@
 """The contracts in force and the known backend servers, decoded from published records."""
 
+import math
 import time
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
@@ -115,6 +116,9 @@
     :ivar evacuations: the evacuated failure domains
     :ivar on_cold: called with a backend server whose new entry tells that it is cold
     :ivar on_evacuation: called after an evacuation has begun or ended
+    :ivar on_backends: called with all backend servers after entries of some have changed
+    :ivar on_missed: called if entries of backend servers may have come and gone unseen, with the
+        time for which this is possible in seconds, infinite if such an entry is known
     :ivar current_s: monotonic clock at which the platform last had no records beyond these, as far
         as this VM or a peer has learnt, in seconds
     """
@@ -127,12 +131,15 @@
         self.evacuations = Evacuations(clock)
         self.on_cold: Callable[[Backend], None] = lambda backend: None
         self.on_evacuation: Callable[[], None] = lambda: None
+        self.on_backends: Callable[[Iterable[Backend]], None] = lambda backends: None
+        self.on_missed: Callable[[float], None] = lambda missed_s: None
         self.current_s = clock()
         self._decoder = decoder
         self._clock = clock
         self._departures = Departures()
         self._present_departures: tuple[Incarnation, ...] = ()
         self._lapsed: dict[str, float] = {}
+        self._refused: set[str] = set()
         self._grace_until_s = 0.0
 
     def merge(
@@ -168,6 +175,9 @@
         )
         at, era = update.complete_revision, update.era
         if update.since:
+            # An update has the last change of an entry only.
+            if any(self._decoder.read_backend_name(r.key) is not None for r in update.records):
+                self.on_missed(self.age_s)
             self.merge(update.records, source, at, era)
         else:
             self.merge_listing(update.records, at, source, era, update.unchanged_keys)
@@ -217,6 +227,8 @@
             before = self.records.position
             log.warning("platform_restored", before=before, now=(era, at), source=source)
             self.start_removal_grace()
+        if self.records.complete_revision:
+            self.on_missed(self.age_s)
         self._apply(self.records.merge_listing(records, at, era, unchanged_keys), source)
 
     @property
@@ -242,13 +254,19 @@
 
     def _apply(self, changed: list[Record], source: str) -> None:
         evacuated = [self._apply_evacuation(record, source) for record in changed]
+        applied: set[str] = set()
         for record in changed:
             name = self._decoder.read_backend_name(record.key)
-            if name is not None:
-                self._apply_backend(name, record, source)
-            else:
+            if name is None:
                 self._apply_contracts(record, source)
+                continue
+            if name in applied:
+                self.on_backends(self.backends.values())
+            self._apply_backend(name, record, source)
+            applied.add(name)
         self._update_departures()
+        if applied:
+            self.on_backends(self.backends.values())
         if any(evacuated):
             self.on_evacuation()
 
@@ -299,8 +317,10 @@
         except DECODING_ERRORS as error:
             log.warning("backend_refused", key=record.key, revision=record.revision, why=str(error))
             self.backends.pop(name, None)
+            self._refused.add(name)
             return
         self._lapsed.pop(name, None)
+        self._refused.discard(name)
         if backend.key in self._departures:
             backend = replace(backend, leaving=True)
         self.backends[name] = backend
@@ -313,6 +333,9 @@
 
     def _remove(self, name: str, record: Record, source: str) -> None:
         if name not in self.backends:
+            if name not in self._refused:
+                self.on_missed(math.inf)
+            self._refused.discard(name)
             return
         if self._clock() < self._grace_until_s:
             self._lapsed[name] = self._grace_until_s
@@ -329,6 +352,7 @@
             if self.backends.pop(name, None) is not None:
                 log.info("backend_removed", backend=name, source="lapsed")
                 self._update_departures()
+                self.on_backends(self.backends.values())
 
     def mark_leaving(self, backend: Backend, why: str) -> None:
         """Mark a backend server as draining, so that it gets no new work.
--- a/balsamtally/platform/documents.py
+++ b/balsamtally/platform/documents.py
@@ -129,6 +129,7 @@
     born: Count = 0
     seq: Count = 0
     cold_remaining_ms: float = 0.0
+    version: Name = ""
 
 
 class EvacuationDocument(msgspec.Struct, frozen=True):
@@ -284,6 +285,7 @@
         slots=document.slots,
         leaving=STATES[document.state],
         cold_s=min(max(document.cold_remaining_ms, 0.0), MAX_MS) / 1000,
+        software=document.version,
     )
 
 
--- a/tests/balsamtally/platform/test_documents.py
+++ b/tests/balsamtally/platform/test_documents.py
@@ -112,8 +112,10 @@
     backend = read_backend("i-7f3a91c2", encode(SERVER | {"born": 1700000000123}))
     assert backend.key == ("i-7f3a91c2", 1700000000123)
     assert backend.address == ("10.128.0.9", 8080) and backend.domain == "rocha-a"
-    assert not backend.leaving
+    assert not backend.leaving and backend.software == "v1"
     assert read_backend("i-7f3a91c2", encode(SERVER | {"state": "draining"})).leaving
+    unnamed = {name: value for name, value in SERVER.items() if name != "version"}
+    assert read_backend("i-7f3a91c2", encode(unnamed)).software == ""
 
 
 @pytest.mark.parametrize(
@@ -136,6 +138,9 @@
         {"address": 5},
         {"service": "s" * 201},
         {"zone": "z" * 201},
+        {"version": "v" * 201},
+        {"version": 1},
+        {"version": None},
         {"seq": 10**30},
         {"service": None},
         {"service": ""},
--- a/tests/balsamtally/test_catalog.py
+++ b/tests/balsamtally/test_catalog.py
@@ -1,5 +1,7 @@
 """Tests of the catalog: contract versions, added, draining and removed backend servers."""
 
+import math
+
 import pytest
 
 from balsamtally.catalog import RETURN_GRACE_S, Catalog, Decoder
@@ -86,6 +88,40 @@
     assert "a" in catalog.backends and "b" not in catalog.backends
 
 
+def test_entry_that_comes_and_goes_within_an_update_is_reported(catalog, clock):
+    reported, missed = [], []
+    catalog.on_backends = lambda backends: reported.append({backend.name for backend in backends})
+    catalog.on_missed = missed.append
+    catalog.merge([Record("s/a", 1, b"1"), Record("contracts", 2, b"7")], "p", 2)
+    catalog.merge([Record("s/b", 3, b"1"), Record("s/b", 4, None)], "p", 4)
+    catalog.merge([Record("contracts", 5, b"8")], "p", 5)
+    assert reported == [{"a"}, {"a", "b"}, {"a"}] and not missed
+    catalog.start_removal_grace()
+    catalog.merge([Record("s/a", 6, None)], "p", 6)
+    clock.now += RETURN_GRACE_S
+    catalog.remove_lapsed()
+    assert reported[3:] == [{"a"}, set()] and not missed
+
+
+def test_entries_that_may_have_come_and_gone_unseen_are_reported(catalog, clock):
+    missed = []
+    catalog.on_missed = missed.append
+    catalog.merge_listing([Record("s/a", 1, b"1"), Record("s/b", 2, b"bad")], 2, "platform")
+    catalog.merge([Record("s/b", 3, None)], "p", 3)
+    assert not missed
+    catalog.merge([Record("s/c", 4, None)], "p", 4)
+    assert missed == [math.inf]
+    clock.now += 5.0
+    catalog.merge_update(Update(5, [Record("contracts", 5, b"7")], age_ms=0, since=4), "peer")
+    assert missed[1:] == []
+    clock.now += 4.0
+    catalog.merge_update(Update(6, [Record("s/a", 6, b"2")], age_ms=0, since=5), "peer")
+    assert missed[1:] == [4.0]
+    clock.now += 3.0
+    catalog.merge_listing([Record("s/a", 6, b"2")], 9, "platform")
+    assert missed[2:] == [3.0]
+
+
 def test_marking_an_earlier_incarnation_has_no_effect(catalog):
     catalog.merge([Record("s/a", 1, b"1")], "p")
     before = catalog.backends["a"]
