--- a/balsamtally/calls.py
+++ b/balsamtally/calls.py
@@ -142,6 +142,7 @@
     :ivar leaving: whether it is draining and receives no new work
     :ivar cold_s: time for which it stays cold after its entry was written, in seconds, 0 if it is
         warm
+    :ivar software: version of its software, empty if it isn't published
     """
 
     name: str
@@ -152,6 +153,7 @@
     slots: int
     leaving: bool = False
     cold_s: float = 0.0
+    software: str = ""
 
     @property
     def key(self) -> tuple[str, int]:
