Let no call leave a silent runner for another silent one

Callers of two runners of a service that paused at the same time: each stream that may be resumed left its runner for the other one, which was silent too. The other one went on with none of the streams it had worked on, and read all prompts again; of six streams whose new server didn't go on with a resumed stream, none ended.

Cause: the place that a call searches excludes only the runner that it leaves. Placement prefers runners that aren't ejected, but takes an ejected one where no other is left, and a VM's own verdicts weren't asked.

Change: the search excludes all runners that this VM has a verdict on. Where no other is left the call stays.

Tests: test_streams_of_two_silent_servers_do_not_change_places failed before (four requests at each server in place of two) and passes; its guard is listed among the mutations.

--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -416,7 +416,8 @@
             return None
         if goes_on(caller, plan) and not self._terminations.is_reachable(backend):
             return None
-        avoid = progress.avoid | {backend.name}
+        # A place at another silent backend server would be no better.
+        avoid = progress.avoid | {backend.name} | self._stalls.list_stopped()
         attempt = replace(progress, avoid=avoid, paused=set())
         self._hooks.admit(plan, attempt)
         return self._hooks.choose(plan, attempt)
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -524,6 +524,7 @@
         "forwarding", "and not self._terminations.is_reachable(backend):", "and False:", FORWARDING
     ),
     Mutation("forwarding", "if not may_repeat(plan, caller.began_answer) or", "if", FORWARDING),
+    Mutation("forwarding", " | self._stalls.list_stopped()", "", FORWARDING),
     Mutation("dispatch", "self._handle_own_report(report_silence(", "(lambda each: 0)((", DISPATCH),
     Mutation(
         "stalls", "if not silent or not self._is_network_up(len(silent), now):", "if False:", STALLS
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -1089,24 +1089,29 @@
             assert harness.send()[::2] == (200, body)
 
 
-def run_calls_to_silent_backend(route, one, two, confirmed=True, monkeypatch=None, **hooks):
-    """Send three calls to a backend server that falls silent after two events."""
+def run_calls_to_silent_backend(
+    route, one, two, confirmed=True, monkeypatch=None, count=3, **hooks
+):
+    """Send calls to a backend server that falls silent after two events."""
     with ForwarderHarness(route, one, two, deadline_s=8.0, **hooks) as harness:
         if not confirmed:
             monkeypatch.setattr(backends, "end_sending", lambda sock, timeout_s: False)
         exchange = StallExchange("vm", harness.stalls, list, None, lambda verdict: None)
-        # Another backend server sends something all the time.
-        alive = harness.stalls.watch(make_backend("alive"), 0.2)
+        # Other backend servers send something all the time.
+        alive = [harness.stalls.watch(make_backend(name), 0.2) for name in ("alive", "well")]
 
         def send_signs():
             while True:
-                alive.record_head()
+                for each in alive:
+                    each.record_head()
                 gevent.sleep(0.1)
 
         signs = gevent.spawn(send_signs)
         begun_s = time.monotonic()
         with exchange:
-            requests = [REQUEST.replace(b"Host: h", b"Host: h\r\nId: id%d" % n) for n in (1, 2, 3)]
+            requests = [
+                REQUEST.replace(b"Host: h", b"Host: h\r\nId: id%d" % (n + 1)) for n in range(count)
+            ]
             calls = [gevent.spawn(harness.send, request) for request in requests]
             answers = [call.get() for call in calls]
         signs.kill()
@@ -1180,6 +1185,21 @@
     assert [fields[2] for fields in outcomes] == [None] * 3
 
 
+def test_streams_of_two_silent_servers_do_not_change_places():
+    """Each left a sound server that paused for another one that was silent as well."""
+    with ScriptedBackend(pause) as one, ScriptedBackend(pause) as two:
+        servers = [make_backend("b0", one.address), make_backend("b1", two.address)]
+        orders = [make_hooks(None, order)[0].choose for order in (servers, servers[::-1])]
+
+        def choose(plan, progress):
+            return orders[int(plan.call.id[2:]) % 2](plan, progress)
+
+        route = make_route(Repeat.RESUME, True, timeout_s=8.0)
+        answers, _, _ = run_calls_to_silent_backend(route, one, two, count=4, choose=choose)
+        assert len(one.requests) == len(two.requests) == 2
+    assert [answer[3] for answer in answers] == [True] * 4
+
+
 def never_begin(sock, request):
     """Begin the streams of two calls, and send nothing at all to the third one."""
     if b"Id: id3" in request:
--- a/tests/balsamtally/test_stalls.py
+++ b/tests/balsamtally/test_stalls.py
@@ -108,9 +108,9 @@
     silent = [world.open(0) for _ in range(3)]
     other = world.open(1)
     world.run(MIN_SILENCE_S + SETTLE_S + 2 * STEP_S, other)
-    assert world.verdicts
+    assert world.verdicts and world.vms[0].list_stopped() == {"r0"}
     silent[0].record_event(world.now)
-    assert not world.find_ended(silent)
+    assert not world.find_ended(silent) and not world.vms[0].list_stopped()
 
 
 @pytest.mark.parametrize("begun", [True, False])
