Let no call leave a silent runner for one that can't be connected to

Callers saw streams that may be resumed cut midway while their runner only paused: the call left it for a place at a runner that refused connections, and then no runner was left. Others lost an attempt at a sound runner for it.

Cause: a place that placement gives was taken for a server that is there. A place is known from registrations and reports, which lag behind, and placement also gives ejected servers where no other is left.

Change: the search opens the connection that the call goes on over, unless an idle one is open, before the call leaves. A failure is reported as that of an attempt, so that placement avoids the server; the call stays.

Each move opens as many connections as before.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -441,17 +441,31 @@
         :param request_id: id of the request to be sent
         :raises BackendUnreachable: if no connection can be opened; nothing was sent
         """
-        connection = self._take_idle(backend, request_id)
-        if connection is None:
-            try:
-                sock = connect(backend.address, min(timeout_s, CONNECT_TIMEOUT_S))
-            except OSError as error:
-                raise BackendUnreachable(f"no connection to {backend.name}: {error}") from error
-            self.opened += 1
-            connection = BackendConnection(sock, self.opened)
+        connection = self._take_idle(backend, request_id) or self._open(backend, timeout_s)
         connection.request_ids.add(request_id)
         return connection
 
+    def _open(self, backend: Backend, timeout_s: float) -> BackendConnection:
+        try:
+            sock = connect(backend.address, min(timeout_s, CONNECT_TIMEOUT_S))
+        except OSError as error:
+            raise BackendUnreachable(f"no connection to {backend.name}: {error}") from error
+        self.opened += 1
+        connection = BackendConnection(sock, self.opened)
+        connection.idle_since_s = self._clock()
+        return connection
+
+    def prepare(self, backend: Backend, timeout_s: float, request_id: str) -> None:
+        """Have an idle connection that hasn't carried a request with this id.
+
+        :param backend: the backend server
+        :param timeout_s: longest time to open a connection, in seconds
+        :param request_id: id of the request to be sent
+        :raises BackendUnreachable: if no connection can be opened
+        """
+        connection = self._take_idle(backend, request_id) or self._open(backend, timeout_s)
+        self._idle.setdefault(backend.key, deque()).append(connection)
+
     def _take_idle(self, backend: Backend, request_id: str) -> BackendConnection | None:
         idle = self._idle.setdefault(backend.key, deque())
         for connection in reversed(list(idle)):
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -403,24 +403,50 @@
     ) -> Choice | None:
         """Wait for a place for a call that would leave its backend server; ``None`` if it may not.
 
-        A run goes on elsewhere only after the backend server's host has confirmed the end of the
-        connection, so that a call isn't withdrawn from a host that can't be reached.
-
         :raises CapacityError: if the call would be refused
         """
-        if not may_repeat(plan, caller.began_answer) or self._is_suspect(plan, progress):
-            return None
-        if progress.sent - progress.terminated >= plan.route.max_attempts:
-            return None
-        if self._hooks.find_end_s(plan) - time.monotonic() < MIN_LEFT_S + END_TIMEOUT_S:
-            return None
-        if goes_on(caller, plan) and not self._terminations.is_reachable(backend):
+        if not self._may_leave(caller, plan, progress, backend):
             return None
         # A place at another silent backend server would be no better.
         avoid = progress.avoid | {backend.name} | self._stalls.list_stopped()
         attempt = replace(progress, avoid=avoid, paused=set())
         self._hooks.admit(plan, attempt)
-        return self._hooks.choose(plan, attempt)
+        place = self._hooks.choose(plan, attempt)
+        if place is None:
+            return None
+        with contextlib.ExitStack() as stack:
+            stack.callback(place.work.cancel)
+            self._prepare_connection(plan, place.backend)
+            stack.pop_all()
+        return place
+
+    def _prepare_connection(self, plan: Plan, backend: Backend) -> None:
+        """Have a connection to the backend server that a call would go on at.
+
+        :raises BackendUnreachable: if no connection can be opened, which is reported
+        """
+        begun_s = time.monotonic()
+        try:
+            self._connections.prepare(backend, plan.until_s - begun_s, plan.call.id)
+        except BackendUnreachable as error:
+            self._hooks.record_outcome(backend, plan, error, time.monotonic() - begun_s)
+            raise
+
+    def _may_leave(
+        self, caller: Caller, plan: Plan, progress: CallProgress, backend: Backend
+    ) -> bool:
+        """Return whether a call may leave a silent backend server.
+
+        A run goes on elsewhere only after the backend server's host has confirmed the end of the
+        connection, so that a call isn't withdrawn from a host that can't be reached.
+        """
+        if not may_repeat(plan, caller.began_answer) or self._is_suspect(plan, progress):
+            return False
+        if progress.sent - progress.terminated >= plan.route.max_attempts:
+            return False
+        if self._hooks.find_end_s(plan) - time.monotonic() < MIN_LEFT_S + END_TIMEOUT_S:
+            return False
+        return not goes_on(caller, plan) or self._terminations.is_reachable(backend)
 
     @contextlib.contextmanager
     def _end_if_silent(
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -520,9 +520,8 @@
     Mutation("moves", "if not self._take_retry():", "if False:", FORWARDING),
     Mutation("moves", "place.work.cancel()\n\n    def take", "pass\n\n    def take", MOVES),
     Mutation("moves", "if self._place is None:", "if False:", FORWARDING),
-    Mutation(
-        "forwarding", "and not self._terminations.is_reachable(backend):", "and False:", FORWARDING
-    ),
+    Mutation("forwarding", "or self._terminations.is_reachable(backend)", "or True", FORWARDING),
+    Mutation("forwarding", "self._prepare_connection(plan, place.backend)", "pass", FORWARDING),
     Mutation("forwarding", "if not may_repeat(plan, caller.began_answer) or", "if", FORWARDING),
     Mutation("forwarding", " | self._stalls.list_stopped()", "", FORWARDING),
     Mutation("dispatch", "self._handle_own_report(report_silence(", "(lambda each: 0)((", DISPATCH),
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -14,7 +14,13 @@
 from balsamtally.backends import Connections
 from balsamtally.callers import CallerServer
 from balsamtally.calls import Account, Branch, Limits, PromptPart, Repeat
-from balsamtally.errors import AnswerCut, BackendSilent, PartQuarantined, TargetHopeless
+from balsamtally.errors import (
+    AnswerCut,
+    BackendSilent,
+    BackendUnreachable,
+    PartQuarantined,
+    TargetHopeless,
+)
 from balsamtally.forwarding import Forwarder
 from balsamtally.held_bytes import HeldBytes
 from balsamtally.plans import make_plan, pick_service
@@ -1185,6 +1191,20 @@
     assert [fields[2] for fields in outcomes] == [None] * 3
 
 
+def test_streams_do_not_leave_a_silent_server_for_one_that_cannot_be_reached():
+    """They were cut, as no server was left, while the silent one only paused."""
+    with ScriptedBackend(pause) as one, ScriptedBackend(finish) as two:
+        two.stop_listening()
+        route = make_route(Repeat.RESUME, True, timeout_s=8.0)
+        answers, _, outcomes = run_calls_to_silent_backend(route, one, two)
+    assert [answer[3] for answer in answers] == [True] * 3
+    # Placement hears of the failure.
+    assert {(each[0].name, type(each[2])) for each in outcomes} == {
+        ("b0", type(None)),
+        ("b1", BackendUnreachable),
+    }
+
+
 def test_streams_of_two_silent_servers_do_not_change_places():
     """Each left a sound server that paused for another one that was silent as well."""
     with ScriptedBackend(pause) as one, ScriptedBackend(pause) as two:
