Ask again whether a call may leave a silent runner once it holds a place

Cause: time, admission and the host's answer were asked once, before the wait for a place, which may last for seconds. Their old answers were taken for present ones.

Change: all are asked again with the place, and whether its server still takes new work. Where one speaks against it, the place is released and the call stays.

Tests: test_stream_that_waited_for_a_place_stays_if_it_may_no_longer_leave failed in each of three cases before and passes; no place is left counted. Its guards are listed among the mutations.

--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -403,6 +403,8 @@
     ) -> Choice | None:
         """Wait for a place for a call that would leave its backend server; ``None`` if it may not.
 
+        What may keep the call is asked again with the place, for which it may have waited.
+
         :raises CapacityError: if the call would be refused
         """
         if not self._may_leave(caller, plan, progress, backend):
@@ -417,6 +419,11 @@
         with contextlib.ExitStack() as stack:
             stack.callback(place.work.cancel)
             self._prepare_connection(plan, place.backend)
+            self._hooks.admit(plan, attempt)
+            if not self._hooks.is_open(place.backend):
+                return None
+            if not self._may_leave(caller, plan, progress, backend):
+                return None
             stack.pop_all()
         return place
 
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -522,6 +522,13 @@
     Mutation("moves", "if self._place is None:", "if False:", FORWARDING),
     Mutation("forwarding", "or self._terminations.is_reachable(backend)", "or True", FORWARDING),
     Mutation("forwarding", "self._prepare_connection(plan, place.backend)", "pass", FORWARDING),
+    Mutation(
+        "forwarding",
+        "            self._hooks.admit(plan, attempt)\n            if",
+        "            if",
+        FORWARDING,
+    ),
+    Mutation("forwarding", "if not self._hooks.is_open(place.backend):", "if False:", FORWARDING),
     Mutation("forwarding", "if not may_repeat(plan, caller.began_answer) or", "if", FORWARDING),
     Mutation("forwarding", " | self._stalls.list_stopped()", "", FORWARDING),
     Mutation("dispatch", "self._handle_own_report(report_silence(", "(lambda each: 0)((", DISPATCH),
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -18,6 +18,7 @@
     AnswerCut,
     BackendSilent,
     BackendUnreachable,
+    Leaving,
     PartQuarantined,
     TargetHopeless,
 )
@@ -27,7 +28,7 @@
 from balsamtally.sockets import listen
 from balsamtally.stall_exchange import StallExchange
 from balsamtally.stalls import Stalls
-from balsamtally.terminations import Terminations
+from balsamtally.terminations import RECHECK_S, Terminations
 from tests.answer_grammar import read_answers
 from tests.balsamtally.scripted import (
     ScriptedBackend,
@@ -1205,6 +1206,35 @@
     }
 
 
+@pytest.mark.parametrize("change", ["host lost", "vm drains", "server drains"])
+def test_stream_that_waited_for_a_place_stays_if_it_may_no_longer_leave(monkeypatch, change):
+    """It was cut, as only the state before the wait was asked."""
+    changes = []
+    monkeypatch.setattr(
+        Connections, "is_reachable", lambda self, backend: "host lost" not in changes
+    )
+    with ScriptedBackend(pause) as one, ScriptedBackend(finish) as two:
+        servers = [make_backend("b0", one.address), make_backend("b1", two.address)]
+        hooks, _, backlogs = make_hooks(None, servers)
+
+        def choose(plan, progress):
+            if progress.avoid:
+                gevent.sleep(2 * RECHECK_S)
+                changes.append(change)
+            return hooks.choose(plan, progress)
+
+        def admit(plan, progress):
+            if "vm drains" in changes:
+                raise Leaving
+
+        route = make_route(Repeat.RESUME, True, timeout_s=8.0)
+        changed_hooks = {"admit": admit, "is_open": lambda backend: "server drains" not in changes}
+        answers, _, _ = run_calls_to_silent_backend(route, one, two, choose=choose, **changed_hooks)
+        assert changes and not two.requests
+    assert [answer[3] for answer in answers] == [True] * 3
+    assert backlogs.find("b1").running == 0
+
+
 def test_streams_of_two_silent_servers_do_not_change_places():
     """Each left a sound server that paused for another one that was silent as well."""
     with ScriptedBackend(pause) as one, ScriptedBackend(pause) as two:
