Let a call at a silent runner search for a place only while a retry is left

Callers of limited or cold servers waited for permits that nobody used: each call at a silent runner took a place and a permit every 0.6 s while the retry budget was exhausted, announced a prompt as read that never was sent, and released the place again. A permit isn't given back. Three calls took six places within 1.2 s.

Cause: the budget was asked after the search. Change: it is asked before it as well; the retry is still taken as the call leaves.

Tests: test_call_at_a_silent_server_takes_no_place_without_a_retry; without the guard it fails (listed among the mutations).

--- a/balsamtally/budgets.py
+++ b/balsamtally/budgets.py
@@ -59,12 +59,18 @@
         :param service: name of the service
         :return: whether the retry may be made
         """
-        retries = self._trim(self._retries, service)
-        if len(retries) + 1 > self.find_limit(service):
+        if not self.has_left(service):
             return False
-        retries.append(self._clock())
+        self._retries[service].append(self._clock())
         return True
 
+    def has_left(self, service: str) -> bool:
+        """Return whether the budget allows another retry.
+
+        :param service: name of the service
+        """
+        return len(self._trim(self._retries, service)) + 1 <= self.find_limit(service)
+
     def find_limit(self, service: str) -> float:
         """Return how many retries may be made in the current window."""
         requests = len(self._trim(self._requests, service))
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -112,6 +112,7 @@
     :ivar find_end_s: returns the monotonic clock by which a call must end, in seconds
     :ivar is_open: returns whether a backend server still takes new work
     :ivar record_request: counts a request to a service
+    :ivar has_retry: returns whether the service's retry budget has a retry left
     :ivar take_retry: takes a retry from the service's retry budget; returns whether one was left
     :ivar record_outcome: records the result and duration of an attempt at a backend server
     :ivar record_notice: records what a backend server said about itself in an answer to a request
@@ -129,6 +130,7 @@
     find_end_s: Callable[[Plan], float]
     is_open: Callable[[Backend], bool]
     record_request: Callable[[str], None]
+    has_retry: Callable[[str], bool]
     take_retry: Callable[[str], bool]
     record_outcome: Callable[[Backend, Plan, BalsamtallyError | None, float], None]
     record_notice: Callable[[Backend, Notice, float], None]
@@ -451,6 +453,9 @@
             return False
         if progress.sent - progress.terminated >= plan.route.max_attempts:
             return False
+        # A place that isn't used costs a permit of its server, and is kept from other calls.
+        if not self._hooks.has_retry(plan.service):
+            return False
         if self._hooks.find_end_s(plan) - time.monotonic() < MIN_LEFT_S + END_TIMEOUT_S:
             return False
         return not goes_on(caller, plan) or self._terminations.is_reachable(backend)
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -278,6 +278,7 @@
             find_end_s=self._grace_period.find_end_s,
             is_open=self._is_open,
             record_request=self._budget.record_request,
+            has_retry=self._budget.has_left,
             take_retry=self._budget.take,
             record_outcome=self._record_outcome,
             record_notice=self._record_notice,
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -531,6 +531,7 @@
     Mutation("forwarding", "if not self._hooks.is_open(place.backend):", "if False:", FORWARDING),
     Mutation("forwarding", "if not may_repeat(plan, caller.began_answer) or", "if", FORWARDING),
     Mutation("forwarding", " | self._stalls.list_stopped()", "", FORWARDING),
+    Mutation("forwarding", "if not self._hooks.has_retry(plan.service):", "if False:", FORWARDING),
     Mutation("dispatch", "self._handle_own_report(report_silence(", "(lambda each: 0)((", DISPATCH),
     Mutation(
         "stalls", "if not silent or not self._is_network_up(len(silent), now):", "if False:", STALLS
--- a/tests/balsamtally/scripted.py
+++ b/tests/balsamtally/scripted.py
@@ -250,6 +250,7 @@
         "find_end_s": lambda plan: plan.until_s,
         "is_open": lambda backend: True,
         "record_request": lambda service: None,
+        "has_retry": lambda service: True,
         "take_retry": lambda service: True,
         "record_outcome": lambda *fields: recorded.append(("outcome", *fields)),
         "record_notice": lambda *fields: recorded.append(("notice", *fields)),
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -1235,6 +1235,23 @@
     assert backlogs.find("b1").running == 0
 
 
+def test_call_at_a_silent_server_takes_no_place_without_a_retry():
+    """Each search took a permit where servers are limited, and kept a place from other calls."""
+    with ScriptedBackend(pause) as one, ScriptedBackend(finish) as two:
+        servers = [make_backend("b0", one.address), make_backend("b1", two.address)]
+        hooks, searches = make_hooks(None, servers)[0], []
+
+        def choose(plan, progress):
+            searches.extend(progress.avoid)
+            return hooks.choose(plan, progress)
+
+        route = make_route(Repeat.RESUME, True, timeout_s=8.0)
+        answers, _, _ = run_calls_to_silent_backend(
+            route, one, two, choose=choose, has_retry=lambda service: False
+        )
+    assert [answer[3] for answer in answers] == [True] * 3 and not searches
+
+
 def test_streams_of_two_silent_servers_do_not_change_places():
     """Each left a sound server that paused for another one that was silent as well."""
     with ScriptedBackend(pause) as one, ScriptedBackend(pause) as two:
