--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -112,6 +112,7 @@
     :ivar find_end_s: returns the monotonic clock by which a call must end, in seconds
     :ivar is_open: returns whether a backend server still takes new work
     :ivar record_request: counts a request to a service
+    :ivar has_retry: returns whether the service's retry budget has a retry left
     :ivar take_retry: takes a retry from the service's retry budget; returns whether one was left
     :ivar record_outcome: records the result and duration of an attempt at a backend server
     :ivar record_notice: records what a backend server said about itself in an answer to a request
@@ -129,6 +130,7 @@
     find_end_s: Callable[[Plan], float]
     is_open: Callable[[Backend], bool]
     record_request: Callable[[str], None]
+    has_retry: Callable[[str], bool]
     take_retry: Callable[[str], bool]
     record_outcome: Callable[[Backend, Plan, BalsamtallyError | None, float], None]
     record_notice: Callable[[Backend, Notice, float], None]
@@ -403,23 +405,60 @@
     ) -> Choice | None:
         """Wait for a place for a call that would leave its backend server; ``None`` if it may not.
 
-        A run goes on elsewhere only after the backend server's host has confirmed the end of the
-        connection, so that a call isn't withdrawn from a host that can't be reached.
+        What may keep the call is asked again with the place, for which it may have waited.
 
         :raises CapacityError: if the call would be refused
         """
-        if not may_repeat(plan, caller.began_answer) or self._is_suspect(plan, progress):
-            return None
-        if progress.sent - progress.terminated >= plan.route.max_attempts:
-            return None
-        if self._hooks.find_end_s(plan) - time.monotonic() < MIN_LEFT_S + END_TIMEOUT_S:
+        if not self._may_leave(caller, plan, progress, backend):
             return None
-        if goes_on(caller, plan) and not self._terminations.is_reachable(backend):
-            return None
-        avoid = progress.avoid | {backend.name}
+        # A place at another silent backend server would be no better.
+        avoid = progress.avoid | {backend.name} | self._stalls.list_stopped()
         attempt = replace(progress, avoid=avoid, paused=set())
         self._hooks.admit(plan, attempt)
-        return self._hooks.choose(plan, attempt)
+        place = self._hooks.choose(plan, attempt)
+        if place is None:
+            return None
+        with contextlib.ExitStack() as stack:
+            stack.callback(place.work.cancel)
+            self._prepare_connection(plan, place.backend)
+            self._hooks.admit(plan, attempt)
+            if not self._hooks.is_open(place.backend):
+                return None
+            if not self._may_leave(caller, plan, progress, backend):
+                return None
+            stack.pop_all()
+        return place
+
+    def _prepare_connection(self, plan: Plan, backend: Backend) -> None:
+        """Have a connection to the backend server that a call would go on at.
+
+        :raises BackendUnreachable: if no connection can be opened, which is reported
+        """
+        begun_s = time.monotonic()
+        try:
+            self._connections.prepare(backend, plan.until_s - begun_s, plan.call.id)
+        except BackendUnreachable as error:
+            self._hooks.record_outcome(backend, plan, error, time.monotonic() - begun_s)
+            raise
+
+    def _may_leave(
+        self, caller: Caller, plan: Plan, progress: CallProgress, backend: Backend
+    ) -> bool:
+        """Return whether a call may leave a silent backend server.
+
+        A run goes on elsewhere only after the backend server's host has confirmed the end of the
+        connection, so that a call isn't withdrawn from a host that can't be reached.
+        """
+        if not may_repeat(plan, caller.began_answer) or self._is_suspect(plan, progress):
+            return False
+        if progress.sent - progress.terminated >= plan.route.max_attempts:
+            return False
+        # A place that isn't used costs a permit of its server, and is kept from other calls.
+        if not self._hooks.has_retry(plan.service):
+            return False
+        if self._hooks.find_end_s(plan) - time.monotonic() < MIN_LEFT_S + END_TIMEOUT_S:
+            return False
+        return not goes_on(caller, plan) or self._terminations.is_reachable(backend)
 
     @contextlib.contextmanager
     def _end_if_silent(
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -520,10 +520,18 @@
     Mutation("moves", "if not self._take_retry():", "if False:", FORWARDING),
     Mutation("moves", "place.work.cancel()\n\n    def take", "pass\n\n    def take", MOVES),
     Mutation("moves", "if self._place is None:", "if False:", FORWARDING),
+    Mutation("forwarding", "or self._terminations.is_reachable(backend)", "or True", FORWARDING),
+    Mutation("forwarding", "self._prepare_connection(plan, place.backend)", "pass", FORWARDING),
     Mutation(
-        "forwarding", "and not self._terminations.is_reachable(backend):", "and False:", FORWARDING
+        "forwarding",
+        "            self._hooks.admit(plan, attempt)\n            if",
+        "            if",
+        FORWARDING,
     ),
+    Mutation("forwarding", "if not self._hooks.is_open(place.backend):", "if False:", FORWARDING),
     Mutation("forwarding", "if not may_repeat(plan, caller.began_answer) or", "if", FORWARDING),
+    Mutation("forwarding", " | self._stalls.list_stopped()", "", FORWARDING),
+    Mutation("forwarding", "if not self._hooks.has_retry(plan.service):", "if False:", FORWARDING),
     Mutation("dispatch", "self._handle_own_report(report_silence(", "(lambda each: 0)((", DISPATCH),
     Mutation(
         "stalls", "if not silent or not self._is_network_up(len(silent), now):", "if False:", STALLS
