Let streams go on only at the version that began them

Callers got streams whose parts came from two software versions of a service: when they took a stream up at another VM, and also within one answer after a cut.

Cause: which version began a stream was kept by nobody who chose the next server.

Change: TakeUps finds the version before each choice: from the origin that the VM recorded at the first event, else from the peers that were told of it, else from the proof that one version alone can have begun the stream; without any, the take-up is refused as not run (2018). The demand carries the version to the coordinator; candidates of other versions are left out, a pass doesn't end for other calls because one version is full, and a placement at another version by a peer of an older release isn't accepted.

Each new guard fails a test when taken out.

--- a/balsamtally/demands.py
+++ b/balsamtally/demands.py
@@ -27,6 +27,8 @@
     :ivar avoid: names of backend servers that the call must not be sent to
     :ivar customer: name of the customer, empty if the route is public
     :ivar allowed_regions: regions whose backend servers may run the call, ``None`` for all
+    :ivar software: version of a backend server's software at which the call's stream goes on,
+        ``None`` for any
     """
 
     request: str
@@ -47,6 +49,7 @@
     avoid: tuple[str, ...] = ()
     customer: str = ""
     allowed_regions: frozenset[str] | None = None
+    software: str | None = None
 
     @property
     def session(self) -> str:
@@ -60,6 +63,13 @@
         """Tokens that the call is expected to take in a runner's memory."""
         return self.prompt_tokens + self.answer_tokens
 
+    def allows_software(self, software: str) -> bool:
+        """Return whether backend servers of a software version may run the call.
+
+        :param software: the version
+        """
+        return self.software is None or self.software == software
+
     def allows_region(self, region: str) -> bool:
         """Return whether backend servers of a region may run the call.
 
@@ -94,6 +104,7 @@
         avoid=tuple(progress.avoid | progress.paused),
         customer=plan.customer,
         allowed_regions=plan.allowed_regions,
+        software=progress.software,
     )
 
 
--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -57,6 +57,9 @@
 SCHEDULING_DELAY_S = 0.01
 # A backlog that takes at least this time to read counts as sustained load, not as a chance event.
 SUSTAINED_BACKLOG_S = 0.1
+# The regions and the software version that a call is limited to.
+Eligibility = tuple[frozenset[str] | None, str | None]
+NO_LIMITS: Eligibility = (None, None)
 # Above any tier, where calls of all tiers may still find capacity.
 NO_TIER_FULL = sys.maxsize
 
@@ -153,6 +156,16 @@
         if not demand.allows_region(region):
             log.info("region_not_allowed", request=demand.request, region=region, by=placed_by)
             return None
+        if not demand.allows_software(backend.software):
+            # The VM that placed the call may be of a release that doesn't know of versions.
+            log.info(
+                "software_not_allowed",
+                request=demand.request,
+                software=backend.software,
+                wanted=demand.software,
+                by=placed_by,
+            )
+            return None
         work = self._count(demand, target)
         self.runners.find_cache(demand.service, target.key).record_read(demand.parts)
         log_placement(demand, target, backend.software, self._clock(), placed_by)
@@ -287,7 +300,7 @@
         pending = {
             id(waiting.waiter): waiting for waiting in queue.values() if not waiting.reservation
         }
-        full_tiers: dict[frozenset[str] | None, int] = {}
+        full_tiers: dict[Eligibility, int] = {}
         unevaluated: list[Demand] = []
         work_ahead = WorkAhead()
         waiting_loads: dict[str, LoadCounter] = {}
@@ -297,10 +310,10 @@
         ranked = self._shares.sort(service, waiters, now)
         for waiter in ranked:
             waiting = pending[id(waiter)]
-            regions = waiting.demand.allowed_regions
-            # Calls with other regional limits may still find capacity.
+            limits = (waiting.demand.allowed_regions, waiting.demand.software)
+            # Calls with other limits may still find capacity.
             if waiter.tier >= min(
-                full_tiers.get(None, NO_TIER_FULL), full_tiers.get(regions, NO_TIER_FULL)
+                full_tiers.get(NO_LIMITS, NO_TIER_FULL), full_tiers.get(limits, NO_TIER_FULL)
             ):
                 unevaluated.append(waiting.demand)
                 work_ahead.add(waiting)
@@ -312,7 +325,7 @@
                 continue
             work_ahead.add(waiting)
             if not any_capacity and not will_miss_target(waiter, now):
-                full_tiers[regions] = waiter.tier
+                full_tiers[limits] = waiter.tier
         self._spread_waiting_loads(service, unevaluated, waiting_loads)
 
     def _spread_waiting_loads(
--- a/balsamtally/errors.py
+++ b/balsamtally/errors.py
@@ -362,6 +362,13 @@
     default = "all backend servers pause"
 
 
+class SoftwareUnknown(CapacityError):
+    """It isn't known which software version began the stream that the call takes up."""
+
+    code = 2018
+    default = "the software version that began the stream isn't known"
+
+
 class ResultError(BalsamtallyError):
     """A request was sent to a backend server and has no complete answer."""
 
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -104,6 +104,9 @@
     :ivar find_contracts: returns the contracts in force, ``None`` where none are known
     :ivar admit: raises :class:`PartQuarantined` if the call's prompt may not be sent now
     :ivar is_suspect: returns whether crashes of backend servers have the call's prompt in common
+    :ivar find_software: returns the software version at which a call's stream goes on, ``None`` for
+        any; raises :class:`SoftwareUnknown` if that can't be told
+    :ivar record_origin: records that the first event of an attempt at a stream came
     :ivar record_begun: records that a backend server began to answer a call
     :ivar record_crash: records that a backend server ended before it began to answer a call, with
         the times on the monotonic clock at which the call was sent and its connection broke
@@ -124,6 +127,8 @@
     find_contracts: Callable[[], Contracts | None]
     admit: Callable[[Plan, CallProgress], None]
     is_suspect: Callable[[Plan], bool]
+    find_software: Callable[[Plan, CallProgress], str | None]
+    record_origin: Callable[[Plan, CallProgress], None]
     record_begun: Callable[[Plan], None]
     record_crash: Callable[[Plan, Backend, float, float], None]
     choose: Callable[[Plan, CallProgress], Choice | None]
@@ -269,16 +274,24 @@
     ) -> tuple[Backend | None, BalsamtallyError | None]:
         """Try the next backend server; return the server, if one was found, and the failure."""
         try:
-            self._hooks.admit(plan, progress)
             choice, progress.place = progress.place, None
             if choice is None:
-                choice = self._hooks.choose(plan, progress)
+                choice = self._choose(plan, progress)
         except CapacityError as error:
             return None, error
         if choice is None:
             return None, NoBackend()
         return choice.backend, self._try_backend(caller, plan, progress, choice)
 
+    def _choose(self, plan: Plan, progress: CallProgress) -> Choice | None:
+        """Wait for a backend server of the software version that began the call's stream.
+
+        :raises CapacityError: if the call would be refused
+        """
+        self._hooks.admit(plan, progress)
+        progress.software = self._hooks.find_software(plan, progress)
+        return self._hooks.choose(plan, progress)
+
     def _report_crash(self, plan: Plan, progress: CallProgress, failure: BalsamtallyError) -> None:
         """Report the end of a backend server that hadn't begun to answer the call."""
         if not isinstance(failure, AnswerCut) or progress.attempt_begun:
@@ -414,8 +427,7 @@
         # A place at another silent backend server would be no better.
         avoid = progress.avoid | {backend.name} | self._stalls.list_stopped()
         attempt = replace(progress, avoid=avoid, paused=set())
-        self._hooks.admit(plan, attempt)
-        place = self._hooks.choose(plan, attempt)
+        place = self._choose(plan, attempt)
         if place is None:
             return None
         with contextlib.ExitStack() as stack:
@@ -609,6 +621,8 @@
                 progress.heard_s = time.monotonic()
                 watch.record_event(progress.heard_s)
                 work.record_answer_start()
+                if not progress.attempt_begun:
+                    self._hooks.record_origin(plan, progress)
                 self._record_begun(plan, progress)
                 self._pass_events(caller, progress, head, events)
             connection.held_bytes = len(reader.rest)
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -6,7 +6,7 @@
 import contextlib
 import dataclasses
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from urllib.parse import parse_qs
 
 import gevent
@@ -21,7 +21,7 @@
 from balsamtally.call_log import find_code, log_end
 from balsamtally.call_metrics import CallGauges, CallMetrics
 from balsamtally.callers import Caller, CallerServer, Request, find_max_callers
-from balsamtally.calls import Backend, Limits, Notice
+from balsamtally.calls import Backend, Limits, Notice, Repeat
 from balsamtally.catalog import Catalog, Decoder
 from balsamtally.cold_servers import ColdMembership, ColdRule
 from balsamtally.coordination import Ask, Reply, Withdrawal
@@ -34,6 +34,14 @@
 from balsamtally.grace_period import END_SHARE, TELL_SHARE, GracePeriod, StopCounts
 from balsamtally.held_bytes import HeldBytes, find_limit
 from balsamtally.logs import log
+from balsamtally.origin_exchange import (
+    Member,
+    OriginAsk,
+    OriginExchange,
+    OriginNotice,
+    OriginReply,
+)
+from balsamtally.origins import Origins
 from balsamtally.pauses import Pauses, PausingChoice
 from balsamtally.peers import RECORDS_PATH, Peers
 from balsamtally.permits import PermitAsk, PermitGrant, Permits
@@ -46,8 +54,10 @@
 from balsamtally.reservations import Reservations
 from balsamtally.server_limits import ServerLimits
 from balsamtally.sockets import listen
+from balsamtally.software_history import SoftwareHistory
 from balsamtally.stall_exchange import StallExchange
 from balsamtally.stalls import SilenceNotice, SilentRunner, Stalls
+from balsamtally.takeups import TakeUps
 from balsamtally.tasks import spawn_repeating
 from balsamtally.terminations import Terminations
 
@@ -125,6 +135,7 @@
         )
         self._account = HeldBytes(find_limit(settings.memory_mb))
         self._connect_stalls()
+        self._connect_take_ups()
         self._forwarder = Forwarder(
             self._make_hooks(),
             wire,
@@ -232,6 +243,56 @@
         )
         self.peers.handlers[SilenceNotice] = self._stall_exchange.handle_notice
 
+    def _connect_take_ups(self) -> None:
+        """Create the records of where streams began and connect them to the peers."""
+        self._software_history = SoftwareHistory(lambda: self.settings.change_bound_s)
+        self.catalog.on_backends = self._software_history.observe
+        self.catalog.on_missed = self._software_history.record_gap
+        own = self.peers.own
+        self._origin_exchange = OriginExchange(
+            Member(own.vm, own.domain, own.ip),
+            Origins(),
+            self._list_members,
+            self.peers.send_message,
+            self._find_sole_software,
+        )
+        self._take_ups = TakeUps(
+            self._origin_exchange.find,
+            self._find_sole_software,
+            self._origin_exchange.announce,
+            lambda: self.catalog.backends,
+        )
+        self.peers.handlers[OriginNotice] = self._origin_exchange.handle_notice
+        self.peers.handlers[OriginAsk] = self._origin_exchange.handle_ask
+        self.peers.handlers[OriginReply] = self._origin_exchange.handle_reply
+
+    def record_past_backends(self, backends: Iterable[Backend], covered_s: float) -> None:
+        """Record which backend servers served before this VM started.
+
+        :param backends: all backend servers that served within the covered time
+        :param covered_s: length of the covered time before now, in seconds
+        """
+        self._software_history.record_past(backends, covered_s)
+
+    def measure_stream_past_s(self) -> float:
+        """Return the time before now in which a stream that may be resumed can have begun.
+
+        It covers the time in which VMs learn that a backend server has left.
+
+        :return: the time in seconds
+        """
+        contracts = self.catalog.contracts
+        routes = contracts.routes if contracts is not None else ()
+        longest_s = max((r.timeout_s for r in routes if r.repeat is Repeat.RESUME), default=0.0)
+        return longest_s + self.settings.change_bound_s
+
+    def _list_members(self) -> list[Member]:
+        beats = [peer.beat for peer in self.peers.list_alive()]
+        return [Member(beat.vm, beat.domain, beat.ip) for beat in beats]
+
+    def _find_sole_software(self, service: str, window_s: float) -> str | None:
+        return self._software_history.find_sole(service, window_s, self.catalog.age_s)
+
     def _record_silence(self, verdict: SilentRunner) -> None:
         self._metrics.count_silent(verdict.key[0])
         self._dispatch.record_silence(verdict.key, verdict.silent_s)
@@ -272,6 +333,8 @@
             find_contracts=lambda: self.catalog.contracts,
             admit=self._admit,
             is_suspect=lambda plan: self._quarantine.is_suspect(list_keys(plan.call.shared_parts)),
+            find_software=self._take_ups.find_software,
+            record_origin=self._take_ups.record_first_event,
             record_begun=self._record_begun,
             record_crash=self._record_crash,
             choose=self._choose,
@@ -333,6 +396,7 @@
         enter(self.peers)
         enter(self._quarantine_exchange)
         enter(self._stall_exchange)
+        enter(self._origin_exchange)
         enter(self._reservations)
         enter(self._serve_pages(self.settings.ready_address))
         enter(self._serve_pages(self.settings.peer_address))
--- a/balsamtally/gateway_settings.py
+++ b/balsamtally/gateway_settings.py
@@ -12,6 +12,8 @@
 # Without these settings a cold server gets no more than its published rate.
 DEFAULT_COLD_OVERAGE = 1.0
 DEFAULT_COLD_SLACK = 0.0
+# Interval at which backend servers renew their entries where the settings name none, in seconds.
+DEFAULT_HEARTBEAT_S = 1.2
 
 
 @dataclass(frozen=True)
@@ -34,6 +36,7 @@
     :ivar cold_overage: factor by which the requests to a cold server within one second may exceed
         its published rate
     :ivar cold_slack: requests within one second that it may get beyond that
+    :ivar heartbeat_s: interval at which backend servers renew their entries, in seconds
     :ivar max_fds: most descriptors of the process, 0 if it isn't known
     :ivar metrics_port: port of a separate metrics listener on the IP address of
         ``caller_address``, 0 for no such listener
@@ -53,6 +56,7 @@
     memory_mb: float = DEFAULT_MEMORY_MB
     cold_overage: float = DEFAULT_COLD_OVERAGE
     cold_slack: float = DEFAULT_COLD_SLACK
+    heartbeat_s: float = DEFAULT_HEARTBEAT_S
     max_fds: float = 0.0
     metrics_port: int = 0
 
--- a/balsamtally/origin_exchange.py
+++ b/balsamtally/origin_exchange.py
@@ -183,7 +183,7 @@
         :param origin: the origin
         """
         if not self._origins.record(origin):
-            log.warning("origin_differs", request=origin.request, software=origin.software)
+            log.info("origin_differs", request=origin.request, software=origin.software)
             return
         for holder in choose_holders(origin.request, [self._own, *self._list_peers()]):
             if holder.vm != self._own.vm:
--- a/balsamtally/peers.py
+++ b/balsamtally/peers.py
@@ -31,6 +31,7 @@
 from balsamtally.decoding import decode
 from balsamtally.errors import BalsamtallyError
 from balsamtally.logs import log
+from balsamtally.origin_exchange import OriginAsk, OriginNotice, OriginReply
 from balsamtally.permits import PermitAsk, PermitGrant
 from balsamtally.quarantine_messages import QuarantineUpdate
 from balsamtally.readers import DEFAULT_READ_TIMES, PlatformReadState, should_read
@@ -84,7 +85,9 @@
 RECORDS_PATH = b"/records"
 # Stands for the service of unknown backend servers.
 UNKNOWN_SERVICE = ""
-Message = Ask | Withdrawal | Reply | QuarantineUpdate | PermitAsk | PermitGrant | SilenceNotice
+Message = (
+    Ask | Withdrawal | Reply | QuarantineUpdate | PermitAsk | PermitGrant | SilenceNotice
+) | (OriginNotice | OriginAsk | OriginReply)
 
 _message = msgspec.msgpack.Decoder(Beat | Message)
 _update = msgspec.msgpack.Decoder(Update)
--- a/balsamtally/plans.py
+++ b/balsamtally/plans.py
@@ -18,6 +18,7 @@
     UnknownPath,
 )
 from balsamtally.held_bytes import Holding
+from balsamtally.origins import Origin
 
 # Ranks within a tier, one for each of the tiers 0 to 2 that the operators' routes have.
 ROUTE_RANKS = 3
@@ -73,6 +74,9 @@
     :ivar avoid: names of backend servers that are not tried again
     :ivar paused: names of backend servers that pause as the next attempt is placed
     :ivar last_event: id of the last event sent to the caller, ``None`` before the first
+    :ivar origin: where the stream that the caller has events of began, ``None`` if that isn't known
+    :ivar software: version of a backend server's software at which the stream goes on, ``None`` for
+        any
     :ivar may_have_run: whether a backend server may have run the call
     :ivar failed_answer: a backend server's error answer, returned if no attempt succeeds
     :ivar stored_bytes: counts the bytes of that answer, ``None`` where none is stored
@@ -105,6 +109,8 @@
     avoid: set[str] = field(default_factory=set)
     paused: set[str] = field(default_factory=set)
     last_event: int | None = None
+    origin: Origin | None = None
+    software: str | None = None
     may_have_run: bool = False
     failed_answer: tuple[AnswerHead, bytes] | None = None
     stored_bytes: Holding | None = None
--- a/balsamtally/platform/daemon.py
+++ b/balsamtally/platform/daemon.py
@@ -14,6 +14,7 @@
 from balsamtally.incarnations import make_incarnation
 from balsamtally.logs import log, set_up_bounded_logs
 from balsamtally.platform.documents import DECODER
+from balsamtally.platform.past import PastSettings
 from balsamtally.platform.settings import find_stamp, read_settings
 from balsamtally.platform.store import Store
 from balsamtally.platform.wire import WIRE
@@ -45,6 +46,11 @@
             peers.should_read,
             peers.record_read_state,
             lambda: peers.read_times,
+            past=PastSettings(
+                gateway.record_past_backends,
+                gateway.measure_stream_past_s,
+                lambda: gateway.settings.heartbeat_s,
+            ),
         ) as store:
             follower = gevent.spawn(follow_settings, path, gateway, store)
             stopping.wait()
--- a/balsamtally/runners.py
+++ b/balsamtally/runners.py
@@ -221,10 +221,10 @@
         usable = [runner for runner in runners if runner.usable] or runners
         candidates = self._make_candidates(demand, usable)
         suitable = self._filter_suitable(demand, candidates)
-        if not demand.avoid and demand.allowed_regions is None:
+        if is_unlimited(demand):
             return suitable
         # The choice of dedicated runners doesn't depend on the runners that one call avoids, or
-        # that its regional limit excludes.
+        # that its regional limit or software version excludes.
         for choices in (suitable, candidates):
             left = [candidate for candidate in choices if is_eligible(demand, candidate)]
             if left:
@@ -274,6 +274,8 @@
             return "not open, as its failure domain is evacuated"
         if not demand.allows_region(found[0].region):
             return "outside the allowed regions"
+        if not demand.allows_software(backend.software):
+            return "of another software version than the one that began the stream"
         if not self._permits.is_sendable(backend):
             return "limits its requests, and there is no permit now"
         if self._full_until_s.get(backend.key, 0.0) > self._clock():
@@ -592,4 +594,14 @@
     :param demand: requirements of the call
     :param server: the backend server
     """
-    return server.backend.name not in demand.avoid and demand.allows_region(server.region)
+    if server.backend.name in demand.avoid or not demand.allows_region(server.region):
+        return False
+    return demand.allows_software(server.backend.software)
+
+
+def is_unlimited(demand: Demand) -> bool:
+    """Return whether a call may be sent to every backend server of its service.
+
+    :param demand: requirements of the call
+    """
+    return not demand.avoid and demand.allowed_regions is None and demand.software is None
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -69,6 +69,7 @@
 DOCUMENTS = "tests/balsamtally/platform/test_documents.py"
 EVENTS = "tests/balsamtally/test_events.py"
 FORWARDING = "tests/balsamtally/test_forwarding.py"
+TAKEUPS = "tests/balsamtally/test_takeups.py"
 MOVES = "tests/balsamtally/test_moves.py"
 GRACE_PERIOD = "tests/balsamtally/test_grace_period.py"
 GRID = "tests/standins/test_grid.py"
@@ -517,6 +518,20 @@
     Mutation("runners", "streams.is_observed(self._clock())", "False", DISPATCH),
     Mutation("runners", "and now >= health.ejected_until", "", DISPATCH),
     Mutation("stalls", "        if paused:", "        if False:", STALLS),
+    Mutation(
+        "runners", "return demand.allows_software(server.backend.software)", "return True", DISPATCH
+    ),
+    Mutation("dispatch", "if not demand.allows_software(backend.software):", "if False:", DISPATCH),
+    Mutation(
+        "dispatch",
+        "limits = (waiting.demand.allowed_regions, waiting.demand.software)",
+        "limits = NO_LIMITS",
+        DISPATCH,
+    ),
+    Mutation("runners", "and demand.software is None", "", DISPATCH),
+    Mutation("takeups", "return sole if present <= {sole} else None", "return sole", TAKEUPS),
+    Mutation("takeups", "if plan.route.repeat is Repeat.RESUME:", "if True:", TAKEUPS),
+    Mutation("takeups", "call.resumes if taken_up else call.id", "call.id", TAKEUPS),
     Mutation("moves", "if not self._take_retry():", "if False:", FORWARDING),
     Mutation("moves", "place.work.cancel()\n\n    def take", "pass\n\n    def take", MOVES),
     Mutation("moves", "if self._place is None:", "if False:", FORWARDING),
--- a/tests/balsamtally/platform/test_wire.py
+++ b/tests/balsamtally/platform/test_wire.py
@@ -53,6 +53,20 @@
     assert call.parts[0] == PromptPart("5c1e07a2", 800) and len(call.parts) == 3
 
 
+def test_attempt_that_a_call_resumes_is_read_and_passed_on():
+    request = make_request((b"Resumes", b"7d10"))
+    assert read_call(request).resumes == "7d10" and not read_call(make_request()).resumes
+    assert (b"Resumes", b"7d10") in make_headers(make_attempt((b"Resumes", b"7d10")))
+
+
+@pytest.mark.parametrize(
+    "headers", [((b"Resumes", b""),), ((b"Resumes", b"7" * 129),), 2 * ((b"Resumes", b"7d10"),)]
+)
+def test_resumed_attempt_that_cannot_be_an_id_is_refused(headers):
+    with pytest.raises(RequestError):
+        read_call(make_request(*headers))
+
+
 def test_headers_of_the_example_attempt():
     sent = dict(make_headers(make_attempt()))
     assert sent == {
--- a/tests/balsamtally/scripted.py
+++ b/tests/balsamtally/scripted.py
@@ -244,6 +244,8 @@
         "find_contracts": lambda: contracts,
         "admit": lambda plan, progress: None,
         "is_suspect": lambda plan: False,
+        "find_software": lambda plan, progress: None,
+        "record_origin": lambda *fields: recorded.append(("origin", *fields)),
         "record_begun": lambda *fields: recorded.append(("begun", *fields)),
         "record_crash": lambda *fields: recorded.append(("crash", *fields)),
         "choose": choose,
--- a/tests/balsamtally/test_dispatch.py
+++ b/tests/balsamtally/test_dispatch.py
@@ -528,6 +528,42 @@
     assert world.choose(world.plan()).backend.name == "there"
 
 
+def add_versions(world):
+    """Add a runner that all calls prefer, and one of another version in another region."""
+    world.add("new")
+    old = world.add("old", domain="far")
+    world.catalog.backends["old"] = replace(old, software="v1")
+
+
+def test_stream_goes_on_only_at_its_version_although_a_better_runner_is_idle(world):
+    """Guards against a stream that is joined from two software versions."""
+    add_versions(world)
+    assert world.choose(world.plan()).backend.name == "new"
+    assert world.choose(world.plan(), software="v1").backend.name == "old"
+    assert world.choose(world.plan(), software="v1", avoid={"old"}) is None
+
+
+def test_placement_of_a_peer_at_another_version_is_not_accepted(world):
+    """Guards against a coordinator of a release that doesn't know of versions."""
+    add_versions(world)
+    place = world.dispatch.reserve(make_demand_for(world, 1)).place
+    demand = make_demand(world.plan(1), CallProgress(software="v1"))
+    assert world.dispatch.accept(demand, place, "peer") is None
+
+
+def test_full_version_does_not_keep_new_streams_waiting(world):
+    """Guards against a pass that ends at the first stream whose version has no capacity."""
+    add_versions(world)
+    world.announce_loads("peer", {"old": Load(running=64)})
+    taken_up = make_demand(world.plan(1), CallProgress(software="v1"))
+    waiting = gevent.spawn(world.dispatch.reserve, taken_up)
+    gevent.sleep(0)
+    with gevent.Timeout(WAIT_S):
+        assert world.dispatch.reserve(make_demand_for(world, 2)).place.backend == "new"
+    assert not waiting.ready()
+    waiting.kill()
+
+
 def make_demand_for(world, number):
     return make_demand(world.plan(number), CallProgress())
 
