Read from the store's history which software versions served before the start

After a loss of all entry VMs nobody remembers which software versions have served, so that streams taken up again could be joined from two versions, or would all have to be refused for as long as a stream can live.

At its first listing a VM now reads the history of the servers' entries, with one call, from a revision that is known to be older than the time in question. The start of a server alone doesn't show how old its entry is, since entries that expire in an outage are written again; the count of its heartbeats does. The past counts as unknown if the history is gone, if an entry was removed or overwritten whose value isn't known, if the store was restored or if the clocks contradict the order of revisions.

The stand-in store tells the creation of an item as the platform does, and begins with its whole history. Not wired yet: Store reads no past without PastSettings.

--- a/balsamtally/platform/store.py
+++ b/balsamtally/platform/store.py
@@ -16,6 +16,15 @@
 from balsamtally.decoding import Count, decode
 from balsamtally.errors import BalsamtallyError, HistoryGone, PlatformUnavailable
 from balsamtally.logs import log
+from balsamtally.platform.documents import SERVERS_PREFIX
+from balsamtally.platform.past import (
+    CLOCK_MARGIN_S,
+    PastSettings,
+    PastUnknown,
+    find_past_backends,
+    find_start,
+    read_entries,
+)
 from balsamtally.readers import DEFAULT_READ_TIMES, PlatformReadState, ReadTimes
 from balsamtally.records import Record
 from balsamtally.tasks import spawn_repeating
@@ -135,6 +144,7 @@
     :param record_read_state: records whether this entry VM reads, rests or was refused by the store
     :param find_times: returns the times of reading the platform
     :param random_source: returns a random number between two limits, for pauses in seconds
+    :param past: what to read from the store's history at the start, ``None`` to read nothing
     """
 
     def __init__(
@@ -145,6 +155,7 @@
         record_read_state: Callable[[PlatformReadState], None] = lambda state: None,
         find_times: Callable[[], ReadTimes] = lambda: DEFAULT_READ_TIMES,
         random_source: Callable[[float, float], float] = random.uniform,
+        past: PastSettings | None = None,
     ):
         self.address = address
         self._catalog = catalog
@@ -152,6 +163,7 @@
         self._record_read_state = record_read_state
         self._find_times = find_times
         self._pause = random_source
+        self._past = past
         self._history_gone = False
         self._failures = 0
         self._refused_s = 0.0
@@ -218,6 +230,7 @@
         """
         asked_s = time.monotonic()
         known = self._catalog.records.position
+        items: list[msgspec.Raw] = []
         records: list[Record] = []
         first_at: int | None = None
         first_era: int | None = None
@@ -230,6 +243,7 @@
             first_at = page.at if first_at is None else min(first_at, page.at)
             found = decode_items(page.entries, era)
             records += found
+            items += page.entries
             if not page.has_more or not page.entries:
                 break
             if not found or found[-1].key <= after:
@@ -243,6 +257,37 @@
         self._catalog.record_current(time.monotonic() - asked_s)
         self._watching = True
         self._history_gone = False
+        if self._past is not None and not known[1]:
+            self._read_past(self._past, items)
+
+    def _read_past(self, past: PastSettings, items: list[msgspec.Raw]) -> None:
+        """Read which backend servers served before this process started.
+
+        :param past: what is needed
+        :param items: the items of the first listing
+        """
+        needed_s = past.find_needed_s()
+        now_ms = 1000 * past.wall_clock()
+        until_ms = now_ms - 1000 * (needed_s + CLOCK_MARGIN_S)
+        at = self._catalog.records.complete_revision
+        after = 0
+        try:
+            listed = read_entries(items)
+            after = find_start(listed, now_ms, until_ms, past.find_beat_s())
+            target = f"/kv-watch?path_prefix={SERVERS_PREFIX}&after={after}&wait_ms=1"
+            era, body = self._read(target, self._find_answer_limit_s())
+            changes = decode(_changes, body)
+            if era or changes.at < at:
+                raise PastUnknown("the store was restored" if era else "events are missing")
+            events = read_entries(changes.events)
+            found = find_past_backends(listed, events, after, until_ms)
+        except HistoryGone:
+            log.info("platform_past_unknown", after=after, why="the history is gone")
+        except (BalsamtallyError, ValueError) as error:
+            log.info("platform_past_unknown", after=after, why=str(error))
+        else:
+            log.info("platform_past_read", after=after, events=len(events))
+            past.record(found, needed_s)
 
     def _read_page(self, after: str) -> tuple[int, Page]:
         target = (
--- a/balsamtally/software_history.py
+++ b/balsamtally/software_history.py
@@ -67,9 +67,8 @@
         :param gap_s: time for which changes may have been missed, in seconds; infinite if one is
             known to be missing
         """
-        now = self._clock()
-        if gap_s > MAX_AGE_S and self._complete_s < now:
-            self._complete_s = now
+        if gap_s > MAX_AGE_S:
+            self._complete_s = self._clock()
 
     def record_past(self, backends: Iterable[Backend], covered_s: float) -> None:
         """Record the backend servers that the platform's history shows.
--- a/standins/store.py
+++ b/standins/store.py
@@ -66,7 +66,7 @@
         self._events: list[dict] = []
         self._spoiled: dict[str, dict] = {}
         self._revision = 100
-        self._oldest_revision = 100
+        self._oldest_revision = 0
         self._changed = Event()
 
     def __enter__(self) -> "Store":
@@ -95,11 +95,12 @@
         """
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         self._revision += 1
+        known = self._items.get(key)
         item = {
             "key": key,
             "value": base64.b64encode(data).decode(),
             "revision": self._revision,
-            "created": self._revision,
+            "created": known["created"] if known else self._revision,
             "lease_id": 0,
         }
         self._items[key] = item
