Read the interval of the servers' heartbeats from the settings

The count of heartbeats in a server's entry tells how long after the server's start it was written, if the interval is known. Without one in the settings 3 s are assumed.

--- a/balsamtally/gateway_settings.py
+++ b/balsamtally/gateway_settings.py
@@ -7,6 +7,8 @@
 
 # Bound for changes where the settings name none, in seconds.
 DEFAULT_CHANGE_BOUND_S = 3.0
+# Interval of backend servers' heartbeats where the settings name none, above the usual ones.
+DEFAULT_HEARTBEAT_S = 3.0
 # Memory of the machine where the settings don't state it, that of the smallest machines.
 DEFAULT_MEMORY_MB = 88.0
 # Without these settings a cold server gets no more than its published rate.
@@ -30,6 +32,7 @@
     :ivar budget: retry budget of the whole fleet
     :ivar change_bound_s: shortest time within which a published change must be in force at all VMs,
         in seconds
+    :ivar heartbeat_s: time between two heartbeats of a backend server to the platform, in seconds
     :ivar memory_mb: memory that the process may take, in MB
     :ivar cold_overage: factor by which the requests to a cold server within one second may exceed
         its published rate
@@ -50,6 +53,7 @@
     grace_s: float
     budget: BudgetRule
     change_bound_s: float = DEFAULT_CHANGE_BOUND_S
+    heartbeat_s: float = DEFAULT_HEARTBEAT_S
     memory_mb: float = DEFAULT_MEMORY_MB
     cold_overage: float = DEFAULT_COLD_OVERAGE
     cold_slack: float = DEFAULT_COLD_SLACK
--- a/balsamtally/platform/settings.py
+++ b/balsamtally/platform/settings.py
@@ -13,6 +13,7 @@
     DEFAULT_CHANGE_BOUND_S,
     DEFAULT_COLD_OVERAGE,
     DEFAULT_COLD_SLACK,
+    DEFAULT_HEARTBEAT_S,
     DEFAULT_MEMORY_MB,
     GatewaySettings,
 )
@@ -119,6 +120,7 @@
                 window_s=read_amount(bounds["budget_window_s"]),
             ),
             change_bound_s=read_change_bound_s(bounds),
+            heartbeat_s=read_amount(fields.get("heartbeat_ms", 1000 * DEFAULT_HEARTBEAT_S)) / 1000,
             cold_overage=read_amount(bounds.get("cold_overage", DEFAULT_COLD_OVERAGE)),
             cold_slack=read_amount(bounds.get("cold_slack", DEFAULT_COLD_SLACK)),
             memory_mb=read_amount(limits.get("memory_mb", DEFAULT_MEMORY_MB)),
--- a/tests/balsamtally/platform/test_settings.py
+++ b/tests/balsamtally/platform/test_settings.py
@@ -4,7 +4,7 @@
 import yaml
 
 from balsamtally.errors import SettingsInvalid
-from balsamtally.gateway_settings import DEFAULT_CHANGE_BOUND_S
+from balsamtally.gateway_settings import DEFAULT_CHANGE_BOUND_S, DEFAULT_HEARTBEAT_S
 from balsamtally.platform.settings import (
     OwnSettings,
     find_path,
@@ -55,6 +55,9 @@
     assert settings.budget.allowance == 56.0
     assert read_settings(write(tmp_path, {"seeds": []})).seeds == ()
     assert settings.change_bound_s == DEFAULT_CHANGE_BOUND_S
+    assert settings.heartbeat_s == 1.2
+    unnamed = read_settings(write(tmp_path, {"heartbeat_ms": None}))
+    assert unnamed.heartbeat_s == DEFAULT_HEARTBEAT_S
     assert (settings.cold_overage, settings.cold_slack) == (1.0, 0.0)
 
 
@@ -75,6 +78,7 @@
         {"zones": 3},
         {"internal_port_range": []},
         {"bounds": {"grace_s": "long"}},
+        {"heartbeat_ms": "often"},
         {"platform": None},
         {"internal_port_range": [10**30]},
         {"internal_port_range": [float("inf")]},
