--- a/balsamtally/gateway_settings.py
+++ b/balsamtally/gateway_settings.py
@@ -7,13 +7,13 @@
 
 # Bound for changes where the settings name none, in seconds.
 DEFAULT_CHANGE_BOUND_S = 3.0
+# Interval of backend servers' heartbeats where the settings name none, above the usual ones.
+DEFAULT_HEARTBEAT_S = 3.0
 # Memory of the machine where the settings don't state it, that of the smallest machines.
 DEFAULT_MEMORY_MB = 88.0
 # Without these settings a cold server gets no more than its published rate.
 DEFAULT_COLD_OVERAGE = 1.0
 DEFAULT_COLD_SLACK = 0.0
-# Interval at which backend servers renew their entries where the settings name none, in seconds.
-DEFAULT_HEARTBEAT_S = 1.2
 
 
 @dataclass(frozen=True)
@@ -32,11 +32,11 @@
     :ivar budget: retry budget of the whole fleet
     :ivar change_bound_s: shortest time within which a published change must be in force at all VMs,
         in seconds
+    :ivar heartbeat_s: time between two heartbeats of a backend server to the platform, in seconds
     :ivar memory_mb: memory that the process may take, in MB
     :ivar cold_overage: factor by which the requests to a cold server within one second may exceed
         its published rate
     :ivar cold_slack: requests within one second that it may get beyond that
-    :ivar heartbeat_s: interval at which backend servers renew their entries, in seconds
     :ivar max_fds: most descriptors of the process, 0 if it isn't known
     :ivar metrics_port: port of a separate metrics listener on the IP address of
         ``caller_address``, 0 for no such listener
@@ -53,10 +53,10 @@
     grace_s: float
     budget: BudgetRule
     change_bound_s: float = DEFAULT_CHANGE_BOUND_S
+    heartbeat_s: float = DEFAULT_HEARTBEAT_S
     memory_mb: float = DEFAULT_MEMORY_MB
     cold_overage: float = DEFAULT_COLD_OVERAGE
     cold_slack: float = DEFAULT_COLD_SLACK
-    heartbeat_s: float = DEFAULT_HEARTBEAT_S
     max_fds: float = 0.0
     metrics_port: int = 0
 
--- a/balsamtally/platform/settings.py
+++ b/balsamtally/platform/settings.py
@@ -120,10 +120,10 @@
                 window_s=read_amount(bounds["budget_window_s"]),
             ),
             change_bound_s=read_change_bound_s(bounds),
+            heartbeat_s=read_amount(fields.get("heartbeat_ms", 1000 * DEFAULT_HEARTBEAT_S)) / 1000,
             cold_overage=read_amount(bounds.get("cold_overage", DEFAULT_COLD_OVERAGE)),
             cold_slack=read_amount(bounds.get("cold_slack", DEFAULT_COLD_SLACK)),
             memory_mb=read_amount(limits.get("memory_mb", DEFAULT_MEMORY_MB)),
-            heartbeat_s=read_amount(fields.get("heartbeat_ms", 1000 * DEFAULT_HEARTBEAT_S)) / 1000,
             max_fds=read_amount(limits.get("max_fds", 0)),
         )
     except DECODING_ERRORS as error:
