Let a VM that has just started look for peers that know where a stream began

Callers whose VM was lost took their streams up at another one that had started 0.2 s before, and were refused: it knew four of seven peers by then, and the search ended as soon as these had replied.

The search now goes on for its whole limit of 0.3 s unless a reply has the origin, and asks the peers that are heard of meanwhile. The new test fails on the former code.

--- a/balsamtally/origin_exchange.py
+++ b/balsamtally/origin_exchange.py
@@ -104,7 +104,7 @@
     :ivar soles: versions that served alone as peers have observed
     :ivar origin: the origin that a peer knows, ``None`` without one
     :ivar source: name of that peer
-    :ivar settled: set when a reply has an origin or all VMs that were asked have replied
+    :ivar settled: set when a reply has the origin
     """
 
     ask: OriginAsk
@@ -248,19 +248,19 @@
         return None, search.sole
 
     def _ask(self, search: Search) -> None:
-        """Ask the holders, then further VMs as well, until a reply has the origin."""
+        """Ask the holders, then further VMs as well, until a reply has the origin.
+
+        A VM that has just started hears of its peers one after the other, so that it goes on
+        looking for them after those that it knows have replied.
+        """
         most = HOLDERS
         for _ in range(ASK_SENDS):
             members = choose_holders(search.ask.request, self._list_peers(), most)
             silent = [member for member in members if member.vm not in search.replied]
-            if not silent:
-                return
             search.asked |= {member.vm for member in silent}
-            search.settled.clear()
             for member in silent:
                 self._send(search.ask, member.ip)
-            search.settled.wait(ANSWER_LIMIT_S / ASK_SENDS)
-            if search.origin is not None:
+            if search.settled.wait(ANSWER_LIMIT_S / ASK_SENDS):
                 return
             most = MAX_ASKED
 
@@ -289,7 +289,7 @@
             search.origin, search.source = reply.origin, reply.vm
         if reply.sole is not None:
             search.soles.add(reply.sole)
-        if search.origin is not None or search.replied >= search.asked:
+        if search.origin is not None:
             search.settled.set()
 
 
--- a/tests/balsamtally/test_origin_exchange.py
+++ b/tests/balsamtally/test_origin_exchange.py
@@ -159,6 +159,19 @@
         return expected
 
 
+def test_vm_that_has_just_started_asks_the_peers_that_it_hears_of_meanwhile():
+    """It refused streams that it was asked for before it had heard of the peers that know them."""
+    with Fleet(3) as fleet:
+        origin = make_origin()
+        fleet.begin("vm-0", origin)
+        fleet.start("vm-1")
+        fleet.dead |= {"vm-0", "vm-2"}
+        search = gevent.spawn(fleet.find, "vm-1")
+        gevent.sleep(origin_exchange.ANSWER_LIMIT_S / 2)
+        fleet.dead.clear()
+        assert search.get() == (origin, None)
+
+
 def test_an_origin_is_found_while_one_vm_that_knows_it_lives_and_is_reachable():
     tasks = [gevent.spawn(play, seed) for seed in range(200)]
     gevent.joinall(tasks, raise_error=True)
