Let a caller read its answer slowly

A caller that reads steadily, but slower than 22 KB/s, lost the rest of an answer of 262 KB: the whole write had to end within WRITE_TIMEOUT_S, 6 s, beyond what the kernel's buffer takes. Such a caller was taken for one that had left.

Cause: the time without progress wasn't measured, though the constant's comment and the wait before a pipelined request say so. Change: each part that the kernel takes begins the time anew.

--- a/balsamtally/callers.py
+++ b/balsamtally/callers.py
@@ -344,9 +344,11 @@
         self._write(self._http.send(event) or b"")
 
     def _write(self, data: bytes) -> None:
+        unsent = memoryview(data)
         try:
-            with Timeout(WRITE_TIMEOUT_S, CallerLeft("the caller stopped reading its answer")):
-                self._sock.sendall(data)
+            while unsent:
+                with Timeout(WRITE_TIMEOUT_S, CallerLeft("the caller stopped reading its answer")):
+                    unsent = unsent[self._sock.send(unsent) :]
         except OSError as error:
             raise CallerLeft(str(error)) from error
 
--- a/tests/balsamtally/test_callers.py
+++ b/tests/balsamtally/test_callers.py
@@ -12,6 +12,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from balsamtally import callers
 from balsamtally.callers import MAX_CALLERS, RESERVED_FDS, CallerServer, find_max_callers
 from balsamtally.calls import Limits
 from balsamtally.errors import (
@@ -551,3 +552,18 @@
     assert find_max_callers(0) == find_max_callers(4_100) == MAX_CALLERS
     assert 0 < 2 * find_max_callers(800) < 800 - RESERVED_FDS
     assert find_max_callers(100) == 1
+
+
+def test_answer_to_a_caller_that_reads_slowly_is_sent_to_its_end(monkeypatch):
+    """It was cut after the time that a caller may take to read nothing."""
+    monkeypatch.setattr(callers, "WRITE_TIMEOUT_S", 0.8)
+    body = b"x" * 2_500_000
+    with serve(lambda caller, request: caller.answer(200, (), body)) as (connect, _, _):
+        with contextlib.closing(connect()) as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 131_072)
+            sock.sendall(b"GET /a/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+            received = 0
+            while piece := sock.recv(65_536):
+                received += len(piece)
+                gevent.sleep(0.05)
+    assert received > len(body)
