Failing test of the chat interface: a runner that pauses for over 10 s

The class of the silent runners, on the other interface: RunnerStream ends an attempt after 10 s without bytes. The chat goes on elsewhere from its last token if a runner has a free slot; else its caller gets a cut answer. A prompt that waits for over 10 s at a busy runner counts the same, twice at most.

Not mended here: chats have no deadline, the limit is also what frees the slot of a caller that has left, and the connections have no keep-alive that would tell a lost host. All three have to change together.

--- a/tests/balsamtally/test_streams.py
+++ b/tests/balsamtally/test_streams.py
@@ -8,6 +8,7 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
+from balsamtally import streams
 from balsamtally.errors import BackendFailed, WrongAnswer
 from balsamtally.streams import (
     RunnerFailed,
@@ -107,3 +108,15 @@
     except ValueError:
         return
     assert chunk.id == "a1" and msgspec.json.encode(chunk)
+
+
+def test_stream_of_a_runner_that_pauses_is_not_ended():
+    """A runner's silence doesn't prove that it has ended; nothing limits the caller's wait."""
+    first = b'data: {"id":"r1.1","choices":[{"delta":{"content":"b"}}]}\n\n'
+    script = send_raw(
+        b"HTTP/1.1 200 OK\r\n\r\n" + first, STREAM, pause_s=streams.READ_TIMEOUT_S + 1.0
+    )
+    with ScriptedBackend(script) as runner, Runners() as runners:
+        pool = runners.find_pool(f"{runner.address[0]}:{runner.address[1]}")
+        with RunnerStream(pool, "r1.1", {}) as stream:
+            assert len(list(stream.read_chunks())) == 2
