Leave runners with a verdict out of the check for a lost network

Callers of several runners that fell silent one after the other waited at the later ones: those got no verdict, so that they weren't ejected and no call left them.

Cause: at least as many runners must be heard as are silent, since a lost network silences all. Streams that can't go on elsewhere now stay at a runner with a verdict, so that it went on counting as silent. Change: only runners without a verdict count. A lost network still gives none, as nothing is heard then.

Tests: test_runners_that_have_a_verdict_are_no_sign_of_a_lost_network got 2 of 4 verdicts before.

--- a/balsamtally/stalls.py
+++ b/balsamtally/stalls.py
@@ -272,8 +272,11 @@
         return [verdict for verdict in judged if verdict is not None]
 
     def _list_silent(self, now_s: float) -> dict[tuple[str, int], RunnerActivity]:
+        """Return the silent runners without a verdict."""
         return {
-            key: activity for key, activity in self._runners.items() if activity.is_silent(now_s)
+            key: activity
+            for key, activity in self._runners.items()
+            if activity.is_silent(now_s) and activity.verdict_s <= activity.heard_s
         }
 
     def _is_network_up(self, silent: int, now_s: float) -> bool:
@@ -289,8 +292,6 @@
     ) -> SilentRunner | None:
         """Return a new verdict on a runner that is silent to this entry VM."""
         activity.suspected_s = activity.suspected_s or now_s
-        if activity.verdict_s > activity.heard_s:
-            return None
         told = activity.list_notices(now_s)
         if not activity.is_told(now_s):
             limit_s = activity.find_limit_s(now_s)
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -517,6 +517,7 @@
     Mutation("runners", "streams.is_observed(self._clock())", "False", DISPATCH),
     Mutation("runners", "and now >= health.ejected_until", "", DISPATCH),
     Mutation("stalls", "        if paused:", "        if False:", STALLS),
+    Mutation("stalls", "and activity.verdict_s <= activity.heard_s", "", STALLS),
     Mutation("moves", "if not self._take_retry():", "if False:", FORWARDING),
     Mutation("moves", "place.work.cancel()\n\n    def take", "pass\n\n    def take", MOVES),
     Mutation("moves", "if self._place is None:", "if False:", FORWARDING),
--- a/tests/balsamtally/test_stalls.py
+++ b/tests/balsamtally/test_stalls.py
@@ -163,6 +163,16 @@
     assert len(world.verdicts) == 3
 
 
+def test_runners_that_have_a_verdict_are_no_sign_of_a_lost_network():
+    """Their streams may stay, and kept further silent runners from being ejected."""
+    world = StreamWorld(runners=6)
+    streams = [world.open(runner) for runner in range(6) for _ in range(2)]
+    world.run(MIN_SILENCE_S + SETTLE_S + 2 * STEP_S, *streams[4:])
+    assert len(world.verdicts) == 2
+    world.run(MIN_SILENCE_S + SETTLE_S + 2 * STEP_S, *streams[8:])
+    assert len(world.verdicts) == 4
+
+
 def test_vms_with_one_stream_each_reach_the_verdict_together():
     """Of 78 VMs before 70 runners hardly any has two streams at one runner."""
     world = StreamWorld(vms=4)
