Let no call leave a silent runner for one that is about to get a verdict

Of two runners that pause together one gets its verdict some steps before the other one, and its calls searched in between: they left for a runner that was silent as well. Seen as a failure of test_streams_of_two_silent_servers_do_not_change_places in one of about ten runs.

Change: the search excludes runners with open streams of this VM that have sent nothing for the shortest silence of a verdict, too.

--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -412,7 +412,7 @@
         if not self._may_leave(caller, plan, progress, backend):
             return None
         # A place at another silent backend server would be no better.
-        avoid = progress.avoid | {backend.name} | self._stalls.list_stopped()
+        avoid = progress.avoid | {backend.name} | self._stalls.list_silent()
         attempt = replace(progress, avoid=avoid, paused=set())
         self._hooks.admit(plan, attempt)
         place = self._hooks.choose(plan, attempt)
--- a/balsamtally/stalls.py
+++ b/balsamtally/stalls.py
@@ -306,9 +306,15 @@
         activity.verdict_s = now_s
         return SilentRunner(key, silent, opened, now_s - activity.heard_s)
 
-    def list_stopped(self) -> set[str]:
-        """Return the names of the runners that this entry VM has a verdict on."""
-        return {name for (name, _), each in self._runners.items() if each.verdict_s > each.heard_s}
+    def list_silent(self) -> set[str]:
+        """Return the names of the runners with a verdict, and of those that may get one soon."""
+        oldest_s = self._clock() - MIN_SILENCE_S
+        return {
+            name
+            for (name, _), each in self._runners.items()
+            if each.verdict_s > each.heard_s
+            or (each.streams and max(each.heard_s, each.resumed_s) <= oldest_s)
+        }
 
     def make_silences(self) -> tuple[Silence, ...]:
         """Return what peers should know: silent runners, and verdicts whose streams have ended."""
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -518,6 +518,8 @@
     Mutation("runners", "and now >= health.ejected_until", "", DISPATCH),
     Mutation("stalls", "        if paused:", "        if False:", STALLS),
     Mutation("stalls", "and activity.verdict_s <= activity.heard_s", "", STALLS),
+    Mutation("stalls", "or (each.streams and max(", "or (False and max(", STALLS),
+    Mutation("stalls", "if each.verdict_s > each.heard_s\n            or", "if", STALLS),
     Mutation("moves", "if not self._take_retry():", "if False:", FORWARDING),
     Mutation("moves", "place.work.cancel()\n\n    def take", "pass\n\n    def take", MOVES),
     Mutation("moves", "if self._place is None:", "if False:", FORWARDING),
@@ -531,7 +533,7 @@
     ),
     Mutation("forwarding", "if not self._hooks.is_open(place.backend):", "if False:", FORWARDING),
     Mutation("forwarding", "if not may_repeat(plan, caller.began_answer) or", "if", FORWARDING),
-    Mutation("forwarding", " | self._stalls.list_stopped()", "", FORWARDING),
+    Mutation("forwarding", " | self._stalls.list_silent()", "", FORWARDING),
     Mutation("forwarding", "if not self._hooks.has_retry(plan.service):", "if False:", FORWARDING),
     Mutation("dispatch", "self._handle_own_report(report_silence(", "(lambda each: 0)((", DISPATCH),
     Mutation(
