--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -425,7 +425,7 @@
         if not self._may_leave(caller, plan, progress, backend):
             return None
         # A place at another silent backend server would be no better.
-        avoid = progress.avoid | {backend.name} | self._stalls.list_stopped()
+        avoid = progress.avoid | {backend.name} | self._stalls.list_silent()
         attempt = replace(progress, avoid=avoid, paused=set())
         place = self._choose(plan, attempt)
         if place is None:
--- a/balsamtally/stalls.py
+++ b/balsamtally/stalls.py
@@ -272,8 +272,11 @@
         return [verdict for verdict in judged if verdict is not None]
 
     def _list_silent(self, now_s: float) -> dict[tuple[str, int], RunnerActivity]:
+        """Return the silent runners without a verdict."""
         return {
-            key: activity for key, activity in self._runners.items() if activity.is_silent(now_s)
+            key: activity
+            for key, activity in self._runners.items()
+            if activity.is_silent(now_s) and activity.verdict_s <= activity.heard_s
         }
 
     def _is_network_up(self, silent: int, now_s: float) -> bool:
@@ -289,8 +292,6 @@
     ) -> SilentRunner | None:
         """Return a new verdict on a runner that is silent to this entry VM."""
         activity.suspected_s = activity.suspected_s or now_s
-        if activity.verdict_s > activity.heard_s:
-            return None
         told = activity.list_notices(now_s)
         if not activity.is_told(now_s):
             limit_s = activity.find_limit_s(now_s)
@@ -305,9 +306,15 @@
         activity.verdict_s = now_s
         return SilentRunner(key, silent, opened, now_s - activity.heard_s)
 
-    def list_stopped(self) -> set[str]:
-        """Return the names of the runners that this entry VM has a verdict on."""
-        return {name for (name, _), each in self._runners.items() if each.verdict_s > each.heard_s}
+    def list_silent(self) -> set[str]:
+        """Return the names of the runners with a verdict, and of those that may get one soon."""
+        oldest_s = self._clock() - MIN_SILENCE_S
+        return {
+            name
+            for (name, _), each in self._runners.items()
+            if each.verdict_s > each.heard_s
+            or (each.streams and max(each.heard_s, each.resumed_s) <= oldest_s)
+        }
 
     def make_silences(self) -> tuple[Silence, ...]:
         """Return what peers should know: silent runners, and verdicts whose streams have ended."""
