--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -280,7 +280,7 @@
         except CapacityError as error:
             return None, error
         if choice is None:
-            return None, NoBackend()
+            return None, make_no_backend(progress)
         return choice.backend, self._try_backend(caller, plan, progress, choice)
 
     def _choose(self, plan: Plan, progress: CallProgress) -> Choice | None:
@@ -670,6 +670,16 @@
         caller.begin(head.status, self._wire.pick_headers(head))
 
 
+def make_no_backend(progress: CallProgress) -> NoBackend:
+    """Return the error of a call for which no backend server is left.
+
+    :param progress: the call's progress
+    """
+    if progress.software is None:
+        return NoBackend()
+    return NoBackend(f"no backend server of software version {progress.software!r} in reach")
+
+
 def goes_on(caller: Caller, plan: Plan) -> bool:
     """Return whether the next attempt continues a stream of which the caller has events.
 
--- a/balsamtally/takeups.py
+++ b/balsamtally/takeups.py
@@ -14,9 +14,6 @@
 from balsamtally.origins import Origin, find_software
 from balsamtally.plans import CallProgress, Plan
 
-# A VM that has lost its records may learn of a stream from its peers within a second.
-RETRY_AFTER_S = 1.0
-
 
 class TakeUps:
     """Finds the software version that began a stream.
@@ -65,7 +62,7 @@
         if progress.origin is not None:
             software = find_software(progress.origin, self._find_backends())
         if software is None:
-            raise SoftwareUnknown(retry_after_s=RETRY_AFTER_S)
+            raise SoftwareUnknown
         return software
 
     def _find_unknown(self, plan: Plan) -> tuple[Origin | None, str | None]:
