--- a/standins/grid.py
+++ b/standins/grid.py
@@ -130,7 +130,9 @@
     :param service: name of its service
     :param domain: failure domain of the server
     :param attempts: number of requests by attempt id, shared by the servers of a deployment
+    :param software: version of its software, empty for none; in its registration and its events
     :ivar runs: attempt id, headers and time of each executed request, in order
+    :ivar run_software: version of the software that executed each of these requests
     :ivar arrivals: attempt id and time of each received request, also of refused requests
     :ivar fault: ``""``, ``"full"`` (503, not executed), ``"reset"`` (closes the connection before
         the answer), ``"cut"`` (closes it within a stream) or ``"error"`` (status 500)
@@ -147,10 +149,20 @@
     :ivar cold_s: time for which the registration says that the server stays cold, in seconds
     """
 
-    def __init__(self, store: Store, name: str, service: str, domain: str, attempts: Counter[str]):
+    def __init__(
+        self,
+        store: Store,
+        name: str,
+        service: str,
+        domain: str,
+        attempts: Counter[str],
+        software: str = "",
+    ):
         self.name = name
         self.service = service
+        self.software = software
         self.runs: list[tuple[str, dict[str, str], float]] = []
+        self.run_software: list[str] = []
         self.arrivals: list[tuple[str, float]] = []
         self.fault = ""
         self.leaving = False
@@ -192,7 +204,8 @@
 
     def make_entry(self, state: str) -> dict:
         """Return the content of the server's registration with this state."""
-        return {
+        software = {"version": self.software} if self.software else {}
+        return software | {
             "service": self.service,
             "address": f"{self._host}:{SERVER_PORT}",
             "zone": self._domain,
@@ -239,6 +252,7 @@
             caller.answer(503, [*echo, *pause, (b"Not-Executed", b"1")], b"")
             return
         self.runs.append((attempt_id, headers, time.monotonic()))
+        self.run_software.append(self.software)
         script = headers.get("script", "whole").split(",")
         step = script[min(self._attempts[attempt_id], len(script) - 1)]
         self._attempts[attempt_id] += 1
@@ -278,6 +292,7 @@
             return
         first = int(headers.get("last-event-id", "0")) + 1
         last = int(headers.get("token-usage", "0,10").split(",")[1])
+        mark = b" by " + self.software.encode() if self.software else b""
         caller.begin(200, [*echo, (b"Content-Type", b"text/event-stream")])
         for number in range(first, last + 1):
             gevent.sleep(float(headers.get("event-s", EVENT_S)))
@@ -285,7 +300,7 @@
             if self.fault == "cut" and number == first + 2:
                 caller.send(b"id: %d\nda" % number)
                 return
-            caller.send(b"id: %d\ndata: t%d\n\n" % (number, number))
+            caller.send(b"id: %d\ndata: t%d%s\n\n" % (number, number, mark))
             if step == "stall":
                 gevent.sleep(STOP_TIMEOUT_S)
             if step == "reset":
@@ -425,15 +440,22 @@
     :param servers: backend servers of each service in each failure domain
     :param domains: number of failure domains
     :param limits: ``limits`` of the settings files
+    :param software: version of the software of the model servers, empty for none
     :ivar store: the store, once the context is entered
     :ivar vms: all entry VMs
     :ivar servers: all backend servers
     """
 
     def __init__(
-        self, vms: int = 1, servers: int = 1, domains: int = 2, limits: dict | None = None
+        self,
+        vms: int = 1,
+        servers: int = 1,
+        domains: int = 2,
+        limits: dict | None = None,
+        software: str = "",
     ):
         self._limits = limits
+        self._software = software
         self._domains = list(DOMAINS)[:domains]
         self._vms_per_domain = vms
         self._servers_per_domain = servers
@@ -445,20 +467,15 @@
 
     def __enter__(self) -> "Grid":
         enter = self._stack.enter_context
-        folder = Path(enter(tempfile.TemporaryDirectory()))
+        self._folder = Path(enter(tempfile.TemporaryDirectory()))
         self.store = enter(Store((draw_host(), STORE_PORT)))
         self.store.put("op/config", make_config())
         for domain in self._domains:
             for number in range(self._servers_per_domain):
-                for service in ("model", "desk"):
-                    name = f"i-{service}-{domain}-{number}"
-                    self.servers.append(
-                        enter(Server(self.store, name, service, domain, self._attempts))
-                    )
+                self.add_server(f"i-model-{domain}-{number}", "model", domain, self._software)
+                self.add_server(f"i-desk-{domain}-{number}", "desk", domain)
             for number in range(self._vms_per_domain):
-                vm = Vm(f"vm-{domain}-{number}", domain, folder)
-                vm.limits = self._limits or vm.limits
-                self.vms.append(vm)
+                self._add_vm(f"vm-{domain}-{number}", domain)
         self._stack.callback(self._kill_all)
         for vm in self.vms:
             self.start(vm)
@@ -469,6 +486,24 @@
     def __exit__(self, *exc_info) -> None:
         self._stack.close()
 
+    def add_server(self, name: str, service: str, domain: str, software: str = "") -> Server:
+        """Start and return one more backend server."""
+        server = Server(self.store, name, service, domain, self._attempts, software)
+        self.servers.append(self._stack.enter_context(server))
+        return server
+
+    def _add_vm(self, name: str, domain: str) -> Vm:
+        vm = Vm(name, domain, self._folder)
+        vm.limits = self._limits or vm.limits
+        self.vms.append(vm)
+        return vm
+
+    def start_vm(self, name: str, domain: str) -> None:
+        """Start one more entry VM, and wait until it is ready and sees all others."""
+        self.start(vm := self._add_vm(name, domain))
+        self.wait_ready([vm])
+        self._wait_for_peers()
+
     def _wait_for_peers(self) -> None:
         """Wait until each entry VM sees all others; retry budgets depend on the membership."""
         until = time.monotonic() + START_TIMEOUT_S
