--- a/standins/grid.py
+++ b/standins/grid.py
@@ -130,7 +130,8 @@
     :param service: name of its service
     :param domain: failure domain of the server
     :param attempts: number of requests by attempt id, shared by the servers of a deployment
-    :param software: version of its software, empty for none; in its registration and its events
+    :param software: version of its software, in its registration and its events
+    :param born: Unix time of its start, in milliseconds
     :ivar runs: attempt id, headers and time of each executed request, in order
     :ivar run_software: version of the software that executed each of these requests
     :ivar arrivals: attempt id and time of each received request, also of refused requests
@@ -156,7 +157,8 @@
         service: str,
         domain: str,
         attempts: Counter[str],
-        software: str = "",
+        software: str = "v1",
+        born: int = FIRST_BORN,
     ):
         self.name = name
         self.service = service
@@ -179,7 +181,7 @@
         self._domain = domain
         self._attempts = attempts
         self._host = draw_host()
-        self._born = FIRST_BORN
+        self._born = born
         self._numbers = itertools.count(1)
         self._server: CallerServer | None = None
 
@@ -204,11 +206,11 @@
 
     def make_entry(self, state: str) -> dict:
         """Return the content of the server's registration with this state."""
-        software = {"version": self.software} if self.software else {}
-        return software | {
+        return {
             "service": self.service,
             "address": f"{self._host}:{SERVER_PORT}",
             "zone": self._domain,
+            "version": self.software,
             "slots": self.slots,
             "state": state,
             "born": self._born,
@@ -221,9 +223,9 @@
         self._server.__exit__(None, None, None)
 
     def restart(self) -> None:
-        """End the process and start a new incarnation at the same address."""
+        """End the process and start a new incarnation at the same address, born now."""
         self.crash()
-        self._born += 1
+        self._born = max(self._born + 1, round(time.time() * 1000))
         gevent.sleep(POLL_S)
         self._start()
 
@@ -292,7 +294,7 @@
             return
         first = int(headers.get("last-event-id", "0")) + 1
         last = int(headers.get("token-usage", "0,10").split(",")[1])
-        mark = b" by " + self.software.encode() if self.software else b""
+        software = self.software.encode()
         caller.begin(200, [*echo, (b"Content-Type", b"text/event-stream")])
         for number in range(first, last + 1):
             gevent.sleep(float(headers.get("event-s", EVENT_S)))
@@ -300,7 +302,7 @@
             if self.fault == "cut" and number == first + 2:
                 caller.send(b"id: %d\nda" % number)
                 return
-            caller.send(b"id: %d\ndata: t%d%s\n\n" % (number, number, mark))
+            caller.send(b"id: %d\ndata: t%d by %s\n\n" % (number, number, software))
             if step == "stall":
                 gevent.sleep(STOP_TIMEOUT_S)
             if step == "reset":
@@ -440,22 +442,15 @@
     :param servers: backend servers of each service in each failure domain
     :param domains: number of failure domains
     :param limits: ``limits`` of the settings files
-    :param software: version of the software of the model servers, empty for none
     :ivar store: the store, once the context is entered
     :ivar vms: all entry VMs
     :ivar servers: all backend servers
     """
 
     def __init__(
-        self,
-        vms: int = 1,
-        servers: int = 1,
-        domains: int = 2,
-        limits: dict | None = None,
-        software: str = "",
+        self, vms: int = 1, servers: int = 1, domains: int = 2, limits: dict | None = None
     ):
         self._limits = limits
-        self._software = software
         self._domains = list(DOMAINS)[:domains]
         self._vms_per_domain = vms
         self._servers_per_domain = servers
@@ -472,8 +467,8 @@
         self.store.put("op/config", make_config())
         for domain in self._domains:
             for number in range(self._servers_per_domain):
-                self.add_server(f"i-model-{domain}-{number}", "model", domain, self._software)
-                self.add_server(f"i-desk-{domain}-{number}", "desk", domain)
+                for service in ("model", "desk"):
+                    self.add_server(f"i-{service}-{domain}-{number}", service, domain)
             for number in range(self._vms_per_domain):
                 self._add_vm(f"vm-{domain}-{number}", domain)
         self._stack.callback(self._kill_all)
@@ -486,9 +481,9 @@
     def __exit__(self, *exc_info) -> None:
         self._stack.close()
 
-    def add_server(self, name: str, service: str, domain: str, software: str = "") -> Server:
-        """Start and return one more backend server."""
-        server = Server(self.store, name, service, domain, self._attempts, software)
+    def add_server(self, name: str, service: str, domain: str, *details) -> Server:
+        """Start and return one more backend server, with the further details of a server."""
+        server = Server(self.store, name, service, domain, self._attempts, *details)
         self.servers.append(self._stack.enter_context(server))
         return server
 
