--- a/standins/version_soak.py
+++ b/standins/version_soak.py
@@ -14,6 +14,7 @@
 import re
 import sys
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 import defopt
@@ -28,7 +29,7 @@
     GridCaller,
     find_faults,
 )
-from standins.version_world import LONG_ROUTES, STABLE_S, World
+from standins.version_world import LONG_ROUTES, STABLE_S, World, format_time
 
 CALLERS = 24
 DEADLINE_S = 10.0
@@ -38,6 +39,7 @@
 DISTURBED_S = 10.0
 # Fewer take-ups show nothing about their share.
 MIN_TAKE_UPS = 12
+ENTRY_EVENTS = ("backend_added", "backend_leaving", "backend_removed", "backend_lapsed")
 FINAL_STATUSES = (400, 401, 404, 413, 431)
 _EVENT = re.compile(rb"id: (\d+)\ndata: t\d+ by (\w+)\n\n")
 
@@ -158,7 +160,7 @@
     """What a run has shown.
 
     :ivar seed: its seed
-    :ivar steps: time and name of its faults
+    :ivar steps: the faults that it injected
     :ivar streams: number of streams
     :ivar take_ups: number of attempts that went on after an event
     :ivar begun: counted attempts to begin a stream, and those of them that did
@@ -167,7 +169,7 @@
     """
 
     seed: int
-    steps: tuple[tuple[float, str], ...]
+    steps: tuple[str, ...]
     streams: int
     take_ups: int
     begun: tuple[int, int]
@@ -218,27 +220,33 @@
 
 
 def trace(grid: Grid, stream: Stream) -> str:
-    """Return the attempts at a stream, the servers' runs and the VMs' log lines about them."""
-    lines = []
+    """Return the attempts at a stream, the servers' runs, and the VMs' log lines about them."""
+    lines, servers = [], set()
+    wall_s = time.time() - time.monotonic()
     for tried in stream.tries:
         answer = tried.answer
         lines.append(
-            f"    {answer.id}: status {answer.status}, whole {answer.whole}, after {tried.after},"
-            f" events {tried.events}"
+            f"    {format_time(wall_s + answer.sent_s)} {answer.id}: status {answer.status},"
+            f" whole {answer.whole}, after {tried.after}, events {tried.events}"
         )
-        lines += [
-            f"      {at_s:.3f} runs at {name} {software} after {after or '-'}"
-            for at_s, name, software, after in list_runs(grid, answer)
-        ]
-        lines += [
-            f"      {vm.name} {json.dumps(line)}"
-            for vm in grid.vms
-            for line in vm.list_lines()
-            if answer.id in line.values()
-        ]
+        for at_s, name, software, after in list_runs(grid, answer):
+            servers.add(name)
+            at = format_time(wall_s + at_s)
+            lines.append(f"      {at} runs at {name} {software} after {after or '-'}")
+        lines += list_log_lines(grid, lambda line, id=answer.id: id in line.values())
+    lines.append("    entries of its servers:")
+    lines += list_log_lines(
+        grid, lambda line: line["event"] in ENTRY_EVENTS and line["backend"] in servers
+    )
     return "\n".join(lines)
 
 
+def list_log_lines(grid: Grid, check: Callable[[dict], bool]) -> list[str]:
+    """Return the log lines of all VMs that pass a check, in the order of their times."""
+    lines = [line for vm in grid.vms for line in vm.list_lines() if check(line)]
+    return [f"      {json.dumps(line)}" for line in sorted(lines, key=lambda o: o["timestamp"])]
+
+
 def count_shares(streams: list[Stream], is_take_up: bool) -> tuple[int, int]:
     """Return the number of counted attempts of a kind, and of those that brought an event."""
     counted = [
@@ -302,7 +310,7 @@
         flush=True,
     )
     if result.faults:
-        print("  steps:", *(f"{at_s} {name}" for at_s, name in result.steps), flush=True)
+        print("  steps:", *result.steps, sep="\n    ", flush=True)
     for fault in (*result.faults, *find_low_share([result])):
         print(f"  {fault}", flush=True)
 
