--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -104,6 +104,9 @@
     :ivar find_contracts: returns the contracts in force, ``None`` where none are known
     :ivar admit: raises :class:`PartQuarantined` if the call's prompt may not be sent now
     :ivar is_suspect: returns whether crashes of backend servers have the call's prompt in common
+    :ivar find_software: returns the software version at which a call's stream goes on, ``None`` for
+        any; raises :class:`SoftwareUnknown` if that can't be told
+    :ivar record_origin: records that the first event of an attempt at a stream came
     :ivar record_begun: records that a backend server began to answer a call
     :ivar record_crash: records that a backend server ended before it began to answer a call, with
         the times on the monotonic clock at which the call was sent and its connection broke
@@ -112,6 +115,7 @@
     :ivar find_end_s: returns the monotonic clock by which a call must end, in seconds
     :ivar is_open: returns whether a backend server still takes new work
     :ivar record_request: counts a request to a service
+    :ivar has_retry: returns whether the service's retry budget has a retry left
     :ivar take_retry: takes a retry from the service's retry budget; returns whether one was left
     :ivar record_outcome: records the result and duration of an attempt at a backend server
     :ivar record_notice: records what a backend server said about itself in an answer to a request
@@ -123,12 +127,15 @@
     find_contracts: Callable[[], Contracts | None]
     admit: Callable[[Plan, CallProgress], None]
     is_suspect: Callable[[Plan], bool]
+    find_software: Callable[[Plan, CallProgress], str | None]
+    record_origin: Callable[[Plan, CallProgress], None]
     record_begun: Callable[[Plan], None]
     record_crash: Callable[[Plan, Backend, float, float], None]
     choose: Callable[[Plan, CallProgress], Choice | None]
     find_end_s: Callable[[Plan], float]
     is_open: Callable[[Backend], bool]
     record_request: Callable[[str], None]
+    has_retry: Callable[[str], bool]
     take_retry: Callable[[str], bool]
     record_outcome: Callable[[Backend, Plan, BalsamtallyError | None, float], None]
     record_notice: Callable[[Backend, Notice, float], None]
@@ -267,16 +274,24 @@
     ) -> tuple[Backend | None, BalsamtallyError | None]:
         """Try the next backend server; return the server, if one was found, and the failure."""
         try:
-            self._hooks.admit(plan, progress)
             choice, progress.place = progress.place, None
             if choice is None:
-                choice = self._hooks.choose(plan, progress)
+                choice = self._choose(plan, progress)
         except CapacityError as error:
             return None, error
         if choice is None:
             return None, NoBackend()
         return choice.backend, self._try_backend(caller, plan, progress, choice)
 
+    def _choose(self, plan: Plan, progress: CallProgress) -> Choice | None:
+        """Wait for a backend server of the software version that began the call's stream.
+
+        :raises CapacityError: if the call would be refused
+        """
+        self._hooks.admit(plan, progress)
+        progress.software = self._hooks.find_software(plan, progress)
+        return self._hooks.choose(plan, progress)
+
     def _report_crash(self, plan: Plan, progress: CallProgress, failure: BalsamtallyError) -> None:
         """Report the end of a backend server that hadn't begun to answer the call."""
         if not isinstance(failure, AnswerCut) or progress.attempt_begun:
@@ -403,23 +418,59 @@
     ) -> Choice | None:
         """Wait for a place for a call that would leave its backend server; ``None`` if it may not.
 
-        A run goes on elsewhere only after the backend server's host has confirmed the end of the
-        connection, so that a call isn't withdrawn from a host that can't be reached.
+        What may keep the call is asked again with the place, for which it may have waited.
 
         :raises CapacityError: if the call would be refused
         """
-        if not may_repeat(plan, caller.began_answer) or self._is_suspect(plan, progress):
+        if not self._may_leave(caller, plan, progress, backend):
             return None
-        if progress.sent - progress.terminated >= plan.route.max_attempts:
+        # A place at another silent backend server would be no better.
+        avoid = progress.avoid | {backend.name} | self._stalls.list_stopped()
+        attempt = replace(progress, avoid=avoid, paused=set())
+        place = self._choose(plan, attempt)
+        if place is None:
             return None
+        with contextlib.ExitStack() as stack:
+            stack.callback(place.work.cancel)
+            self._prepare_connection(plan, place.backend)
+            self._hooks.admit(plan, attempt)
+            if not self._hooks.is_open(place.backend):
+                return None
+            if not self._may_leave(caller, plan, progress, backend):
+                return None
+            stack.pop_all()
+        return place
+
+    def _prepare_connection(self, plan: Plan, backend: Backend) -> None:
+        """Have a connection to the backend server that a call would go on at.
+
+        :raises BackendUnreachable: if no connection can be opened, which is reported
+        """
+        begun_s = time.monotonic()
+        try:
+            self._connections.prepare(backend, plan.until_s - begun_s, plan.call.id)
+        except BackendUnreachable as error:
+            self._hooks.record_outcome(backend, plan, error, time.monotonic() - begun_s)
+            raise
+
+    def _may_leave(
+        self, caller: Caller, plan: Plan, progress: CallProgress, backend: Backend
+    ) -> bool:
+        """Return whether a call may leave a silent backend server.
+
+        A run goes on elsewhere only after the backend server's host has confirmed the end of the
+        connection, so that a call isn't withdrawn from a host that can't be reached.
+        """
+        if not may_repeat(plan, caller.began_answer) or self._is_suspect(plan, progress):
+            return False
+        if progress.sent - progress.terminated >= plan.route.max_attempts:
+            return False
+        # A place that isn't used costs a permit of its server, and is kept from other calls.
+        if not self._hooks.has_retry(plan.service):
+            return False
         if self._hooks.find_end_s(plan) - time.monotonic() < MIN_LEFT_S + END_TIMEOUT_S:
-            return None
-        if goes_on(caller, plan) and not self._terminations.is_reachable(backend):
-            return None
-        avoid = progress.avoid | {backend.name}
-        attempt = replace(progress, avoid=avoid, paused=set())
-        self._hooks.admit(plan, attempt)
-        return self._hooks.choose(plan, attempt)
+            return False
+        return not goes_on(caller, plan) or self._terminations.is_reachable(backend)
 
     @contextlib.contextmanager
     def _end_if_silent(
@@ -570,6 +621,8 @@
                 progress.heard_s = time.monotonic()
                 watch.record_event(progress.heard_s)
                 work.record_answer_start()
+                if not progress.attempt_begun:
+                    self._hooks.record_origin(plan, progress)
                 self._record_begun(plan, progress)
                 self._pass_events(caller, progress, head, events)
             connection.held_bytes = len(reader.rest)
--- a/standins/version_soak.py
+++ b/standins/version_soak.py
@@ -258,6 +258,13 @@
     return len(counted), sum(bool(tried.events) or tried.answer.good for tried in counted)
 
 
+def describe_share(results: list[Result]) -> str:
+    """Return how many of the counted take-ups went on, and of the new streams began."""
+    begun, began = (sum(result.begun[i] for result in results) for i in (0, 1))
+    taken_up, went_on = (sum(result.gone_on[i] for result in results) for i in (0, 1))
+    return f"{went_on} of {taken_up} take-ups go on, {began} of {begun} new streams begin"
+
+
 def find_low_share(results: list[Result]) -> list[str]:
     """Check that take-ups go on at least half as often as new streams begin.
 
@@ -268,7 +275,7 @@
     taken_up, went_on = (sum(result.gone_on[i] for result in results) for i in (0, 1))
     if taken_up < MIN_TAKE_UPS or went_on * begun >= taken_up * began / 2:
         return []
-    return [f"{went_on} of {taken_up} take-ups go on, {began} of {begun} new streams begin"]
+    return [f"low share: {describe_share(results)}"]
 
 
 def soak(seed: int) -> Result:
@@ -303,10 +310,9 @@
 
 def print_result(result: Result) -> None:
     """Print a line for the run, and what broke."""
-    (begun, began), (taken_up, went_on) = result.begun, result.gone_on
     print(
         f"seed {result.seed}: streams {result.streams}, take-ups {result.take_ups}, in touch:"
-        f" {went_on} of {taken_up} go on, {began} of {begun} begin; broken {len(result.faults)}",
+        f" {describe_share([result])}; broken {len(result.faults)}",
         flush=True,
     )
     if result.faults:
@@ -334,7 +340,7 @@
     low = find_low_share(results)
     broken = [result.seed for result in results if result.faults or find_low_share([result])]
     print(f"{len(results)} seeds run, broken: {broken or 'none'}, not run: {failed or 'none'}")
-    print("all:", *(low or ["take-ups go on as they should"]))
+    print(f"in touch, all seeds: {describe_share(results)}")
     return 1 if broken or failed or low else 0
 
 
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -14,14 +14,21 @@
 from balsamtally.backends import Connections
 from balsamtally.callers import CallerServer
 from balsamtally.calls import Account, Branch, Limits, PromptPart, Repeat
-from balsamtally.errors import AnswerCut, BackendSilent, PartQuarantined, TargetHopeless
+from balsamtally.errors import (
+    AnswerCut,
+    BackendSilent,
+    BackendUnreachable,
+    Leaving,
+    PartQuarantined,
+    TargetHopeless,
+)
 from balsamtally.forwarding import Forwarder
 from balsamtally.held_bytes import HeldBytes
 from balsamtally.plans import make_plan, pick_service
 from balsamtally.sockets import listen
 from balsamtally.stall_exchange import StallExchange
 from balsamtally.stalls import Stalls
-from balsamtally.terminations import Terminations
+from balsamtally.terminations import RECHECK_S, Terminations
 from tests.answer_grammar import read_answers
 from tests.balsamtally.scripted import (
     ScriptedBackend,
@@ -1089,24 +1096,29 @@
             assert harness.send()[::2] == (200, body)
 
 
-def run_calls_to_silent_backend(route, one, two, confirmed=True, monkeypatch=None, **hooks):
-    """Send three calls to a backend server that falls silent after two events."""
+def run_calls_to_silent_backend(
+    route, one, two, confirmed=True, monkeypatch=None, count=3, **hooks
+):
+    """Send calls to a backend server that falls silent after two events."""
     with ForwarderHarness(route, one, two, deadline_s=8.0, **hooks) as harness:
         if not confirmed:
             monkeypatch.setattr(backends, "end_sending", lambda sock, timeout_s: False)
         exchange = StallExchange("vm", harness.stalls, list, None, lambda verdict: None)
-        # Another backend server sends something all the time.
-        alive = harness.stalls.watch(make_backend("alive"), 0.2)
+        # Other backend servers send something all the time.
+        alive = [harness.stalls.watch(make_backend(name), 0.2) for name in ("alive", "well")]
 
         def send_signs():
             while True:
-                alive.record_head()
+                for each in alive:
+                    each.record_head()
                 gevent.sleep(0.1)
 
         signs = gevent.spawn(send_signs)
         begun_s = time.monotonic()
         with exchange:
-            requests = [REQUEST.replace(b"Host: h", b"Host: h\r\nId: id%d" % n) for n in (1, 2, 3)]
+            requests = [
+                REQUEST.replace(b"Host: h", b"Host: h\r\nId: id%d" % (n + 1)) for n in range(count)
+            ]
             calls = [gevent.spawn(harness.send, request) for request in requests]
             answers = [call.get() for call in calls]
         signs.kill()
@@ -1180,6 +1192,81 @@
     assert [fields[2] for fields in outcomes] == [None] * 3
 
 
+def test_streams_do_not_leave_a_silent_server_for_one_that_cannot_be_reached():
+    """They were cut, as no server was left, while the silent one only paused."""
+    with ScriptedBackend(pause) as one, ScriptedBackend(finish) as two:
+        two.stop_listening()
+        route = make_route(Repeat.RESUME, True, timeout_s=8.0)
+        answers, _, outcomes = run_calls_to_silent_backend(route, one, two)
+    assert [answer[3] for answer in answers] == [True] * 3
+    # Placement hears of the failure.
+    assert {(each[0].name, type(each[2])) for each in outcomes} == {
+        ("b0", type(None)),
+        ("b1", BackendUnreachable),
+    }
+
+
+@pytest.mark.parametrize("change", ["host lost", "vm drains", "server drains"])
+def test_stream_that_waited_for_a_place_stays_if_it_may_no_longer_leave(monkeypatch, change):
+    """It was cut, as only the state before the wait was asked."""
+    changes = []
+    monkeypatch.setattr(
+        Connections, "is_reachable", lambda self, backend: "host lost" not in changes
+    )
+    with ScriptedBackend(pause) as one, ScriptedBackend(finish) as two:
+        servers = [make_backend("b0", one.address), make_backend("b1", two.address)]
+        hooks, _, backlogs = make_hooks(None, servers)
+
+        def choose(plan, progress):
+            if progress.avoid:
+                gevent.sleep(2 * RECHECK_S)
+                changes.append(change)
+            return hooks.choose(plan, progress)
+
+        def admit(plan, progress):
+            if "vm drains" in changes:
+                raise Leaving
+
+        route = make_route(Repeat.RESUME, True, timeout_s=8.0)
+        changed_hooks = {"admit": admit, "is_open": lambda backend: "server drains" not in changes}
+        answers, _, _ = run_calls_to_silent_backend(route, one, two, choose=choose, **changed_hooks)
+        assert changes and not two.requests
+    assert [answer[3] for answer in answers] == [True] * 3
+    assert backlogs.find("b1").running == 0
+
+
+def test_call_at_a_silent_server_takes_no_place_without_a_retry():
+    """Each search took a permit where servers are limited, and kept a place from other calls."""
+    with ScriptedBackend(pause) as one, ScriptedBackend(finish) as two:
+        servers = [make_backend("b0", one.address), make_backend("b1", two.address)]
+        hooks, searches = make_hooks(None, servers)[0], []
+
+        def choose(plan, progress):
+            searches.extend(progress.avoid)
+            return hooks.choose(plan, progress)
+
+        route = make_route(Repeat.RESUME, True, timeout_s=8.0)
+        answers, _, _ = run_calls_to_silent_backend(
+            route, one, two, choose=choose, has_retry=lambda service: False
+        )
+    assert [answer[3] for answer in answers] == [True] * 3 and not searches
+
+
+def test_streams_of_two_silent_servers_do_not_change_places():
+    """Each left a sound server that paused for another one that was silent as well."""
+    with ScriptedBackend(pause) as one, ScriptedBackend(pause) as two:
+        servers = [make_backend("b0", one.address), make_backend("b1", two.address)]
+        orders = [make_hooks(None, order)[0].choose for order in (servers, servers[::-1])]
+
+        def choose(plan, progress):
+            return orders[int(plan.call.id[2:]) % 2](plan, progress)
+
+        route = make_route(Repeat.RESUME, True, timeout_s=8.0)
+        answers, _, _ = run_calls_to_silent_backend(route, one, two, count=4, choose=choose)
+        assert len(one.requests) == len(two.requests) == 2
+    assert [answer[3] for answer in answers] == [True] * 4
+
+
 def never_begin(sock, request):
     """Begin the streams of two calls, and send nothing at all to the third one."""
     if b"Id: id3" in request:
