--- a/standins/grid.py
+++ b/standins/grid.py
@@ -130,7 +130,10 @@
     :param service: name of its service
     :param domain: failure domain of the server
     :param attempts: number of requests by attempt id, shared by the servers of a deployment
+    :param software: version of its software, in its registration and its events
+    :param born: Unix time of its start, in milliseconds
     :ivar runs: attempt id, headers and time of each executed request, in order
+    :ivar run_software: version of the software that executed each of these requests
     :ivar arrivals: attempt id and time of each received request, also of refused requests
     :ivar fault: ``""``, ``"full"`` (503, not executed), ``"reset"`` (closes the connection before
         the answer), ``"cut"`` (closes it within a stream) or ``"error"`` (status 500)
@@ -143,15 +146,25 @@
     :ivar crashes: times of these crashes
     :ivar endless: part of an answer that is sent without end, one of ``ENDLESS``, empty for none
     :ivar silent: whether it sends nothing, and goes on with its answers once this is false again
-    :ivar software: version of its software in the registration
     :ivar slots: number of slots in the registration
     :ivar cold_s: time for which the registration says that the server stays cold, in seconds
     """
 
-    def __init__(self, store: Store, name: str, service: str, domain: str, attempts: Counter[str]):
+    def __init__(
+        self,
+        store: Store,
+        name: str,
+        service: str,
+        domain: str,
+        attempts: Counter[str],
+        software: str = "v1",
+        born: int = FIRST_BORN,
+    ):
         self.name = name
         self.service = service
+        self.software = software
         self.runs: list[tuple[str, dict[str, str], float]] = []
+        self.run_software: list[str] = []
         self.arrivals: list[tuple[str, float]] = []
         self.fault = ""
         self.leaving = False
@@ -162,14 +175,13 @@
         self.crashes: list[float] = []
         self.endless = ""
         self.silent = False
-        self.software = "v1"
         self.slots = 8
         self.cold_s = 0.0
         self._store = store
         self._domain = domain
         self._attempts = attempts
         self._host = draw_host()
-        self._born = FIRST_BORN
+        self._born = born
         self._numbers = itertools.count(1)
         self._server: CallerServer | None = None
 
@@ -211,9 +223,9 @@
         self._server.__exit__(None, None, None)
 
     def restart(self) -> None:
-        """End the process and start a new incarnation at the same address."""
+        """End the process and start a new incarnation at the same address, born now."""
         self.crash()
-        self._born += 1
+        self._born = max(self._born + 1, round(time.time() * 1000))
         gevent.sleep(POLL_S)
         self._start()
 
@@ -242,6 +254,7 @@
             caller.answer(503, [*echo, *pause, (b"Not-Executed", b"1")], b"")
             return
         self.runs.append((attempt_id, headers, time.monotonic()))
+        self.run_software.append(self.software)
         script = headers.get("script", "whole").split(",")
         step = script[min(self._attempts[attempt_id], len(script) - 1)]
         self._attempts[attempt_id] += 1
@@ -281,6 +294,7 @@
             return
         first = int(headers.get("last-event-id", "0")) + 1
         last = int(headers.get("token-usage", "0,10").split(",")[1])
+        software = self.software.encode()
         caller.begin(200, [*echo, (b"Content-Type", b"text/event-stream")])
         for number in range(first, last + 1):
             gevent.sleep(float(headers.get("event-s", EVENT_S)))
@@ -288,7 +302,7 @@
             if self.fault == "cut" and number == first + 2:
                 caller.send(b"id: %d\nda" % number)
                 return
-            caller.send(b"id: %d\ndata: t%d\n\n" % (number, number))
+            caller.send(b"id: %d\ndata: t%d by %s\n\n" % (number, number, software))
             if step == "stall":
                 gevent.sleep(STOP_TIMEOUT_S)
             if step == "reset":
@@ -448,20 +462,15 @@
 
     def __enter__(self) -> "Grid":
         enter = self._stack.enter_context
-        folder = Path(enter(tempfile.TemporaryDirectory()))
+        self._folder = Path(enter(tempfile.TemporaryDirectory()))
         self.store = enter(Store((draw_host(), STORE_PORT)))
         self.store.put("op/config", make_config())
         for domain in self._domains:
             for number in range(self._servers_per_domain):
                 for service in ("model", "desk"):
-                    name = f"i-{service}-{domain}-{number}"
-                    self.servers.append(
-                        enter(Server(self.store, name, service, domain, self._attempts))
-                    )
+                    self.add_server(f"i-{service}-{domain}-{number}", service, domain)
             for number in range(self._vms_per_domain):
-                vm = Vm(f"vm-{domain}-{number}", domain, folder)
-                vm.limits = self._limits or vm.limits
-                self.vms.append(vm)
+                self._add_vm(f"vm-{domain}-{number}", domain)
         self._stack.callback(self._kill_all)
         for vm in self.vms:
             self.start(vm)
@@ -472,6 +481,24 @@
     def __exit__(self, *exc_info) -> None:
         self._stack.close()
 
+    def add_server(self, name: str, service: str, domain: str, *details) -> Server:
+        """Start and return one more backend server, with the further details of a server."""
+        server = Server(self.store, name, service, domain, self._attempts, *details)
+        self.servers.append(self._stack.enter_context(server))
+        return server
+
+    def _add_vm(self, name: str, domain: str) -> Vm:
+        vm = Vm(name, domain, self._folder)
+        vm.limits = self._limits or vm.limits
+        self.vms.append(vm)
+        return vm
+
+    def start_vm(self, name: str, domain: str) -> None:
+        """Start one more entry VM, and wait until it is ready and sees all others."""
+        self.start(vm := self._add_vm(name, domain))
+        self.wait_ready([vm])
+        self._wait_for_peers()
+
     def _wait_for_peers(self) -> None:
         """Wait until each entry VM sees all others; retry budgets depend on the membership."""
         until = time.monotonic() + START_TIMEOUT_S
