Failing test: a server that starts again at another version while the store is silent

Callers would get streams joined from two versions: the VM's entry of the server is older than its process, the new process has the same id and accepts the call.

--- a/tests/standins/test_software_versions.py
+++ b/tests/standins/test_software_versions.py
@@ -7,6 +7,7 @@
 
 from standins.grid import ROUTES, Grid, list_ids, make_config
 from standins.grid_callers import STREAM_EVENTS, GridCaller
+from standins.version_soak import list_runs
 from tests.polling import expect_soon
 
 STREAMS = 12
@@ -117,3 +118,22 @@
         grid.wait_ready(grid.vms)
         tasks = [gevent.spawn(take_up, grid.vms[1], answer) for answer in begun]
         assert all(task.get().good for task in tasks)
+
+
+def test_streams_do_not_go_on_at_a_server_that_started_again_at_another_version(grid):
+    """The server's entry is older than its process, as the store is silent."""
+    lost, other = grid.vms
+    calls = begin_streams(grid, lost)
+    for listener in ("", *(vm.name for vm in grid.vms)):
+        grid.store.stalled[listener] = "mute"
+    lost.kill()
+    begun = [call.get() for call in calls]
+    for server in grid.list_servers("model")[:2]:
+        server.software = "v2"
+        server.restart()
+    tasks = [gevent.spawn(take_up, other, answer) for answer in begun]
+    for first, task in zip(begun, tasks, strict=True):
+        second = task.get()
+        runs = list_runs(grid, first) + list_runs(grid, second)
+        assert len({software for _, _, software, _ in runs}) == 1
+        assert second.good or second.status == 503
