Let a stream go on only at the process that the server's entry is of

A caller got a stream joined from two versions: its server started again under its id at another version, and the VM that took the stream up had read its former entry only.

Cause: the entry read is older than the process, and the process accepts a call for its id. Before a stream goes on at a server, the VM now asks it for its start; a server that has started again is left out for this call, as one that is leaving. A server that doesn't tell its start is taken at its entry's word, with a log line.

The new guard fails a test when taken out.

--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 
-from balsamtally.backends import END_TIMEOUT_S, BackendConnection, Connections
+from balsamtally.backends import END_TIMEOUT_S, BackendConnection, Connections, fetch
 from balsamtally.backlogs import Work
 from balsamtally.call_log import log_failed_attempt, log_foreign_answer
 from balsamtally.callers import Caller, Request
@@ -63,6 +63,9 @@
 MAX_CRASHES = 2
 # A call needs at least a round trip to another region and some processing time.
 MIN_LEFT_S = 0.02
+# A backend server tells its state without a slot; a round trip to another region takes 0.06 s, that
+# of a new connection as long.
+STATE_TIMEOUT_S = 0.3
 # Largest answer that isn't streamed: it is buffered whole before it is passed on.
 MAX_WHOLE_BYTES = 262_144
 # Sent by a backend server when the deadline that it was given has passed.
@@ -86,6 +89,9 @@
     :ivar pick_headers: returns the headers of an answer that are passed on to the caller
     :ivar report: returns headers and body of an error answer to a caller
     :ivar read_id: returns the id of the request that an answer names, empty if it names none
+    :ivar state_target: path at which a backend server tells its state
+    :ivar read_born: returns the start of a backend server in Unix milliseconds from its state,
+        ``None`` if it doesn't tell
     """
 
     read_call: Callable[[Request], Call]
@@ -95,6 +101,8 @@
     pick_headers: Callable[[AnswerHead], Headers]
     report: Callable[[str, BalsamtallyError], tuple[Headers, bytes]]
     read_id: Callable[[AnswerHead], str]
+    state_target: bytes
+    read_born: Callable[[bytes], int | None]
 
 
 @dataclass(frozen=True)
@@ -379,6 +387,8 @@
             if not self._hooks.is_open(backend):
                 raise BackendLeaving(f"{backend.name} is draining or pauses")
             self._hooks.admit(plan, progress)
+            if progress.software is not None:
+                self._check_process(plan, backend)
             attempt = self._send(plan, progress, backend, connection)
             connection.check = move.check
             head, verdict = self._read_head(plan, attempt, connection)
@@ -392,6 +402,23 @@
             else:
                 self._pass_whole(caller, plan, progress, head, connection)
 
+    def _check_process(self, plan: Plan, backend: Backend) -> None:
+        """Check that a stream goes on at the process that the backend server's entry is of.
+
+        One that has started again has the same name, and may be of another software version. A
+        server that doesn't tell its start is taken for the same process.
+
+        :raises BackendLeaving: if the backend server has started again
+        """
+        try:
+            _, body = fetch(backend.address, self._wire.state_target, STATE_TIMEOUT_S)
+        except BalsamtallyError as error:
+            log.info("no_state", request=plan.call.id, backend=backend.name, why=str(error))
+            return
+        born = self._wire.read_born(body)
+        if born is not None and backend.born and born != backend.born:
+            raise BackendLeaving(f"{backend.name} has started again since its entry was written")
+
     @contextlib.contextmanager
     def _use(self, backend: Backend, connection: BackendConnection) -> Iterator[None]:
         """Count the bytes of an answer within the context, and release the connection after it."""
--- a/balsamtally/platform/wire.py
+++ b/balsamtally/platform/wire.py
@@ -2,8 +2,11 @@
 
 import re
 
+import msgspec
+
 from balsamtally.callers import Request
 from balsamtally.calls import AnswerHead, Attempt, Call, Headers, Notice, PromptPart, Verdict
+from balsamtally.decoding import DECODING_ERRORS, Count, decode
 from balsamtally.errors import BalsamtallyError, MalformedHeader, MalformedRequest
 from balsamtally.forwarding import Wire
 from balsamtally.logs import log
@@ -38,11 +41,21 @@
 # Headers that a caller can't strip by naming them in its Connection header.
 KEPT_HEADERS = frozenset((ATTEMPT_ID, b"host", b"model", b"token-usage", b"prompt-prefix"))
 RETRY_AFTER_DIGITS = 2
+REPORT_TARGET = b"/report"
 # A number without a sign, possibly with a fraction.
 _DECIMAL = re.compile(rb"[0-9]{1,15}(?:\.[0-9]{1,15})?")
 _HEXADECIMAL = re.compile(rb"[0-9a-fA-F]+")
 
 
+class State(msgspec.Struct, frozen=True):
+    """What a backend server reports of itself; ``born`` is its start in Unix milliseconds."""
+
+    born: Count | None = None
+
+
+_state = msgspec.json.Decoder(State)
+
+
 def read_call(request: Request) -> Call:
     """Parse a caller's request into a call.
 
@@ -321,4 +334,25 @@
     return ids[0][:MAX_ID_BYTES].decode("latin-1") if ids else ""
 
 
-WIRE = Wire(read_call, make_headers, classify, read_notice, pick_headers, report, read_answer_id)
+def read_born(body: bytes) -> int | None:
+    """Return the start of a backend server in Unix milliseconds, ``None`` if it doesn't tell.
+
+    :param body: body of the answer in which it reports its state
+    """
+    try:
+        return decode(_state, body).born
+    except DECODING_ERRORS:
+        return None
+
+
+WIRE = Wire(
+    read_call,
+    make_headers,
+    classify,
+    read_notice,
+    pick_headers,
+    report,
+    read_answer_id,
+    REPORT_TARGET,
+    read_born,
+)
--- a/standins/grid.py
+++ b/standins/grid.py
@@ -239,6 +239,9 @@
         caller.answer(error.status, (), b"")
 
     def _serve(self, caller: Caller, request: Request) -> None:
+        if request.target == b"/report":
+            caller.answer(200, (), json.dumps({"born": self._born}).encode())
+            return
         headers = {name.decode().lower(): value.decode() for name, value in request.headers}
         attempt_id = headers.get("attempt-id", "")
         echo = [(b"Attempt-Id", attempt_id.encode())]
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -529,6 +529,7 @@
         DISPATCH,
     ),
     Mutation("runners", "and demand.software is None", "", DISPATCH),
+    Mutation("forwarding", "born != backend.born:", "False:", FORWARDING),
     Mutation("takeups", "return sole if present <= {sole} else None", "return sole", TAKEUPS),
     Mutation("takeups", "if plan.route.repeat is Repeat.RESUME:", "if True:", TAKEUPS),
     Mutation("takeups", "call.resumes if taken_up else call.id", "call.id", TAKEUPS),
--- a/tests/balsamtally/platform/test_wire.py
+++ b/tests/balsamtally/platform/test_wire.py
@@ -11,6 +11,7 @@
     classify,
     make_headers,
     pick_headers,
+    read_born,
     read_call,
     read_notice,
     read_parts,
@@ -67,6 +68,11 @@
         read_call(make_request(*headers))
 
 
+def test_start_of_a_server_is_read_from_its_report():
+    assert read_born(b'{"phase":"hybrid","born":1700000000001,"seq":2}') == 1_700_000_000_001
+    assert [read_born(body) for body in (b"{}", b'{"born":"x"}', b"[]", b"")] == [None] * 4
+
+
 def test_headers_of_the_example_attempt():
     sent = dict(make_headers(make_attempt()))
     assert sent == {
--- a/tests/balsamtally/scripted.py
+++ b/tests/balsamtally/scripted.py
@@ -224,6 +224,8 @@
         ),
         _report,
         lambda head: dict(head.headers).get(b"Id", b"").decode(),
+        b"/state",
+        lambda body: int(body) if body.isdigit() else None,
     )
 
 
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -1302,3 +1302,35 @@
         answers, took_s, _ = run_calls_to_silent_backend(route, one, two, False, monkeypatch)
         assert not two.requests
     assert [answer[3] for answer in answers] == [False] * 3 and took_s < 6.0
+
+
+def tell_state(answer, find_state):
+    """Return a script that tells the server's state, and answers other requests by a script."""
+
+    def run(sock, request):
+        if request.startswith(b"GET /state"):
+            return reply(200, find_state(), b"")(sock, request)
+        return answer(sock, request)
+
+    return run
+
+
+@pytest.mark.parametrize("later, used", [(1, "b1"), (0, "b0"), (None, "b0")])
+def test_stream_goes_on_only_at_the_process_that_the_entry_is_of(later, used):
+    """A server that starts again may be of another software version, under its former name."""
+
+    def find_state():
+        return b"" if later is None else b"%d" % (harness.servers[0].born + later)
+
+    def find_other_state():
+        return b"%d" % harness.servers[1].born
+
+    first, second = tell_state(reply(), find_state), tell_state(reply(), find_other_state)
+    with ScriptedBackend(first) as one, ScriptedBackend(second) as two:
+        harness = ForwarderHarness(make_route(), one, two, find_software=lambda *_: "v1")
+        with harness:
+            assert harness.send()[0] == 200
+    names = [
+        name for name, s in (("b0", one), ("b1", two)) if any(b"POST" in r for r in s.requests)
+    ]
+    assert names == [used]
