Name the guards of calls at silent runners as they stand now in the list of mutations

Two of the list's texts no longer stood once in the module: the check of the time that is left, and the one of a run that may go on.

--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -377,8 +377,8 @@
     Mutation("grace_period", "if progress.first_event_s:", "if False:", GRACE_PERIOD),
     Mutation(
         "forwarding",
-        "if self._hooks.find_end_s(plan) - time.m",
-        "if plan.until_s - time.m",
+        "if self._hooks.find_end_s(plan) - time.monotonic() < MIN_LEFT_S:",
+        "if plan.until_s - time.monotonic() < MIN_LEFT_S:",
         STOPS,
     ),
     Mutation("gateway", "not (ends_early and isinstance(failure, NoAnswer))", "True", STOPS),
@@ -573,8 +573,8 @@
     Mutation("stalls", "if self._event_s > self._activity.resumed_s:", "if self._event_s:", STALLS),
     Mutation(
         "forwarding",
-        "isinstance(failure, BackendSilent) and progress.former_may_run",
-        "False",
+        "may_run = progress.former_may_run",
+        "may_run = False",
         FORWARDING,
     ),
     Mutation(
