Place waiting calls once the load of a lost peer has expired

Callers that took their streams up at the only VM that was left got no answer until their deadline, though a runner of their version was idle: test_taken_up_streams_go_on_at_the_version_that_began_them and the test of servers that started again failed in two of two whole runs on, and in five of six runs of the two by themselves.

Cause: the calls wait while the lost VM's last load fills the runners. It expires after 1.5 s without a message, and a scheduling pass runs only after a change of work, a report or a beat; with no call in progress and no peer left there is none. Evidence: the lines of a waiting call, coordinator_silent, then nothing until 2004 at the deadline, with a runner that "would send the first event in 0.03 s, after 0 prompt tokens". A call that waits for a permit schedules a pass with each recheck; others do now as well.

--- a/balsamtally/dispatch.py
+++ b/balsamtally/dispatch.py
@@ -213,7 +213,9 @@
                     self._wait_for_permit(waiting, limited)
                 else:
                     self._check_deadline(waiting, candidates)
-                    waiting.chosen.wait(RECHECK_INTERVAL_S)
+                    if not waiting.chosen.wait(RECHECK_INTERVAL_S):
+                        # The load of a lost peer expires without a message.
+                        self._schedule_pass()
             taken = True
             return waiting.reservation
         finally:
--- a/tests/balsamtally/test_dispatch.py
+++ b/tests/balsamtally/test_dispatch.py
@@ -9,7 +9,7 @@
 from structlog.testing import capture_logs
 
 from balsamtally import dedicated_runners
-from balsamtally.backlogs import Backlogs, Load
+from balsamtally.backlogs import PEER_LOAD_TTL_S, Backlogs, Load
 from balsamtally.beats import Beat, PromptRead
 from balsamtally.calls import Engine, PromptPart, Repeat, Service
 from balsamtally.catalog import Catalog, Decoder
@@ -564,6 +564,17 @@
     waiting.kill()
 
 
+def test_call_that_waits_is_placed_once_the_load_of_a_lost_peer_has_expired(world):
+    """Nothing else happens at the VM, so that no scheduling pass was run until the deadline."""
+    world.add("only")
+    world.announce_loads("peer", {"only": Load(running=64)})
+    waiting = gevent.spawn(world.dispatch.reserve, make_demand_for(world, 1))
+    gevent.sleep(0)
+    world.now += PEER_LOAD_TTL_S + 0.1
+    with gevent.Timeout(WAIT_S):
+        assert waiting.get().place.backend == "only"
+
+
 def make_demand_for(world, number):
     return make_demand(world.plan(number), CallProgress())
 
