Ask in one place whether a process listens at a server's address

The question whether a host answers had a loop of its own beside the one of answers without a length: three attempts, the same time-out and log line.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -509,6 +509,11 @@
         :param backend: the backend server
         :param connection: the connection that ended
         """
+        accepts = self._accepts_connections(backend)
+        return bool(accepts) and not connection.has_lost_witness(self._clock())
+
+    def _accepts_connections(self, backend: Backend) -> bool | None:
+        """Return whether a process listens at an address, ``None`` if its host doesn't answer."""
         for _ in range(SILENT_ATTEMPTS):
             try:
                 close(connect(backend.address, REFUSAL_TIMEOUT_S))
@@ -517,8 +522,8 @@
             except OSError as error:
                 log.info("backend_silent", backend=backend.name, why=str(error))
                 continue
-            return not connection.has_lost_witness(self._clock())
-        return False
+            return True
+        return None
 
     def refuses_connections(self, backend: Backend) -> bool:
         """Return whether a backend server has terminated: no process listens at its address.
@@ -538,16 +543,7 @@
 
         :param backend: the backend server
         """
-        for _ in range(SILENT_ATTEMPTS):
-            try:
-                close(connect(backend.address, REFUSAL_TIMEOUT_S))
-            except ConnectionRefusedError:
-                return True
-            except OSError as error:
-                log.info("backend_silent", backend=backend.name, why=str(error))
-                continue
-            return True
-        return False
+        return self._accepts_connections(backend) is not None
 
     def release(self, backend: Backend, connection: BackendConnection) -> None:
         """Return a connection to the pool, or close it if it can't be reused.
