Ask a server for its start before a stream moves there from a silent one

A stream that left a silent server could have been joined from two versions: its version was found on a copy of its progress, so that the question for the other server's start was left out.

The question is asked while the place is only held, so that a server that has started again costs the stream nothing: it stays where it is. The new test fails without the question and passes with it.

--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -460,6 +460,8 @@
         with contextlib.ExitStack() as stack:
             stack.callback(place.work.cancel)
             self._prepare_connection(plan, place.backend)
+            if attempt.software is not None:
+                self._check_process(plan, place.backend)
             self._hooks.admit(plan, attempt)
             if not self._hooks.is_open(place.backend):
                 return None
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -1334,3 +1334,19 @@
         name for name, s in (("b0", one), ("b1", two)) if any(b"POST" in r for r in s.requests)
     ]
     assert names == [used]
+
+
+def test_streams_do_not_leave_a_silent_server_for_one_that_has_started_again():
+    """Its new process may be of another software version than its entry."""
+
+    def find_state():
+        return b"%d" % 1
+
+    def find_software(plan, progress):
+        return None if progress.last_event is None else "v1"
+
+    with ScriptedBackend(pause) as one, ScriptedBackend(tell_state(finish, find_state)) as two:
+        route = make_route(Repeat.RESUME, True, timeout_s=8.0)
+        answers, _, _ = run_calls_to_silent_backend(route, one, two, find_software=find_software)
+        assert two.requests and not any(b"POST" in request for request in two.requests)
+    assert [answer[3] for answer in answers] == [True] * 3
