Serve a request that arrived as its connection's idle timeout passed

Callers' requests on kept connections ended without an answer or a refusal where the process was late: the connection was closed as idle though the request had arrived within the limit, and mostly after it had been read.

Cause: where input and the idle timeout come up in one turn of the event loop, the input is read first, but the wait ends by the timeout before it is told of the input, and reports none. What had been read was dropped with the connection. In a few cases the input lay in the kernel still, and the close was a reset. Callers reuse connections up to four fifths of the limit, so that with a limit of 250 ms a turn of the loop, or a time in which the process doesn't run, of 50 ms is enough.

Change: where the limit passes, input that has been read counts, and so does unread input in the kernel, which is read.

--- a/balsamtally/inboxes.py
+++ b/balsamtally/inboxes.py
@@ -11,6 +11,7 @@
 from gevent.event import Event
 
 from balsamtally.held_bytes import HeldBytes, Holding
+from balsamtally.sockets import has_input
 
 READ_BYTES = 16_384
 # Largest read of input that is discarded. The kernel drops it without a copy, so the buffer isn't
@@ -32,6 +33,8 @@
 # callers that send single bytes then cause 7,200 reads in a second.
 PAUSE_STEP_S = 0.001
 MAX_PAUSE_S = 0.25
+# Longest wait for the reader to take input that the kernel holds.
+LATE_READ_TIMEOUT_S = 1.0
 _discarded = bytearray(DISCARD_BYTES)
 
 
@@ -201,10 +204,16 @@
     def wait_for_first(self, timeout_s: float) -> bool:
         """Wait for input or the end; return whether either happened before the timeout.
 
+        Input counts that came in the same turn of the event loop as the timeout, or waits unread.
+
         :param timeout_s: longest wait, in seconds
         """
         self._arrived.clear()
-        return self.ended or self._arrived.wait(timeout_s)
+        if self.ended or self._arrived.wait(timeout_s):
+            return True
+        if not self.data and has_input(self._sock):
+            self._arrived.wait(LATE_READ_TIMEOUT_S)
+        return bool(self.data) or self.ended
 
     def wait_for_more(self, deadline_s: float, is_cancelled: Callable[[], bool]) -> bool:
         """Wait for further input; return whether some arrived.
--- a/tests/balsamtally/test_callers.py
+++ b/tests/balsamtally/test_callers.py
@@ -6,7 +6,7 @@
 
 import gevent
 import pytest
-from gevent import socket
+from gevent import monkey, socket
 from gevent.event import Event
 from h11 import LocalProtocolError
 from hypothesis import example, given, settings
@@ -30,6 +30,7 @@
 
 LIMITS = Limits(1000, 5000, 0.3, 0.4)
 HEAD = b"POST /a/x HTTP/1.1\r\nHost: h\r\n"
+sleep_without_switching = monkey.get_original("time", "sleep")
 
 
 @contextlib.contextmanager
@@ -158,6 +159,20 @@
     assert (seen, refused, answer) == ([], [], b"")
 
 
+def test_request_that_came_in_time_is_served_though_the_process_was_late():
+    """A connection was closed as idle though a request had arrived, and mostly had been read."""
+    seen = []
+    with serve(echo(seen)) as (connect, refused, _):
+        with contextlib.closing(connect()) as sock:
+            sock.sendall(HEAD + b"\r\n")
+            expect_soon(lambda: len(seen) == 1)
+            gevent.sleep(LIMITS.idle_timeout_s / 4)
+            sock.sendall(HEAD + b"\r\n")
+            sleep_without_switching(LIMITS.idle_timeout_s)
+            answers = read_all(sock)
+    assert (answers.count(b"HTTP/1.1 200"), len(seen), refused) == (2, 2, [])
+
+
 def test_disconnect_of_the_caller_ends_the_handler_at_once():
     ended = Event()
     raised = []
