Apply the limits in force as a request arrives, not as its connection became idle

Callers' bodies were refused with 413 by a limit that had been raised before they were sent, on connections kept since before the change; bodies above a lowered limit were accepted there. It is a refusal, so that no request is lost by it.

Cause: the limits were read once, before the wait for the first byte, which may take as long as the idle timeout. For the idle timeout that is intended, as a change shall cut no wait short; sizes and time-outs of the request aren't concerned by that.

Change: the limits are read again when the first byte has arrived. A body that is being received keeps its limits.

--- a/balsamtally/callers.py
+++ b/balsamtally/callers.py
@@ -176,7 +176,9 @@
                 return None
         else:
             self._wait_until_taken()
-            self._inbox.begin_request(limits.max_header_bytes)
+        # They may have changed during the wait.
+        limits = self._find_limits()
+        self._inbox.begin_request(limits.max_header_bytes)
         self.idle = False
         try:
             head = self._read_head(limits)
--- a/tests/balsamtally/test_callers.py
+++ b/tests/balsamtally/test_callers.py
@@ -35,8 +35,12 @@
 
 @contextlib.contextmanager
 def serve(handle, limits=LIMITS, account=None, max_callers=MAX_CALLERS):
-    """Run a server; yield a function that connects to it, the codes of refusals and the server."""
+    """Run a server; yield a function that connects to it, the codes of refusals and the server.
+
+    ``limits`` may be a function that returns those in force.
+    """
     refused = []
+    find_limits = limits if callable(limits) else lambda: limits
 
     def refuse(caller, error):
         refused.append(error.code)
@@ -44,7 +48,7 @@
 
     server = CallerServer(
         listen(("127.0.0.1", 0)),
-        lambda: limits,
+        find_limits,
         handle,
         refuse,
         time.monotonic,
@@ -153,6 +157,18 @@
     assert exchange(HEAD + b"Content-Length: 5000\r\n\r\n" + b"a" * 5000)[1] == []
 
 
+@pytest.mark.parametrize("sizes, status", [((50, 1_000), b"200"), ((1_000, 50), b"413")])
+def test_limits_of_a_request_are_those_in_force_as_it_arrives_on_a_kept_connection(sizes, status):
+    """A body was refused by a limit that had been raised while its connection was idle."""
+    in_force = [Limits(max_body_bytes=sizes[0])]
+    with serve(echo([]), lambda: in_force[-1]) as (connect, _, server):
+        with contextlib.closing(connect()) as sock:
+            expect_soon(lambda: any(caller.idle for caller in server.callers))
+            in_force.append(Limits(max_body_bytes=sizes[1]))
+            sock.sendall(HEAD + b"Content-Length: 500\r\n\r\n" + 500 * b"x")
+            assert sock.recv(65_536).split()[1] == status
+
+
 def test_slow_head_is_refused_and_idle_connection_is_closed_without_an_answer():
     assert exchange(HEAD)[1] == [1011]
     seen, refused, answer = exchange(b"")
