--- a/standins/grid.py
+++ b/standins/grid.py
@@ -288,7 +288,7 @@
     def _answer(
         self, caller: Caller, request: Request, headers: dict, echo: list, step: str
     ) -> None:
-        if self.service != "model":
+        if not self.service.startswith("model"):
             self._answer_whole(caller, request, headers, echo)
             return
         gevent.sleep(PREFILL_S)
@@ -515,9 +515,13 @@
 
     def start(self, vm: Vm) -> None:
         """Write the settings of an entry VM and start its daemon."""
-        vm.write_settings([other.host for other in self.vms[:3]], self._find_store_address(vm))
+        self.write_settings(vm)
         vm.start()
 
+    def write_settings(self, vm: Vm) -> None:
+        """Write the settings of an entry VM."""
+        vm.write_settings([other.host for other in self.vms[:3]], self._find_store_address(vm))
+
     def _find_store_address(self, vm: Vm) -> str:
         """Return the address of the entry VM's own listener of the store, opened if needed."""
         if vm.name not in self._store_hosts:
