Serve a request that waited unread as its idle connection was closed for other reasons

Callers' requests on idle connections ended without an answer where the VM drained, or closed the connection to make room for a new one, in the moment in which the request had arrived and wasn't read yet.

Evidence: both new tests failed on the code before, each with a request that lay in the kernel's buffer.

Change: a draining VM serves such a request and announces the close in its answer; at the limit of connections, such a connection isn't idle, and another one is looked for.

--- a/balsamtally/callers.py
+++ b/balsamtally/callers.py
@@ -25,7 +25,7 @@
 from balsamtally.inboxes import Inbox
 from balsamtally.logs import log
 from balsamtally.request_bodies import BodyReader
-from balsamtally.sockets import bound_buffers, close, count_unsent, reset, set_up
+from balsamtally.sockets import bound_buffers, close, count_unsent, has_input, reset, set_up
 
 # A caller that reads nothing of its answer for this time is treated as disconnected; twice the TCP
 # user timeout.
@@ -377,8 +377,18 @@
             return
         self._inbox.discard_until_end(LINGER_S)
 
+    def has_unread_request(self) -> bool:
+        """Return whether a request has arrived on a connection that still counts as idle."""
+        return self.idle and bool(self._inbox.data or has_input(self._sock))
+
     def end_after_answer(self) -> None:
-        """Serve no request after the current one; close the connection if it is idle."""
+        """Serve no request after the current one; close the connection if it is idle.
+
+        A request that has arrived on an idle connection is served first.
+        """
+        if self.has_unread_request():
+            self.closing = True
+            return
         self._ended = True
         if self.idle:
             close(self._sock)
@@ -481,7 +491,8 @@
         while not self._tasks.free_count():
             idle = [caller for caller in self.callers if caller.idle]
             longest = min(idle, key=lambda caller: caller.idle_since_s, default=None)
-            if longest is None or self._clock() - longest.idle_since_s < IDLE_GRACE_S:
+            is_recent = longest and self._clock() - longest.idle_since_s < IDLE_GRACE_S
+            if longest is None or is_recent or longest.has_unread_request():
                 gevent.sleep(IDLE_POLL_S)
                 continue
             longest.end_after_answer()
--- a/tests/balsamtally/test_callers.py
+++ b/tests/balsamtally/test_callers.py
@@ -13,7 +13,13 @@
 from hypothesis import strategies as st
 
 from balsamtally import callers
-from balsamtally.callers import MAX_CALLERS, RESERVED_FDS, CallerServer, find_max_callers
+from balsamtally.callers import (
+    IDLE_GRACE_S,
+    MAX_CALLERS,
+    RESERVED_FDS,
+    CallerServer,
+    find_max_callers,
+)
 from balsamtally.calls import Limits
 from balsamtally.errors import (
     AnswerBegun,
@@ -359,6 +365,29 @@
     assert seen == []
 
 
+def test_request_that_waits_unread_is_served_before_a_draining_vm_closes_its_connection():
+    """A connection was closed as idle over a request that waited unread in the kernel."""
+    with serve(echo([]), Limits(1000, 1000, 5.0, 30.0)) as (connect, _, server):
+        with contextlib.closing(connect()) as sock:
+            expect_soon(lambda: any(caller.idle for caller in server.callers))
+            sock.sendall(HEAD + b"\r\n")
+            server.close_idle()
+            answers = read_all(sock)
+    assert answers.count(b"HTTP/1.1 200") == 1 and answers.count(b"onnection: close") == 1
+
+
+def test_request_that_waits_unread_is_served_before_its_connection_makes_room_for_another():
+    """A connection was closed as idle over a request that waited unread in the kernel."""
+    with serve(echo([]), Limits(1000, 1000, 5.0, 30.0), max_callers=1) as (connect, _, server):
+        with contextlib.closing(connect()) as sock:
+            expect_soon(lambda: any(caller.idle for caller in server.callers))
+            sleep_without_switching(IDLE_GRACE_S)
+            sock.sendall(HEAD + b"\r\n")
+            server._close_longest_idle()
+            answers = read_all(sock)
+    assert answers.count(b"HTTP/1.1 200") == 1 and server.closed_idle == 1
+
+
 def finish_after(go, seen):
     def handle(caller, request):
         seen.append(request)
