Open connections to backend servers through another entry VM where the direct link is lost

Cause: a VM could reach a backend server in one way only, and its failure to connect counted as news of the server for all VMs.

Change: a connection may lead through another VM, opened with CONNECT at its relay port; attempts, deadlines, places, permits and signatures stay where the call was taken. What no relay confirms isn't reported as the server's fault while this VM is cut off.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -19,11 +19,15 @@
     AnswerTooLarge,
     BackendUnreachable,
     ConnectionUnusable,
+    LinksLost,
     NoAnswer,
 )
 from balsamtally.held_bytes import Holding
 from balsamtally.logs import log
+from balsamtally.paths.dialer import Dialer
+from balsamtally.paths.losses import Losses
 from balsamtally.sockets import (
+    await_end,
     close,
     connect,
     end_sending,
@@ -71,6 +75,8 @@
 # Longest wait until a backend server's host confirms the end of a connection, a round trip to
 # another region and a resent packet.
 END_TIMEOUT_S = 0.3
+# The same through another VM, which waits for the backend server's host first.
+RELAYED_END_TIMEOUT_S = 0.35
 TIME_OVER = "the deadline passed before the end of the answer"
 _NO_BODY = ((b"Host", b"backend"), (b"Content-Length", b"0"))
 
@@ -80,6 +86,8 @@
 
     :param sock: the connected socket
     :param number: number of the connection among those of its pool
+    :param relay: name of the entry VM that the connection leads through, empty if it is direct
+    :ivar relay: name of that VM
     :ivar request_ids: ids of the requests for which the pool handed out the connection
     :ivar idle_since_s: monotonic clock when the last exchange ended, in seconds
     :ivar idle_limit_s: longest idle time after which the connection is reused, in seconds
@@ -93,8 +101,9 @@
         check
     """
 
-    def __init__(self, sock: socket.socket, number: int = 0):
+    def __init__(self, sock: socket.socket, number: int = 0, relay: str = ""):
         self._sock = sock
+        self.relay = relay
         self._number = number
         self._requests = 0
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
@@ -133,6 +142,9 @@
         A backend server stops working on a request whose connection ends.
         """
         self._irregular = True
+        if self.relay:
+            # The kernel that confirms the end is the relay's, so the relay confirms the server's.
+            return await_end(self._sock, RELAYED_END_TIMEOUT_S)
         return end_sending(self._sock, END_TIMEOUT_S)
 
     def is_usable(self, now_s: float) -> bool:
@@ -416,12 +428,14 @@
     """The pool of idle connections to backend servers, a context manager that closes them.
 
     :param clock: monotonic clock
+    :param dialer: opens connections, ``None`` to open direct ones alone
     :ivar opened: connections opened so far
     :ivar late_answers: connections closed so far because bytes came after a whole answer
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic):
+    def __init__(self, clock: Callable[[], float] = time.monotonic, dialer: Dialer | None = None):
         self._clock = clock
+        self._dialer = dialer or Dialer(Losses())
         # Idle connections by incarnation of the backend server, the most recently used last.
         self._idle: dict[tuple[str, int], deque[BackendConnection]] = {}
         self.opened = 0
@@ -447,11 +461,11 @@
 
     def _open(self, backend: Backend, timeout_s: float) -> BackendConnection:
         try:
-            sock = connect(backend.address, min(timeout_s, CONNECT_TIMEOUT_S))
+            path = self._dialer.open(backend, min(timeout_s, CONNECT_TIMEOUT_S))
         except OSError as error:
             raise BackendUnreachable(f"no connection to {backend.name}: {error}") from error
         self.opened += 1
-        connection = BackendConnection(sock, self.opened)
+        connection = BackendConnection(path.sock, self.opened, path.relay)
         connection.idle_since_s = self._clock()
         return connection
 
@@ -468,8 +482,14 @@
 
     def _take_idle(self, backend: Backend, request_id: str) -> BackendConnection | None:
         idle = self._idle.setdefault(backend.key, deque())
+        losses = self._dialer.losses
         for connection in reversed(list(idle)):
-            if not connection.is_usable(self._clock()):
+            if not connection.relay and losses.hangs(backend):
+                continue
+            if connection.relay and not losses.is_lost(backend):
+                idle.remove(connection)
+                connection.close()
+            elif not connection.is_usable(self._clock()):
                 idle.remove(connection)
                 self._discard(backend, connection)
             elif request_id not in connection.request_ids:
@@ -493,8 +513,8 @@
         if not connection.ends_by_close:
             return
         try:
-            witness = connect(backend.address, REFUSAL_TIMEOUT_S)
-        except OSError as error:
+            witness = self._dialer.open(backend, REFUSAL_TIMEOUT_S).sock
+        except (OSError, LinksLost) as error:
             log.info("no_witness", backend=backend.name, why=str(error))
             return
         self.opened += 1
@@ -512,14 +532,16 @@
         accepts = self._accepts_connections(backend)
         return bool(accepts) and not connection.has_lost_witness(self._clock())
 
-    def _accepts_connections(self, backend: Backend) -> bool | None:
+    def _accepts_connections(
+        self, backend: Backend, attempts: int = SILENT_ATTEMPTS
+    ) -> bool | None:
         """Return whether a process listens at an address, ``None`` if its host doesn't answer."""
-        for _ in range(SILENT_ATTEMPTS):
+        for _ in range(attempts):
             try:
-                close(connect(backend.address, REFUSAL_TIMEOUT_S))
+                close(self._dialer.open(backend, REFUSAL_TIMEOUT_S).sock)
             except ConnectionRefusedError:
                 return False
-            except OSError as error:
+            except (OSError, LinksLost) as error:
                 log.info("backend_silent", backend=backend.name, why=str(error))
                 continue
             return True
@@ -530,13 +552,7 @@
 
         :param backend: the backend server
         """
-        try:
-            close(connect(backend.address, REFUSAL_TIMEOUT_S))
-        except ConnectionRefusedError:
-            return True
-        except OSError:
-            return False
-        return False
+        return self._accepts_connections(backend, attempts=1) is False
 
     def is_reachable(self, backend: Backend) -> bool:
         """Return whether a backend server's host answers an attempt to connect.
@@ -565,6 +581,30 @@
         for connection in self._idle.pop(incarnation, ()):
             connection.close()
 
+    def close_idle_through(self, relay: str) -> None:
+        """Close the idle connections that lead through an entry VM which is leaving.
+
+        :param relay: name of the entry VM
+        """
+        for idle in self._idle.values():
+            for connection in [each for each in idle if each.relay == relay]:
+                idle.remove(connection)
+                connection.close()
+
+    def fetch(self, backend: Backend, target: bytes, timeout_s: float) -> tuple[int, bytes]:
+        """Send a ``GET`` request to a backend server on a new connection.
+
+        :param backend: the backend server
+        :param target: path and query
+        :param timeout_s: longest time for the exchange, in seconds
+        :return: status and body of the answer
+        :raises BalsamtallyError: if there is no whole answer by then
+        """
+        until_s = time.monotonic() + timeout_s
+        connection = self._open(backend, timeout_s)
+        head, body = _fetch_on(connection, backend.address, target, until_s)
+        return head.status, body
+
     def keep_only(self, backends) -> None:
         """Close the idle connections to all other backend servers.
 
@@ -603,6 +643,13 @@
         connection = BackendConnection(connect(address, timeout_s))
     except OSError as error:
         raise BackendUnreachable(str(error)) from error
+    return _fetch_on(connection, address, target, until_s)
+
+
+def _fetch_on(
+    connection: BackendConnection, address: tuple[str, int], target: bytes, until_s: float
+) -> tuple[AnswerHead, bytes]:
+    """Send a ``GET`` request on a connection, read the whole answer and close the connection."""
     try:
         host = f"{address[0]}:{address[1]}".encode()
         headers = ((b"Host", host), (b"Connection", b"close"))
--- a/balsamtally/beats.py
+++ b/balsamtally/beats.py
@@ -56,6 +56,7 @@
     :ivar era: era of the revision
     :ivar age_ms: time since the platform had no records beyond the sender's, in milliseconds;
         ``None`` from a sender that doesn't know it
+    :ivar relays: whether it relays connections to backend servers
     """
 
     vm: str
@@ -76,6 +77,7 @@
     limits: tuple[ToldLimit, ...] = ()
     era: Count = 0
     age_ms: Count | None = None
+    relays: bool = False
 
     @property
     def position(self) -> tuple[int, int]:
@@ -196,6 +198,7 @@
             or beat.region_loads != sent.region_loads
             or beat.position != sent.position
             or beat.leaving != sent.leaving
+            or beat.relays != sent.relays
             or beat.read_state != sent.read_state
             or beat.departures != sent.departures
             or list_rates(beat.limits) != list_rates(sent.limits)
--- a/balsamtally/call_metrics.py
+++ b/balsamtally/call_metrics.py
@@ -43,6 +43,10 @@
     :ivar callers_limit: most open connections of callers
     :ivar closed_idle: idle connections of callers closed since the start to make room
     :ivar evicted_bodies: stalled bodies of callers refused since the start to make room
+    :ivar lost_links: backend servers to which the direct link is lost
+    :ivar tunnels: connections to backend servers opened through other entry VMs since the start
+    :ivar relayed: connections that are relayed for other entry VMs now
+    :ivar relays_refused: connections that weren't relayed since the start
     """
 
     waiting: Mapping[str, int] = field(default_factory=dict)
@@ -69,6 +73,10 @@
     callers_limit: int = 0
     closed_idle: int = 0
     evicted_bodies: int = 0
+    lost_links: int = 0
+    tunnels: int = 0
+    relayed: int = 0
+    relays_refused: int = 0
 
 
 class CallMetrics(Collectors):
@@ -159,6 +167,18 @@
             "evicted_bodies": self._gauge(
                 "caller_bodies_evicted", "Stalled bodies refused to make room for others"
             ),
+            "lost_links": self._gauge(
+                "lost_links", "Backend servers to which the direct link is lost"
+            ),
+            "tunnels": self._gauge(
+                "backend_tunnels_opened", "Connections opened through other entry VMs"
+            ),
+            "relayed": self._gauge(
+                "relayed_connections", "Connections relayed for other entry VMs"
+            ),
+            "relays_refused": self._gauge(
+                "relayed_connections_refused", "Connections that weren't relayed"
+            ),
             "held_bytes_limit": self._gauge("held_bytes_limit", "Limit of the bytes held"),
         }
         self._memory = self._gauge("resident_bytes", "Resident memory of the process")
--- a/balsamtally/errors.py
+++ b/balsamtally/errors.py
@@ -369,6 +369,20 @@
     default = "the software version that began the stream isn't known"
 
 
+class LinksLost(BackendUnreachable):
+    """This entry VM has lost its links to the backend servers, and no other VM relays for it."""
+
+    code = 2019
+    default = "this entry VM has lost its links to the backend servers"
+
+
+class PathUnavailable(BackendUnreachable):
+    """Another entry VM didn't relay a connection, which says nothing about the backend server."""
+
+    code = 2020
+    default = "another entry VM did not relay the connection"
+
+
 class ResultError(BalsamtallyError):
     """A request was sent to a backend server and has no complete answer."""
 
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 
-from balsamtally.backends import END_TIMEOUT_S, BackendConnection, Connections, fetch
+from balsamtally.backends import END_TIMEOUT_S, BackendConnection, Connections
 from balsamtally.backlogs import Work
 from balsamtally.call_log import log_failed_attempt, log_foreign_answer
 from balsamtally.callers import Caller, Request
@@ -373,11 +373,12 @@
     def _exchange(
         self, caller: Caller, plan: Plan, progress: CallProgress, backend: Backend, work: Work
     ) -> None:
-        progress.exchange = progress.framing = ""
+        progress.exchange = progress.framing = progress.relay = ""
         left_s = plan.until_s - time.monotonic()
         if left_s < MIN_LEFT_S:
             raise QueueTimeout
         connection = self._connections.acquire(backend, left_s, plan.call.id)
+        progress.relay = connection.relay
         gap_s = plan.route.gap_s if plan.route.streams else 0.0
         watch = self._stalls.watch(backend, gap_s)
         move = self._make_move(caller, plan, progress, backend, watch)
@@ -411,7 +412,7 @@
         :raises BackendLeaving: if the backend server has started again
         """
         try:
-            _, body = fetch(backend.address, self._wire.state_target, STATE_TIMEOUT_S)
+            _, body = self._connections.fetch(backend, self._wire.state_target, STATE_TIMEOUT_S)
         except BalsamtallyError as error:
             log.info("no_state", request=plan.call.id, backend=backend.name, why=str(error))
             return
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -42,6 +42,9 @@
     OriginReply,
 )
 from balsamtally.origins import Origins
+from balsamtally.paths.dialer import Dialer, RelayVm
+from balsamtally.paths.losses import Losses
+from balsamtally.paths.relays import Relay, find_max_tunnels
 from balsamtally.pauses import Pauses, PausingChoice
 from balsamtally.peers import RECORDS_PATH, Peers
 from balsamtally.permits import PermitAsk, PermitGrant, Permits
@@ -129,7 +132,7 @@
         self._connect_quarantine()
         self._grace_period = GracePeriod(lambda: self.settings.grace_s)
         self._budget = FleetBudget(settings.budget, self.peers.count_members)
-        self._connections = Connections()
+        self._connect_paths()
         self._terminations = Terminations(
             self._connections.refuses_connections, self._connections.is_reachable
         )
@@ -231,6 +234,36 @@
         )
         self.peers.handlers[QuarantineUpdate] = self._quarantine_exchange.handle_update
 
+    def _connect_paths(self) -> None:
+        """Create the ways to backend servers, and the relay for other entry VMs."""
+        own = self.peers.own
+        losses = Losses()
+        self._dialer = Dialer(
+            losses, self._list_relays, self.settings.find_region, own.domain, own.ip
+        )
+        self._connections = Connections(dialer=self._dialer)
+        self._relay = Relay(
+            self.settings.relay_address,
+            self.catalog.find_at,
+            self.peers.is_known,
+            self._relays,
+            losses,
+            find_max_tunnels(self.settings.max_fds),
+        )
+        self.peers.relays = self._relays
+
+    def _relays(self) -> bool:
+        """Return whether this entry VM relays connections to backend servers."""
+        return not self.leaving and not self._dialer.losses.is_cut_off()
+
+    def _list_relays(self) -> list[RelayVm]:
+        port = self.settings.relay_address[1]
+        beats = [peer.beat for peer in self.peers.list_alive()]
+        return [
+            RelayVm(beat.vm, (beat.ip, port), beat.domain, beat.relays and not beat.leaving)
+            for beat in beats
+        ]
+
     def _connect_stalls(self) -> None:
         """Create the verdicts on silent runners and connect them to the peers of the region."""
         self._stalls = Stalls()
@@ -306,6 +339,8 @@
         self._cold_membership.record_beat(beat)
         self._server_limits.merge(beat.limits, beat.vm)
         self._quarantine_exchange.greet(beat)
+        if beat.leaving:
+            self._connections.close_idle_through(beat.vm)
 
     def _list_peer_ips(self) -> list[str]:
         return [peer.beat.ip for peer in self.peers.list_alive()]
@@ -393,7 +428,9 @@
     def __enter__(self) -> "Gateway":
         enter = self._stack.enter_context
         enter(self._connections)
+        enter(self._dialer)
         enter(self.peers)
+        enter(self._relay)
         enter(self._quarantine_exchange)
         enter(self._stall_exchange)
         enter(self._origin_exchange)
@@ -475,6 +512,7 @@
         gevent.sleep(HOUSEKEEPING_INTERVAL_S)
         self.catalog.remove_lapsed()
         self._connections.keep_only(self.catalog.backends.values())
+        self._dialer.losses.keep_only({backend.key for backend in self.catalog.backends.values()})
         self._dispatch.forget_removed()
         self._pauses.forget_removed(self.catalog.backends.values())
         self._server_limits.forget_removed()
@@ -522,6 +560,10 @@
             dedicated=self._dispatch.runners.count_dedicated(),
             held_bytes=self._account.used_bytes,
             held_bytes_limit=self._account.limit_bytes,
+            lost_links=len(self._dialer.losses.list_lost()),
+            tunnels=self._dialer.tunnels,
+            relayed=self._relay.open,
+            relays_refused=self._relay.refused,
         )
 
     def _record_outcome(
@@ -583,7 +625,8 @@
                 idle_closed = True
                 self._callers.stop_listening()
                 self._callers.close_idle()
-            if idle_closed and not self._in_flight and (ends or not self._callers.callers):
+            in_use = self._in_flight or self._relay.open
+            if idle_closed and not in_use and (ends or not self._callers.callers):
                 break
             self._callers.announce_close()
             self._grace_period.refuse_waiting()
--- a/balsamtally/gateway_settings.py
+++ b/balsamtally/gateway_settings.py
@@ -26,6 +26,8 @@
     :ivar caller_address: IP address and port of the listener for callers
     :ivar ready_address: IP address and port of the listener for the balancer's health check
     :ivar peer_address: IP address and port for datagrams and page requests of other entry VMs
+    :ivar relay_address: IP address and port at which connections of other entry VMs are relayed to
+        backend servers; the port is the same at all VMs
     :ivar seeds: IP addresses at which other entry VMs may run, contacted at the start
     :ivar platform_address: IP address and port of the platform's store of published records
     :ivar grace_s: maximum time that a draining gateway waits for its calls, in seconds
@@ -48,6 +50,7 @@
     caller_address: tuple[str, int]
     ready_address: tuple[str, int]
     peer_address: tuple[str, int]
+    relay_address: tuple[str, int]
     seeds: tuple[str, ...]
     platform_address: tuple[str, int]
     grace_s: float
--- /dev/null
+++ b/balsamtally/paths/relays.py
@@ -0,0 +1,254 @@
+"""Relay of connections: passes bytes between another entry VM and a backend server.
+
+The bytes aren't read. Each side's end is passed on: an orderly one in order, a reset as a reset.
+"""
+
+import time
+from collections.abc import Callable
+
+import gevent
+import h11
+from gevent import socket
+from gevent.pool import Pool
+
+from balsamtally.calls import Backend
+from balsamtally.logs import log
+from balsamtally.paths.losses import Losses
+from balsamtally.paths.tunnels import MAX_HEAD_BYTES, REFUSED_STATUS, SILENT_STATUS
+from balsamtally.sockets import (
+    bound_buffers,
+    close,
+    connect,
+    end_sending,
+    listen,
+    reset,
+    set_up,
+)
+
+# Part of the descriptors for connections of other VMs; each takes two.
+RELAY_SHARE = 1 / 8
+RESERVED_FDS = 200
+# Connections passed on where the descriptors of the process aren't known.
+DEFAULT_TUNNELS = 256
+HEAD_TIMEOUT_S = 1.0
+# A backend server accepts within a round trip, 0.06 s to another region; the VM that asks has other
+# relays to try.
+CONNECT_TIMEOUT_S = 0.3
+# Longest wait until a backend server's host confirms the end of a connection.
+END_TIMEOUT_S = 0.25
+# Time for which the other VM may still send after the backend server has ended the connection.
+LINGER_S = 1.0
+COPY_BYTES = 16_384
+
+
+def find_max_tunnels(max_fds: float) -> int:
+    """Return the most connections that are passed on for other entry VMs.
+
+    :param max_fds: most descriptors of the process, 0 if it isn't known
+    """
+    if not max_fds:
+        return DEFAULT_TUNNELS
+    return max(1, int((max_fds - RESERVED_FDS) * RELAY_SHARE / 2))
+
+
+class Relay:
+    """Passes connections of other entry VMs on to backend servers; a context manager.
+
+    :param address: IP number and port to listen at
+    :param find_target: returns the backend server at an address, ``None`` if none is known there
+    :param is_peer: returns whether an IP number is that of an entry VM whose beats are heard
+    :param is_open: returns whether further connections are passed on
+    :param losses: the direct links of this VM
+    :param max_tunnels: most connections that are passed on at a time
+    :ivar open: connections that are passed on now
+    :ivar opened: connections passed on since the start
+    :ivar refused: connections refused since the start, because of ``is_open`` or ``max_tunnels``
+    """
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        find_target: Callable[[tuple[str, int]], Backend | None],
+        is_peer: Callable[[str], bool],
+        is_open: Callable[[], bool],
+        losses: Losses,
+        max_tunnels: int = DEFAULT_TUNNELS,
+    ):
+        self._address = address
+        self._find_target = find_target
+        self._is_peer = is_peer
+        self._is_open = is_open
+        self._losses = losses
+        self._max_tunnels = max_tunnels
+        self._tasks = Pool()
+        self.open = 0
+        self.opened = 0
+        self.refused = 0
+
+    def __enter__(self) -> "Relay":
+        self._listener = listen(self._address)
+        self._accepting = gevent.spawn(self._accept)
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        self._accepting.kill()
+        close(self._listener)
+        self._tasks.kill()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, (ip, _) = self._listener.accept()
+            except OSError as error:
+                log.warning("relay_accept_failed", why=str(error))
+                gevent.sleep(HEAD_TIMEOUT_S)
+                continue
+            self._tasks.spawn(self._serve, sock, ip)
+
+    def _serve(self, sock: socket.socket, ip: str) -> None:
+        try:
+            set_up(sock)
+            bound_buffers(sock)
+            self._serve_peer(sock, ip)
+        except OSError as error:
+            log.info("relay_failed", peer=ip, why=str(error))
+        finally:
+            close(sock)
+
+    def _serve_peer(self, sock: socket.socket, ip: str) -> None:
+        if not self._is_peer(ip):
+            log.warning("relay_stranger", peer=ip)
+            return
+        target = read_target(sock)
+        if target is None:
+            log.warning("relay_request_malformed", peer=ip)
+            answer(sock, 400)
+            return
+        backend = self._find_target(target)
+        if backend is None:
+            answer(sock, 403)
+        elif self._losses.is_lost(backend):
+            answer(sock, SILENT_STATUS)
+        elif not self._is_open() or self.open >= self._max_tunnels:
+            self.refused += 1
+            answer(sock, 503)
+        else:
+            self._pass_on(sock, ip, backend)
+
+    def _pass_on(self, sock: socket.socket, ip: str, backend: Backend) -> None:
+        self.open += 1
+        try:
+            server = self._connect(sock, backend)
+            if server is None:
+                return
+            self.opened += 1
+            log.info("relaying", peer=ip, backend=backend.name, open=self.open)
+            try:
+                answer(sock, 200)
+                exchange(sock, server)
+            finally:
+                close(server)
+        finally:
+            self.open -= 1
+
+    def _connect(self, sock: socket.socket, backend: Backend) -> socket.socket | None:
+        """Connect to a backend server; answer the other VM if that fails."""
+        try:
+            server = connect(backend.address, CONNECT_TIMEOUT_S)
+        except OSError as error:
+            self._losses.record_failed(backend)
+            refused = isinstance(error, ConnectionRefusedError)
+            answer(sock, REFUSED_STATUS if refused else SILENT_STATUS)
+            return None
+        self._losses.record_connected(backend)
+        server.settimeout(None)
+        bound_buffers(server)
+        return server
+
+
+def read_target(sock: socket.socket) -> tuple[str, int] | None:
+    """Return the address that another VM asks for, ``None`` if its request isn't valid.
+
+    :param sock: the connection of the other VM
+    :raises OSError: if the connection breaks, or no request comes in time
+    """
+    http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+    until_s = time.monotonic() + HEAD_TIMEOUT_S
+    try:
+        while (event := http.next_event()) is h11.NEED_DATA:
+            sock.settimeout(max(0.001, until_s - time.monotonic()))
+            http.receive_data(sock.recv(MAX_HEAD_BYTES))
+    except h11.RemoteProtocolError:
+        return None
+    finally:
+        sock.settimeout(None)
+    if type(event) is not h11.Request or event.method != b"CONNECT":
+        return None
+    host, _, port = event.target.decode("latin-1").rpartition(":")
+    return (host, int(port)) if port.isascii() and port.isdigit() else None
+
+
+def answer(sock: socket.socket, status: int) -> None:
+    """Send the head of an answer without a body.
+
+    :param sock: the connection of the other VM
+    :param status: HTTP status
+    :raises OSError: if the connection breaks
+    """
+    # An answer to CONNECT with status 200 has no length: the connection follows it.
+    length = "" if status == 200 else "Content-Length: 0\r\n"
+    sock.sendall(f"HTTP/1.1 {status} \r\n{length}\r\n".encode())
+
+
+def exchange(peer: socket.socket, server: socket.socket) -> None:
+    """Pass bytes between both connections until either ends.
+
+    :param peer: the connection of the other VM
+    :param server: the connection to the backend server
+    """
+    downstream = gevent.spawn(copy, server, peer)
+    upstream = gevent.spawn(copy, peer, server)
+    try:
+        gevent.wait([downstream, upstream], count=1)
+        if downstream.ready():
+            _end_for_peer(peer, downstream.value, upstream)
+        else:
+            _end_for_server(peer, server, upstream.value)
+    finally:
+        gevent.killall([downstream, upstream])
+
+
+def _end_for_peer(peer: socket.socket, in_order: bool, upstream: gevent.Greenlet) -> None:
+    """Pass the end of the backend server's side on to the other VM."""
+    if not in_order:
+        reset(peer)
+        return
+    end_sending(peer, 0.0)
+    upstream.join(LINGER_S)
+
+
+def _end_for_server(peer: socket.socket, server: socket.socket, in_order: bool) -> None:
+    """Pass the end of the other VM's side on to the backend server.
+
+    The other VM takes an orderly end for the confirmation that the server's host has the end.
+    """
+    if not in_order:
+        reset(server)
+        reset(peer)
+    elif not end_sending(server, END_TIMEOUT_S):
+        reset(peer)
+
+
+def copy(source: socket.socket, sink: socket.socket) -> bool:
+    """Copy bytes until the source ends; return whether it ended in order.
+
+    :param source: connection that is read
+    :param sink: connection that is written
+    """
+    try:
+        while data := source.recv(COPY_BYTES):
+            sink.sendall(data)
+    except OSError as error:
+        log.debug("relay_copy_ended", why=str(error))
+        return False
+    return True
--- a/balsamtally/peers.py
+++ b/balsamtally/peers.py
@@ -102,6 +102,7 @@
         ones
     :ivar list_waiting_loads: returns the load of queued calls by backend server
     :ivar list_limits: returns the limits of backend servers for a beat
+    :ivar relays: tells whether this entry VM relays connections to backend servers
     :ivar read_times: times of reading the platform
     :ivar was_asked_recently: tells whether peers recently sent placement requests for a service
 
@@ -148,6 +149,7 @@
         self.was_asked_recently: Callable[[str], bool] = lambda service: False
         self.list_waiting_loads: Callable[[], dict[str, Load]] = dict
         self.list_limits: Callable[[], tuple[ToldLimit, ...]] = tuple
+        self.relays: Callable[[], bool] = lambda: False
         self._started_s = time.monotonic()
         self._new_peers: set[str] = set()
         self._new_ips: set[str] = set()
@@ -178,6 +180,13 @@
         now = time.monotonic()
         return [peer for peer in self._peers.values() if self._is_alive(peer, now)]
 
+    def is_known(self, ip: str) -> bool:
+        """Return whether an IP number is that of an entry VM whose beats arrive.
+
+        :param ip: the IP number
+        """
+        return any(peer.beat.ip == ip for peer in self.list_alive())
+
     def _is_alive(self, peer: Peer, now: float) -> bool:
         longest_s = REMOTE_ALIVE_S if self._is_remote(peer.beat.domain) else ALIVE_S
         return now - peer.heard_s <= longest_s
@@ -461,6 +470,7 @@
             pending_asks=pending_asks,
             departures=self._catalog.list_departures(),
             limits=self.list_limits(),
+            relays=self.relays(),
         )
 
     def _send(self, beat: Beat, ips: set[str]) -> None:
--- a/balsamtally/plans.py
+++ b/balsamtally/plans.py
@@ -94,6 +94,7 @@
     :ivar longest_gap_s: longest time between two chunks of the stream, in seconds
     :ivar backend: backend server of the last attempt, ``None`` before the first
     :ivar exchange: connection of the last attempt, and number of its request on this connection
+    :ivar relay: name of the entry VM through which the last attempt was sent, empty if directly
     :ivar framing: what ends the answer to the last attempt, empty before its head
     :ivar status: status that was sent to the caller
     :ivar answer: whether the caller was sent ``none`` of an answer, a part (``cut``), or a
@@ -125,6 +126,7 @@
     longest_gap_s: float = 0.0
     backend: Backend | None = None
     exchange: str = ""
+    relay: str = ""
     framing: str = ""
     status: int = 0
     answer: str = "none"
--- a/balsamtally/platform/settings.py
+++ b/balsamtally/platform/settings.py
@@ -103,6 +103,7 @@
         bounds = fields["bounds"]
         listen = fields["listen"]
         ip = str(fields["ip"])
+        first_port = int(fields["internal_port_range"][0])
         limits = fields.get("limits") or {}
         return GatewaySettings(
             vm=str(fields["node_name"]),
@@ -110,7 +111,8 @@
             regions={str(zone): str(region) for zone, region in fields["zones"].items()},
             caller_address=parse_address(listen["http"]),
             ready_address=parse_address(listen["readiness"]),
-            peer_address=parse_address(f"{ip}:{fields['internal_port_range'][0]}"),
+            peer_address=parse_address(f"{ip}:{first_port}"),
+            relay_address=parse_address(f"{ip}:{first_port + 1}"),
             seeds=tuple(parse_address(seed)[0] for seed in fields.get("seeds") or ()),
             platform_address=parse_address(fields["platform"]["address"]),
             grace_s=read_amount(bounds["grace_s"]),
--- a/balsamtally/reports.py
+++ b/balsamtally/reports.py
@@ -15,6 +15,7 @@
     ConnectionUnusable,
     GraceEnded,
     Leaving,
+    LinksLost,
     NoAnswer,
     PartQuarantined,
 )
@@ -111,13 +112,14 @@
 def is_backend_fault(failure: BalsamtallyError, plan: Plan, took_s: float) -> bool:
     """Return whether a failure is the backend server's fault.
 
-    A backend server that is draining isn't at fault, nor is one that had too little time to answer.
+    A backend server that is draining isn't at fault, nor is one that had too little time to answer,
+    nor any while this VM has lost its own links.
 
     :param failure: the failure
     :param plan: the call's plan
     :param took_s: duration of the attempt, in seconds
     """
-    if isinstance(failure, (BackendLeaving, GraceEnded, Leaving, PartQuarantined)):
+    if isinstance(failure, (BackendLeaving, GraceEnded, Leaving, LinksLost, PartQuarantined)):
         return False
     return not isinstance(failure, NoAnswer) or took_s >= plan.route.target_s * MIN_SILENCE_TARGETS
 
--- a/balsamtally/sockets.py
+++ b/balsamtally/sockets.py
@@ -29,6 +29,7 @@
 # States of TCP_INFO in which the other side has acknowledged the end: FIN_WAIT2, TIME_WAIT, and
 # CLOSE, which the kernel tells after both sides have ended; a time-out or reset sets an error too.
 _CONFIRMED_STATES = (5, 6, 7)
+DISCARDED_BYTES = 65_536
 READABLE = select.POLLIN | select.POLLHUP | select.POLLERR
 WRITABLE = select.POLLOUT | select.POLLERR
 # The poll that doesn't switch to other greenlets.
@@ -81,15 +82,18 @@
     return sock
 
 
-def connect(address: tuple[str, int], timeout_s: float) -> socket.socket:
+def connect(address: tuple[str, int], timeout_s: float, source: str = "") -> socket.socket:
     """Return a connected TCP socket.
 
     :param address: IP number and port
     :param timeout_s: longest time to connect, in seconds
+    :param source: IP number to connect from, empty to leave it to the kernel
     :raises OSError: if the connection fails or times out
     """
     sock = socket.socket(plain.AF_INET, plain.SOCK_STREAM)
     try:
+        if source:
+            sock.bind((source, 0))
         sock.settimeout(timeout_s)
         sock.connect(address)
         set_up(sock)
@@ -198,6 +202,25 @@
         return False
 
 
+def await_end(sock: socket.socket, timeout_s: float) -> bool:
+    """End the sending side of a connection; return whether the other side ended it in order, too.
+
+    :param sock: a connected socket, whose further input is discarded
+    :param timeout_s: longest wait for the other side's end, in seconds
+    """
+    until_s = time.monotonic() + timeout_s
+    try:
+        sock.shutdown(plain.SHUT_WR)
+        while (left_s := until_s - time.monotonic()) > 0:
+            sock.settimeout(left_s)
+            if not sock.recv(DISCARDED_BYTES):
+                return True
+    except OSError:
+        # Reset, broken or too late: the other side hasn't confirmed anything.
+        return False
+    return False
+
+
 def close(sock: socket.socket) -> None:
     """Close a socket, ignoring errors.
 
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -24,6 +24,7 @@
 )
 from balsamtally.forwarding import Forwarder
 from balsamtally.held_bytes import HeldBytes
+from balsamtally.paths import dialer
 from balsamtally.plans import make_plan, pick_service
 from balsamtally.sockets import listen
 from balsamtally.stall_exchange import StallExchange
@@ -877,7 +878,7 @@
         return sockets.connect(address, timeout_s)
 
     attempts, text = [], event(1) if streams else b"short"
-    monkeypatch.setattr(backends, "connect", connect)
+    monkeypatch.setattr(dialer, "connect", connect)
     with ScriptedBackend(fall_silent) as one:
         with ForwarderHarness(make_route(Repeat.NEVER, streams=streams), one) as harness:
             status, _, body, whole = harness.send()
