--- /dev/null
+++ b/tests/balsamtally/paths/test_relays.py
@@ -0,0 +1,234 @@
+"""Relayed connections: bytes and both sides' ends pass through another entry VM."""
+
+import contextlib
+import time
+
+import gevent
+import pytest
+from gevent import socket
+
+from balsamtally.backends import Connections
+from balsamtally.errors import BackendUnreachable, LinksLost, PathUnavailable
+from balsamtally.paths import dialer as dialers
+from balsamtally.paths.dialer import HEAD_START_S, Dialer, RelayVm
+from balsamtally.paths.losses import Losses
+from balsamtally.paths.relays import Relay
+from balsamtally.paths.tunnels import open_tunnel
+from balsamtally.sockets import await_end, connect, listen, reset
+from standins.fleet import draw_host
+from tests.balsamtally.scripted import ScriptedBackend, hang, make_backend, reply
+from tests.polling import expect_soon
+
+SOURCE = "127.0.0.1"
+HEADERS = ((b"Host", b"h"), (b"Content-Length", b"0"))
+# Longest time that a call may lose on its first attempt over a lost link.
+FIRST_S = 0.6
+
+
+class World:
+    """A VM whose direct links fail as set, relays, and one backend server.
+
+    :ivar cut: how direct connections of the VM fail, ``None`` for not at all
+    """
+
+    def __init__(self, monkeypatch, script=None):
+        self.server = ScriptedBackend(script or reply())
+        self.relays: list[RelayVm] = []
+        self.cut = None
+        self.relay_open = True
+        self.is_peer = True
+        self._stack = contextlib.ExitStack()
+        monkeypatch.setattr(dialers, "connect", self._connect)
+
+    def __enter__(self):
+        self._stack.enter_context(self.server)
+        self.backend = make_backend("b1", self.server.address)
+        self.losses = Losses()
+        self.dialer = Dialer(self.losses, lambda: self.relays, source=SOURCE)
+        self.connections = self._stack.enter_context(Connections(dialer=self.dialer))
+        return self
+
+    def __exit__(self, *exc_info):
+        self._stack.close()
+
+    def _connect(self, address, timeout_s):
+        if self.cut == "hang":
+            gevent.sleep(timeout_s)
+            raise TimeoutError("timed out")
+        if self.cut == "refuse":
+            raise ConnectionRefusedError("refused")
+        return connect(address, timeout_s)
+
+    def add_relay(self, vm="vm2", address=None, **limits):
+        address = address or (draw_host(), 8000)
+        relay = Relay(
+            address,
+            lambda target: self.backend if target == self.backend.address else None,
+            lambda ip: self.is_peer,
+            lambda: self.relay_open,
+            Losses(),
+            **limits,
+        )
+        self._stack.enter_context(relay)
+        self.relays.append(RelayVm(vm, address, "d"))
+        return relay
+
+    def add_silent_relay(self, vm="silent"):
+        listener = self._stack.enter_context(contextlib.closing(listen((draw_host(), 0))))
+        self.relays.append(RelayVm(vm, listener.getsockname(), "d"))
+
+    def ask(self):
+        """Send a request to the backend server; return the body and the relay that it took."""
+        until_s = time.monotonic() + 2.0
+        connection = self.connections.acquire(self.backend, 2.0, "id1")
+        connection.send(b"GET", b"/", HEADERS, b"", until_s)
+        connection.read_head(until_s)
+        body = connection.read_whole(until_s, 1000)
+        connection.close()
+        return body, connection.relay
+
+
+@pytest.fixture
+def world(monkeypatch):
+    with World(monkeypatch) as world:
+        yield world
+
+
+@pytest.mark.parametrize("cut", ["hang", "refuse"])
+def test_call_of_a_vm_without_links_is_served_through_another_vm(world, cut):
+    world.add_relay()
+    world.cut = cut
+    begun_s = time.monotonic()
+    assert world.ask() == (b"answer", "vm2")
+    assert time.monotonic() - begun_s < FIRST_S
+    begun_s = time.monotonic()
+    assert world.ask() == (b"answer", "vm2")
+    assert time.monotonic() - begun_s < HEAD_START_S
+
+
+def test_direct_link_is_used_again_once_it_is_back(world):
+    world.add_relay()
+    world.cut = "hang"
+    world.ask()
+    world.cut = None
+    with world.dialer:
+        expect_soon(lambda: not world.losses.list_lost())
+    assert world.ask() == (b"answer", "")
+
+
+def test_second_relay_is_asked_beside_one_that_hangs(world, monkeypatch):
+    monkeypatch.setattr(dialers.random, "shuffle", lambda relays: None)
+    world.add_silent_relay()
+    world.add_relay("vm3")
+    world.cut = "hang"
+    begun_s = time.monotonic()
+    assert world.ask() == (b"answer", "vm3")
+    assert time.monotonic() - begun_s < FIRST_S
+
+
+def test_end_of_a_server_is_told_from_a_lost_link(world):
+    world.add_relay()
+    world.cut = "refuse"
+    assert not world.connections.refuses_connections(world.backend)
+    world.server.stop_listening()
+    assert world.connections.refuses_connections(world.backend)
+
+
+def test_refusal_counts_as_the_end_of_a_server_for_a_vm_without_peers(world):
+    world.server.stop_listening()
+    assert world.connections.refuses_connections(world.backend)
+
+
+def test_loss_of_all_links_without_a_relay_is_no_news_of_the_servers(world):
+    world.relays.append(RelayVm("vm2", (draw_host(), 8000), "d", open=False))
+    world.cut = "refuse"
+    world.losses.record_failed(make_backend("b2"))
+    with pytest.raises(LinksLost):
+        world.connections.acquire(world.backend, 1.0, "id1")
+
+
+def test_server_that_no_vm_reaches_is_unreachable(world):
+    world.add_relay()
+    world.server.stop_listening()
+    with pytest.raises(BackendUnreachable) as caught:
+        world.connections.acquire(world.backend, 1.0, "id1")
+    assert type(caught.value) is BackendUnreachable
+
+
+@pytest.mark.parametrize("reason", ["stranger", "leaving", "full", "unknown target"])
+def test_relay_connects_only_for_peers_to_known_servers_while_it_has_room(world, reason):
+    relay = world.add_relay(max_tunnels=0 if reason == "full" else 8)
+    world.is_peer = reason != "stranger"
+    world.relay_open = reason != "leaving"
+    target = (draw_host(), 9) if reason == "unknown target" else world.backend.address
+    with pytest.raises(PathUnavailable):
+        open_tunnel(world.relays[0].address, target, 1.0, SOURCE)
+    assert (relay.opened, world.server.connections) == (0, 0)
+
+
+def test_relay_passes_large_bodies_both_ways_with_a_slow_reader(monkeypatch):
+    body = bytes(range(256)) * 8_192
+    with World(monkeypatch, lambda sock, request: sock.sendall(request)) as world:
+        world.add_relay()
+        sock = open_tunnel(world.relays[0].address, world.backend.address, 1.0, SOURCE)
+        with contextlib.closing(sock):
+            sock.settimeout(5.0)
+            sent = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+            sending = gevent.spawn(sock.sendall, sent)
+            received = bytearray()
+            while len(received) < len(sent):
+                received += sock.recv(20_000)
+                gevent.sleep(0.001)
+            sending.get()
+        assert bytes(received) == sent
+
+
+@pytest.mark.parametrize("leave", [socket.socket.close, reset])
+def test_server_learns_soon_that_the_caller_has_left(monkeypatch, leave):
+    with World(monkeypatch, hang) as world:
+        relay = world.add_relay()
+        sock = open_tunnel(world.relays[0].address, world.backend.address, 1.0, SOURCE)
+        sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+        expect_soon(lambda: world.server.requests)
+        leave(sock)
+        expect_soon(lambda: world.server.closed == 1, timeout_s=0.4)
+        expect_soon(lambda: relay.open == 0)
+
+
+def test_end_through_a_relay_is_confirmed_only_once_the_server_has_it(monkeypatch):
+    with World(monkeypatch, hang) as world:
+        world.add_relay()
+        address = world.relays[0].address
+        sock = open_tunnel(address, world.backend.address, 1.0, SOURCE)
+        assert await_end(sock, 1.0)
+        monkeypatch.setattr("balsamtally.paths.relays.end_sending", lambda sock, timeout_s: False)
+        sock = open_tunnel(address, world.backend.address, 1.0, SOURCE)
+        assert not await_end(sock, 1.0)
+
+
+@pytest.mark.parametrize("resets", [False, True])
+def test_end_of_the_server_s_side_arrives_as_it_was(monkeypatch, resets):
+    def end(sock, request):
+        if resets:
+            reset(sock)
+        return False
+
+    with World(monkeypatch, end) as world:
+        world.add_relay()
+        sock = open_tunnel(world.relays[0].address, world.backend.address, 1.0, SOURCE)
+        sock.settimeout(2.0)
+        sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+        if resets:
+            with pytest.raises(ConnectionResetError):
+                sock.recv(1)
+        else:
+            assert sock.recv(1) == b""
+
+
+def test_idle_connections_through_a_leaving_vm_are_closed(world):
+    relay = world.add_relay()
+    world.cut = "hang"
+    world.connections.prepare(world.backend, 1.0, "id1")
+    assert relay.open == 1
+    world.connections.close_idle_through("vm2")
+    expect_soon(lambda: relay.open == 0)
