Check all links in use once several are lost, and report nothing over a lost link

Change: two links lost within 2 s make the others in use suspect; they are checked at once without a caller's request. An attempt that fails on a direct connection whose link hangs isn't reported as the server's fault.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -581,6 +581,14 @@
         for connection in self._idle.pop(incarnation, ()):
             connection.close()
 
+    def is_own_loss(self, backend: Backend, relay: str) -> bool:
+        """Return whether a failure on a connection is put down to the link of this VM.
+
+        :param backend: the backend server
+        :param relay: name of the entry VM that the connection led through, empty if it was direct
+        """
+        return not relay and self._dialer.losses.hangs(backend)
+
     def close_idle_through(self, relay: str) -> None:
         """Close the idle connections that lead through an entry VM which is leaving.
 
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -367,7 +367,13 @@
                 raise
             except BalsamtallyError as error:
                 failure = drop_traces(error)
-        self._hooks.record_outcome(choice.backend, plan, failure, time.monotonic() - begun_s)
+        # Nothing is told of a server to which this VM has lost its own link.
+        was_sent = bool(progress.exchange)
+        if not (
+            failure and was_sent and self._connections.is_own_loss(choice.backend, progress.relay)
+        ):
+            took_s = time.monotonic() - begun_s
+            self._hooks.record_outcome(choice.backend, plan, failure, took_s)
         return failure
 
     def _exchange(
--- a/balsamtally/paths/dialer.py
+++ b/balsamtally/paths/dialer.py
@@ -32,6 +32,8 @@
 # Time for which a relay that failed isn't asked for a connection to the same server.
 AVOID_S = 1.0
 MAX_AVOIDED = 4_096
+# Longest time to check a suspected link.
+CHECK_TIMEOUT_S = 0.6
 # Interval of the probes of lost links, and how many of them run at a time.
 PROBE_INTERVAL_S = 0.5
 MAX_PROBES = 16
@@ -153,7 +155,7 @@
         self.tunnels = 0
 
     def __enter__(self) -> "Dialer":
-        self._probing = spawn_repeating("probe lost links", self._probe_lost)
+        self._probing = spawn_repeating("probe links", self._probe_links)
         return self
 
     def __exit__(self, *exc_info) -> None:
@@ -268,13 +270,22 @@
         while len(self._avoided_s) > MAX_AVOIDED:
             del self._avoided_s[next(iter(self._avoided_s))]
 
-    def _probe_lost(self) -> None:
-        """Try some of the lost links directly."""
+    def _probe_links(self) -> None:
+        """Check the suspected links, then try some of the lost ones directly."""
         gevent.sleep(PROBE_INTERVAL_S)
+        while suspects := self.losses.take_suspects(MAX_PROBES):
+            gevent.joinall([gevent.spawn(self._check, backend) for backend in suspects])
         lost = self.losses.list_lost()
         chosen = random.sample(lost, min(len(lost), MAX_PROBES))
         gevent.joinall([gevent.spawn(self._probe, backend) for backend in chosen])
 
+    def _check(self, backend: Backend) -> None:
+        """Find out whether the link to a backend server is lost, without a caller's request."""
+        try:
+            close(self.open(backend, CHECK_TIMEOUT_S).sock)
+        except (OSError, LinksLost) as error:
+            log.info("link_not_checked", backend=backend.name, why=str(error))
+
     def _probe(self, backend: Backend) -> None:
         try:
             close(connect(backend.address, HEAD_START_S))
--- a/balsamtally/paths/losses.py
+++ b/balsamtally/paths/losses.py
@@ -17,6 +17,9 @@
 PROBES_TO_RETURN = 2
 # Time for which the outcome of a direct attempt tells about the network of this VM.
 RECENT_S = 2.0
+# Links that must be lost at about the same time before the others are suspected: a single one may
+# be a lost packet.
+MIN_LOST = 2
 # Servers that must be out of reach, with none in reach, before this VM counts as cut off: one by
 # itself may have ended.
 MIN_UNREACHABLE = 2
@@ -51,6 +54,7 @@
     def __init__(self, clock: Callable[[], float] = time.monotonic):
         self._clock = clock
         self._links: dict[tuple[str, int], Link] = {}
+        self._suspects: set[tuple[str, int]] = set()
 
     def _find(self, backend: Backend) -> Link:
         return self._links.setdefault(backend.key, Link(backend))
@@ -114,6 +118,22 @@
             return
         link.lost_s, link.hangs, link.probes = self._clock(), hangs, 0
         log.warning("link_lost", backend=backend.name, relay=relay, hangs=hangs)
+        self._suspect_others()
+
+    def _suspect_others(self) -> None:
+        """Suspect the links that aren't lost, if several others were lost recently."""
+        since_s = self._clock() - RECENT_S
+        lost = sum(link.lost_s >= since_s for link in self._links.values() if link.lost_s)
+        if lost >= MIN_LOST:
+            self._suspects |= {key for key, link in self._links.items() if not link.lost_s}
+
+    def take_suspects(self, most: int) -> list[Backend]:
+        """Return backend servers whose link may be lost as well, and forget the suspicion.
+
+        :param most: most servers to return
+        """
+        taken = [self._suspects.pop() for _ in range(min(most, len(self._suspects)))]
+        return [self._links[key].backend for key in taken if key in self._links]
 
     def is_cut_off(self) -> bool:
         """Return whether this VM recently reached none of the servers that it tried directly."""
--- a/tests/balsamtally/paths/test_losses.py
+++ b/tests/balsamtally/paths/test_losses.py
@@ -63,3 +63,16 @@
     losses.record_lost(ONE, "vm2", hangs=True)
     losses.keep_only({TWO.key})
     assert not losses.list_lost()
+
+
+def test_several_losses_at_a_time_make_the_other_links_suspect(losses, clock):
+    three = make_backend("b3")
+    losses.record_connected(three)
+    losses.record_lost(ONE, "vm2", hangs=True)
+    assert losses.take_suspects(8) == []
+    clock.now_s += RECENT_S + 0.1
+    losses.record_lost(TWO, "vm2", hangs=True)
+    assert losses.take_suspects(8) == []
+    losses.record_lost(make_backend("b4"), "vm2", hangs=True)
+    assert losses.take_suspects(8) == [three]
+    assert losses.take_suspects(8) == []
