Refuse calls at once while all entry VMs are cut off from the backend servers

Change: while this VM is cut off and its peers relay nothing, a call fails at once; probes, not calls, find out when a link is back. Answers over kept connections count as a sign that a VM isn't cut off. A unit test measures both.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -568,7 +568,10 @@
         :param connection: the connection
         """
         idle = self._idle.get(backend.key)
-        if idle is None or len(idle) >= MAX_IDLE_CONNECTIONS or not connection.reset(self._clock()):
+        reusable = connection.reset(self._clock())
+        if reusable and not connection.relay:
+            self._dialer.losses.record_used(backend)
+        if idle is None or len(idle) >= MAX_IDLE_CONNECTIONS or not reusable:
             self._discard(backend, connection)
         else:
             idle.append(connection)
--- a/balsamtally/paths/dialer.py
+++ b/balsamtally/paths/dialer.py
@@ -171,6 +171,8 @@
         :raises LinksLost: if this VM is cut off, and no VM relays for it
         """
         until_s = self._clock() + timeout_s
+        if self.losses.is_cut_off() and self._has_only_closed_relays():
+            raise LinksLost
         with Race() as race:
             if not self.losses.is_lost(backend):
                 race.start("", lambda: connect(backend.address, timeout_s))
@@ -181,6 +183,10 @@
                 self._ask_relays(race, backend, until_s)
             return self._conclude(race, backend)
 
+    def _has_only_closed_relays(self) -> bool:
+        relays = self._list_relays()
+        return bool(relays) and not any(relay.open for relay in relays)
+
     def _ask_relays(self, race: Race, backend: Backend, until_s: float) -> None:
         """Ask one relay after the other until an attempt succeeds, or all have failed."""
         relays = self._rank_relays(backend)
@@ -271,12 +277,12 @@
             del self._avoided_s[next(iter(self._avoided_s))]
 
     def _probe_links(self) -> None:
-        """Check the suspected links, then try some of the lost ones directly."""
+        """Check the suspected links, then try some of the lost or failing ones directly."""
         gevent.sleep(PROBE_INTERVAL_S)
         while suspects := self.losses.take_suspects(MAX_PROBES):
             gevent.joinall([gevent.spawn(self._check, backend) for backend in suspects])
-        lost = self.losses.list_lost()
-        chosen = random.sample(lost, min(len(lost), MAX_PROBES))
+        failing = self.losses.list_failing()
+        chosen = random.sample(failing, min(len(failing), MAX_PROBES))
         gevent.joinall([gevent.spawn(self._probe, backend) for backend in chosen])
 
     def _check(self, backend: Backend) -> None:
--- a/balsamtally/paths/losses.py
+++ b/balsamtally/paths/losses.py
@@ -30,7 +30,7 @@
     """What is known of the direct way to one backend server.
 
     :ivar backend: the backend server
-    :ivar connected_s: monotonic clock at the last direct connection, in seconds
+    :ivar connected_s: monotonic clock at the last direct connection or answer over one, in seconds
     :ivar failed_s: monotonic clock at the last direct attempt that failed, in seconds
     :ivar lost_s: monotonic clock since which the link is lost, in seconds, 0 if it isn't
     :ivar hangs: whether a direct attempt over the lost link got no answer, rather than a refusal
@@ -96,6 +96,16 @@
             log.info("link_back", backend=backend.name, lost_s=round(lasted_s, 2))
             link.lost_s = 0.0
 
+    def record_used(self, backend: Backend) -> None:
+        """Record that an answer came over a kept direct connection.
+
+        :param backend: the backend server
+        """
+        link = self._find(backend)
+        # Kept connections may live on while a lost link refuses new ones.
+        if not link.lost_s:
+            link.connected_s = self._clock()
+
     def record_failed(self, backend: Backend) -> None:
         """Record that a direct attempt failed.
 
@@ -127,6 +137,18 @@
         if lost >= MIN_LOST:
             self._suspects |= {key for key, link in self._links.items() if not link.lost_s}
 
+    def list_failing(self) -> list[Backend]:
+        """Return the backend servers that a direct attempt should be made to from time to time.
+
+        While this VM is cut off, these are all whose last attempt failed: no call tries them.
+        """
+        cut_off = self.is_cut_off()
+        return [
+            link.backend
+            for link in self._links.values()
+            if link.lost_s or (cut_off and link.failed_s > link.connected_s)
+        ]
+
     def take_suspects(self, most: int) -> list[Backend]:
         """Return backend servers whose link may be lost as well, and forget the suspicion.
 
--- a/tests/balsamtally/paths/test_losses.py
+++ b/tests/balsamtally/paths/test_losses.py
@@ -76,3 +76,12 @@
     losses.record_lost(make_backend("b4"), "vm2", hangs=True)
     assert losses.take_suspects(8) == [three]
     assert losses.take_suspects(8) == []
+
+
+def test_vm_that_is_answered_over_kept_connections_is_not_cut_off(losses, clock):
+    three = make_backend("b3")
+    losses.record_failed(ONE)
+    losses.record_failed(TWO)
+    assert losses.is_cut_off() and losses.list_failing() == [ONE, TWO]
+    losses.record_used(three)
+    assert not losses.is_cut_off() and losses.list_failing() == []
--- a/tests/balsamtally/paths/test_relays.py
+++ b/tests/balsamtally/paths/test_relays.py
@@ -232,3 +232,19 @@
     assert relay.open == 1
     world.connections.close_idle_through("vm2")
     expect_soon(lambda: relay.open == 0)
+
+
+def test_call_is_refused_at_once_while_all_vms_are_cut_off(world):
+    world.relays.append(RelayVm("vm2", (draw_host(), 8000), "d", open=False))
+    world.cut = "hang"
+    for name in ("b2", "b3"):
+        world.losses.record_failed(make_backend(name))
+    begun_s = time.monotonic()
+    with pytest.raises(LinksLost):
+        world.connections.acquire(world.backend, 1.0, "id1")
+    assert time.monotonic() - begun_s < HEAD_START_S / 2
+    world.cut = None
+    with world.dialer:
+        world.losses.record_failed(world.backend)
+        expect_soon(lambda: not world.losses.is_cut_off())
+    assert world.ask() == (b"answer", "")
