--- a/balsamtally/stalls.py
+++ b/balsamtally/stalls.py
@@ -235,10 +235,17 @@
     """What the backend servers sent to this entry VM, and the verdicts on them.
 
     :param clock: monotonic clock in seconds
+    :param is_lost: returns whether this VM has lost its link to an incarnation, whose silence then
+        says nothing
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic):
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        is_lost: Callable[[tuple[str, int]], bool] = lambda key: False,
+    ):
         self._clock = clock
+        self._is_lost = is_lost
         self._runners: dict[tuple[str, int], RunnerActivity] = {}
         self._decided_s = clock()
 
@@ -276,7 +283,9 @@
         return {
             key: activity
             for key, activity in self._runners.items()
-            if activity.is_silent(now_s) and activity.verdict_s <= activity.heard_s
+            if activity.is_silent(now_s)
+            and activity.verdict_s <= activity.heard_s
+            and not self._is_lost(key)
         }
 
     def _is_network_up(self, silent: int, now_s: float) -> bool:
@@ -322,7 +331,8 @@
         return tuple(
             self._make_silence(key, activity, now)
             for key, activity in self._runners.items()
-            if activity.is_silent(now) or now - activity.verdict_s < NOTICE_TTL_S
+            if (activity.is_silent(now) or now - activity.verdict_s < NOTICE_TTL_S)
+            and not self._is_lost(key)
         )[:MAX_SILENCES]
 
     def handle_notice(self, notice: SilenceNotice) -> tuple[Silence, ...]:
--- a/tests/balsamtally/test_stalls.py
+++ b/tests/balsamtally/test_stalls.py
@@ -284,3 +284,14 @@
     found = {verdict.key[0] for _, verdict in world.verdicts}
     assert found <= {f"r{runner}" for runner in dark_from_s}
     assert found
+
+
+def test_silence_over_a_lost_link_is_no_verdict_on_its_runner():
+    world = StreamWorld()
+    world.vms[0] = Stalls(lambda: world.now, is_lost=lambda key: key == world.runners[0].key)
+    with world.stack:
+        for _ in range(2):
+            world.open(0)
+        relayed = [world.open(1), world.open(2)]
+        world.run(5.0, *relayed)
+        assert world.verdicts == [] and world.vms[0].make_silences() == ()
