Tell the end of a relay, and a relay's own lost links, from news of a server

Change: a relay that is killed resets; an answer that ends with its connection counts only if the same process of the relay still connects; a relay tells about a server only if other servers accept from it at that moment; relays are asked across failure domains; a relay waits for a paused reader as long as the VM does. Each has a test that failed before.

--- a/balsamtally/backends.py
+++ b/balsamtally/backends.py
@@ -18,6 +18,7 @@
     AnswerCut,
     AnswerTooLarge,
     BackendUnreachable,
+    BalsamtallyError,
     ConnectionUnusable,
     LinksLost,
     NoAnswer,
@@ -87,7 +88,9 @@
     :param sock: the connected socket
     :param number: number of the connection among those of its pool
     :param relay: name of the entry VM that the connection leads through, empty if it is direct
+    :param incarnation: identity of that VM's process
     :ivar relay: name of that VM
+    :ivar incarnation: identity of its process
     :ivar request_ids: ids of the requests for which the pool handed out the connection
     :ivar idle_since_s: monotonic clock when the last exchange ended, in seconds
     :ivar idle_limit_s: longest idle time after which the connection is reused, in seconds
@@ -101,9 +104,12 @@
         check
     """
 
-    def __init__(self, sock: socket.socket, number: int = 0, relay: str = ""):
+    def __init__(
+        self, sock: socket.socket, number: int = 0, relay: str = "", incarnation: str = ""
+    ):
         self._sock = sock
         self.relay = relay
+        self.incarnation = incarnation
         self._number = number
         self._requests = 0
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
@@ -465,7 +471,7 @@
         except OSError as error:
             raise BackendUnreachable(f"no connection to {backend.name}: {error}") from error
         self.opened += 1
-        connection = BackendConnection(path.sock, self.opened, path.relay)
+        connection = BackendConnection(path.sock, self.opened, path.relay, path.incarnation)
         connection.idle_since_s = self._clock()
         return connection
 
@@ -529,6 +535,11 @@
         :param backend: the backend server
         :param connection: the connection that ended
         """
+        if connection.relay and not self._dialer.is_same_relay_alive(
+            backend, connection.relay, connection.incarnation
+        ):
+            # The end may be that of the relay.
+            return False
         accepts = self._accepts_connections(backend)
         return bool(accepts) and not connection.has_lost_witness(self._clock())
 
@@ -584,13 +595,16 @@
         for connection in self._idle.pop(incarnation, ()):
             connection.close()
 
-    def is_own_loss(self, backend: Backend, relay: str) -> bool:
-        """Return whether a failure on a connection is put down to the link of this VM.
+    def is_own_loss(self, backend: Backend, relay: str, failure: BalsamtallyError) -> bool:
+        """Return whether a failure on a connection may be put down to the way to the server.
 
         :param backend: the backend server
         :param relay: name of the entry VM that the connection led through, empty if it was direct
+        :param failure: the failure
         """
-        return not relay and self._dialer.losses.hangs(backend)
+        broke = isinstance(failure, (AnswerCut, ConnectionUnusable))
+        losses = self._dialer.losses
+        return broke if relay else losses.hangs(backend) or (broke and losses.is_lost(backend))
 
     def close_idle_through(self, relay: str) -> None:
         """Close the idle connections that lead through an entry VM which is leaving.
--- a/balsamtally/catalog.py
+++ b/balsamtally/catalog.py
@@ -391,14 +391,6 @@
         """Find the departures for heartbeats, which are sent far more often than these change."""
         self._present_departures = self._departures.list_latest(self.is_known)
 
-    def find_at(self, address: tuple[str, int]) -> Backend | None:
-        """Return the backend server at an address, ``None`` if none is known there.
-
-        :param address: IP number and port
-        """
-        found = (each for each in self.backends.values() if each.address == address)
-        return next(found, None)
-
     def is_known(self, incarnation: Incarnation) -> bool:
         """Return whether an incarnation of a backend server is published.
 
--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -367,15 +367,18 @@
                 raise
             except BalsamtallyError as error:
                 failure = drop_traces(error)
-        # Nothing is told of a server to which this VM has lost its own link.
-        was_sent = bool(progress.exchange)
-        if not (
-            failure and was_sent and self._connections.is_own_loss(choice.backend, progress.relay)
-        ):
+        if failure is None or not self._is_own_loss(progress, choice.backend, failure):
             took_s = time.monotonic() - begun_s
             self._hooks.record_outcome(choice.backend, plan, failure, took_s)
         return failure
 
+    def _is_own_loss(
+        self, progress: CallProgress, backend: Backend, failure: BalsamtallyError
+    ) -> bool:
+        """Return whether an attempt that was sent failed by the way to its backend server."""
+        was_sent = bool(progress.exchange)
+        return was_sent and self._connections.is_own_loss(backend, progress.relay, failure)
+
     def _exchange(
         self, caller: Caller, plan: Plan, progress: CallProgress, backend: Backend, work: Work
     ) -> None:
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -244,7 +244,8 @@
         self._connections = Connections(dialer=self._dialer)
         self._relay = Relay(
             self.settings.relay_address,
-            self.catalog.find_at,
+            own.incarnation,
+            self.catalog.backends.values,
             self.peers.is_known,
             self._relays,
             losses,
@@ -266,7 +267,7 @@
 
     def _connect_stalls(self) -> None:
         """Create the verdicts on silent runners and connect them to the peers of the region."""
-        self._stalls = Stalls()
+        self._stalls = Stalls(is_lost=self._dialer.losses.is_lost_to)
         self._stall_exchange = StallExchange(
             self.settings.vm,
             self._stalls,
--- a/balsamtally/paths/dialer.py
+++ b/balsamtally/paths/dialer.py
@@ -6,6 +6,7 @@
 
 import random
 import time
+from collections import Counter
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 
@@ -26,9 +27,9 @@
 # Time after which a further relay is asked beside one that hasn't answered yet.
 STAGGER_S = 0.1
 # Relays asked for one connection.
-MAX_RELAYS = 3
+MAX_RELAYS = 4
 # Longest time for a relay's answer: its own time-out, and two round trips to another region.
-TUNNEL_TIMEOUT_S = 0.45
+TUNNEL_TIMEOUT_S = 0.55
 # Time for which a relay that failed isn't asked for a connection to the same server.
 AVOID_S = 1.0
 MAX_AVOIDED = 4_096
@@ -61,10 +62,12 @@
 
     :ivar sock: the connected socket
     :ivar relay: name of the entry VM that it leads through, empty if it is direct
+    :ivar incarnation: identity of that VM's process
     """
 
     sock: socket.socket
     relay: str = ""
+    incarnation: str = ""
 
 
 class Race:
@@ -91,24 +94,24 @@
         """Number of attempts that haven't ended."""
         return sum(not task.ready() for task in self._tasks)
 
-    def start(self, relay: str, attempt: Callable[[], socket.socket]) -> None:
+    def start(self, relay: str, attempt: Callable[[], Path]) -> None:
         """Start an attempt.
 
         :param relay: name of the relay, empty for the direct attempt
-        :param attempt: returns the connected socket
+        :param attempt: returns the connection
         """
         self._tasks.append(gevent.spawn(self._run, relay, attempt))
 
-    def _run(self, relay: str, attempt: Callable[[], socket.socket]) -> None:
+    def _run(self, relay: str, attempt: Callable[[], Path]) -> None:
         try:
-            sock = attempt()
+            path = attempt()
         except (OSError, PathUnavailable) as error:
             self.errors[relay] = error
         else:
             if self.winner is None:
-                self.winner = Path(sock, relay)
+                self.winner = path
             else:
-                close(sock)
+                close(path.sock)
         self._changed.set()
 
     def wait(self, timeout_s: float) -> bool:
@@ -152,6 +155,8 @@
         self._source = source
         self._clock = clock
         self._avoided_s: dict[tuple[str, str], float] = {}
+        self._probes = MAX_PROBES
+        self._probed = 0
         self.tunnels = 0
 
     def __enter__(self) -> "Dialer":
@@ -175,7 +180,7 @@
             raise LinksLost
         with Race() as race:
             if not self.losses.is_lost(backend):
-                race.start("", lambda: connect(backend.address, timeout_s))
+                race.start("", lambda: Path(connect(backend.address, timeout_s)))
                 race.wait(min(HEAD_START_S, timeout_s))
                 # A late event loop may find the timer before a connection that has been accepted.
                 gevent.sleep(0)
@@ -195,23 +200,53 @@
             if relay is not None:
                 race.start(relay.vm, self._make_attempt(relay, backend, left_s))
                 race.wait(min(STAGGER_S, left_s))
-            elif not race.running or self._has_no_hope(race):
+            elif not race.running or self._is_settled(race):
                 return
             else:
                 race.wait(left_s)
 
-    def _has_no_hope(self, race: Race) -> bool:
-        """Return whether only a direct attempt runs, which hangs as those to other servers do."""
-        return race.running == 1 and "" not in race.errors and self.losses.is_cut_off()
+    def _is_settled(self, race: Race) -> bool:
+        """Return whether only a direct attempt runs, from which nothing is to be expected.
 
-    def _make_attempt(
-        self, relay: RelayVm, backend: Backend, left_s: float
-    ) -> Callable[[], socket.socket]:
+        Either a relay has told about the server, or attempts to other servers hang as well.
+        """
+        if race.running > 1 or "" in race.errors:
+            return False
+        return bool(list_news(race)) or self.losses.is_cut_off()
+
+    def _make_attempt(self, relay: RelayVm, backend: Backend, left_s: float) -> Callable[[], Path]:
         timeout_s = min(left_s, TUNNEL_TIMEOUT_S)
-        return lambda: open_tunnel(relay.address, backend.address, timeout_s, self._source)
+
+        def attempt() -> Path:
+            opened = open_tunnel(relay.address, backend.address, timeout_s, self._source)
+            return Path(opened[0], relay.vm, opened[1])
+
+        return attempt
+
+    def is_same_relay_alive(self, backend: Backend, relay: str, incarnation: str) -> bool:
+        """Return whether the process that relayed a connection still connects to its server.
+
+        :param backend: the backend server
+        :param relay: name of the relaying entry VM
+        :param incarnation: identity of its process
+        """
+        for known in self._list_relays():
+            if known.vm != relay:
+                continue
+            try:
+                path = self._make_attempt(known, backend, TUNNEL_TIMEOUT_S)()
+            except (OSError, PathUnavailable) as error:
+                log.info("no_relay", backend=backend.name, relay=relay, why=str(error))
+                return False
+            close(path.sock)
+            return path.incarnation == incarnation
+        return False
 
     def _rank_relays(self, backend: Backend) -> Iterator[RelayVm]:
-        """Yield relays, those first that cause no further traffic between domains and regions."""
+        """Yield relays, those first that cause no further traffic between domains and regions.
+
+        One after the other is of another domain, as VMs of a domain may lose their links together.
+        """
         now = self._clock()
         usable = [
             relay
@@ -219,9 +254,13 @@
             if relay.open and now >= self._avoided_s.get((relay.vm, backend.name), 0.0)
         ]
         random.shuffle(usable)
-        yield from sorted(usable, key=lambda relay: self._measure_detour(relay, backend))[
-            :MAX_RELAYS
-        ]
+        usable.sort(key=lambda relay: self._measure_detour(relay, backend))
+        before: Counter[str] = Counter()
+        turns = []
+        for relay in usable:
+            turns.append((before[relay.domain], len(turns), relay))
+            before[relay.domain] += 1
+        yield from [relay for _, _, relay in sorted(turns)[:MAX_RELAYS]]
 
     def _measure_detour(self, relay: RelayVm, backend: Backend) -> int:
         if relay.domain in (self._domain, backend.domain):
@@ -236,13 +275,13 @@
         :raises LinksLost: if this VM is cut off, and no VM could be asked
         """
         self._avoid_failed(race, backend)
-        direct = race.errors.pop("", None)
+        direct = race.errors.get("")
         if race.winner is not None:
             self._record_winner(race.winner, backend, direct)
             return race.winner
         if not self.losses.is_lost(backend):
-            self.losses.record_failed(backend)
-        told = [error for error in race.errors.values() if isinstance(error, OSError)]
+            self.losses.record_failed(backend, not isinstance(direct, ConnectionRefusedError))
+        told = list_news(race)
         if not told and self._is_own_loss(backend, direct):
             raise LinksLost
         raise _find_news(direct, told) or TimeoutError("timed out")
@@ -282,7 +321,10 @@
         while suspects := self.losses.take_suspects(MAX_PROBES):
             gevent.joinall([gevent.spawn(self._check, backend) for backend in suspects])
         failing = self.losses.list_failing()
-        chosen = random.sample(failing, min(len(failing), MAX_PROBES))
+        # More links are tried while some come back.
+        self._probes = 2 * self._probes if self._probed else MAX_PROBES
+        self._probed = 0
+        chosen = random.sample(failing, min(len(failing), self._probes))
         gevent.joinall([gevent.spawn(self._probe, backend) for backend in chosen])
 
     def _check(self, backend: Backend) -> None:
@@ -295,10 +337,19 @@
     def _probe(self, backend: Backend) -> None:
         try:
             close(connect(backend.address, HEAD_START_S))
-        except OSError:
-            self.losses.record_failed(backend)
+        except OSError as error:
+            self.losses.record_failed(backend, not isinstance(error, ConnectionRefusedError))
         else:
             self.losses.record_connected(backend)
+            self._probed += 1
+
+
+def list_news(race: Race) -> list[Exception]:
+    """Return what relays told of a server that they can't reach, either.
+
+    :param race: the attempts
+    """
+    return [error for relay, error in race.errors.items() if relay and isinstance(error, OSError)]
 
 
 def _find_news(direct: Exception | None, told: list[Exception]) -> Exception | None:
--- a/balsamtally/paths/losses.py
+++ b/balsamtally/paths/losses.py
@@ -44,6 +44,13 @@
     hangs: bool = False
     probes: int = 0
 
+    def is_used_since(self, since_s: float) -> bool:
+        """Return whether the link was of use since a time, and hasn't failed after that.
+
+        :param since_s: monotonic clock in seconds
+        """
+        return self.connected_s > self.failed_s and self.connected_s >= since_s
+
 
 class Losses:
     """The links of this entry VM that are lost.
@@ -55,6 +62,7 @@
         self._clock = clock
         self._links: dict[tuple[str, int], Link] = {}
         self._suspects: set[tuple[str, int]] = set()
+        self._last_used: Link | None = None
 
     def _find(self, backend: Backend) -> Link:
         return self._links.setdefault(backend.key, Link(backend))
@@ -64,7 +72,14 @@
 
         :param backend: the backend server
         """
-        link = self._links.get(backend.key)
+        return self.is_lost_to(backend.key)
+
+    def is_lost_to(self, key: tuple[str, int]) -> bool:
+        """Return whether the direct link to an incarnation of a backend server is lost.
+
+        :param key: identity of the incarnation
+        """
+        link = self._links.get(key)
         return link is not None and bool(link.lost_s)
 
     def hangs(self, backend: Backend) -> bool:
@@ -86,7 +101,7 @@
 
         :param backend: the backend server
         """
-        link = self._find(backend)
+        link = self._last_used = self._find(backend)
         link.connected_s = self._clock()
         if not link.lost_s:
             return
@@ -105,14 +120,17 @@
         # Kept connections may live on while a lost link refuses new ones.
         if not link.lost_s:
             link.connected_s = self._clock()
+            self._last_used = link
 
-    def record_failed(self, backend: Backend) -> None:
+    def record_failed(self, backend: Backend, hangs: bool = True) -> None:
         """Record that a direct attempt failed.
 
         :param backend: the backend server
+        :param hangs: whether it got no answer, rather than a refusal
         """
         link = self._find(backend)
         link.failed_s = self._clock()
+        link.hangs = hangs
         link.probes = 0
 
     def record_lost(self, backend: Backend, relay: str, hangs: bool) -> None:
@@ -160,13 +178,13 @@
     def is_cut_off(self) -> bool:
         """Return whether this VM recently reached none of the servers that it tried directly."""
         since_s = self._clock() - RECENT_S
+        if self._last_used is not None and self._last_used.is_used_since(since_s):
+            return False
         unreachable = 0
         for link in self._links.values():
-            if max(link.connected_s, link.failed_s) < since_s and not link.lost_s:
-                continue
-            if link.connected_s > link.failed_s:
+            if link.is_used_since(since_s):
                 return False
-            unreachable += 1
+            unreachable += link.failed_s >= since_s or bool(link.lost_s)
         return unreachable >= MIN_UNREACHABLE
 
     def keep_only(self, keys: Collection[tuple[str, int]]) -> None:
--- a/balsamtally/paths/relays.py
+++ b/balsamtally/paths/relays.py
@@ -3,8 +3,9 @@
 The bytes aren't read. Each side's end is passed on: an orderly one in order, a reset as a reset.
 """
 
+import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import gevent
 import h11
@@ -14,7 +15,7 @@
 from balsamtally.calls import Backend
 from balsamtally.logs import log
 from balsamtally.paths.losses import Losses
-from balsamtally.paths.tunnels import MAX_HEAD_BYTES, REFUSED_STATUS, SILENT_STATUS
+from balsamtally.paths.tunnels import INCARNATION, MAX_HEAD_BYTES, REFUSED_STATUS, SILENT_STATUS
 from balsamtally.sockets import (
     bound_buffers,
     close,
@@ -33,7 +34,12 @@
 HEAD_TIMEOUT_S = 1.0
 # A backend server accepts within a round trip, 0.06 s to another region; the VM that asks has other
 # relays to try.
-CONNECT_TIMEOUT_S = 0.3
+CONNECT_TIMEOUT_S = 0.25
+# Other servers that are tried to tell a lost server from a lost link of this VM, and for how long.
+MAX_CONTROLS = 2
+CONTROL_TIMEOUT_S = 0.15
+# A VM stops reading while its caller takes nothing, for 6 s at most.
+PEER_USER_TIMEOUT_MS = 8_000
 # Longest wait until a backend server's host confirms the end of a connection.
 END_TIMEOUT_S = 0.25
 # Time for which the other VM may still send after the backend server has ended the connection.
@@ -55,7 +61,8 @@
     """Passes connections of other entry VMs on to backend servers; a context manager.
 
     :param address: IP number and port to listen at
-    :param find_target: returns the backend server at an address, ``None`` if none is known there
+    :param incarnation: identity of this process
+    :param list_backends: returns the backend servers
     :param is_peer: returns whether an IP number is that of an entry VM whose beats are heard
     :param is_open: returns whether further connections are passed on
     :param losses: the direct links of this VM
@@ -68,14 +75,16 @@
     def __init__(
         self,
         address: tuple[str, int],
-        find_target: Callable[[tuple[str, int]], Backend | None],
+        incarnation: str,
+        list_backends: Callable[[], Iterable[Backend]],
         is_peer: Callable[[str], bool],
         is_open: Callable[[], bool],
         losses: Losses,
         max_tunnels: int = DEFAULT_TUNNELS,
     ):
         self._address = address
-        self._find_target = find_target
+        self._incarnation = incarnation
+        self._list_backends = list_backends
         self._is_peer = is_peer
         self._is_open = is_open
         self._losses = losses
@@ -107,11 +116,15 @@
 
     def _serve(self, sock: socket.socket, ip: str) -> None:
         try:
-            set_up(sock)
+            set_up(sock, PEER_USER_TIMEOUT_MS)
             bound_buffers(sock)
             self._serve_peer(sock, ip)
         except OSError as error:
             log.info("relay_failed", peer=ip, why=str(error))
+        except gevent.GreenletExit:
+            # An orderly end would pass for the end of an answer.
+            reset(sock)
+            raise
         finally:
             close(sock)
 
@@ -124,17 +137,18 @@
             log.warning("relay_request_malformed", peer=ip)
             answer(sock, 400)
             return
-        backend = self._find_target(target)
+        backend = next((each for each in self._list_backends() if each.address == target), None)
         if backend is None:
             answer(sock, 403)
-        elif self._losses.is_lost(backend):
-            answer(sock, SILENT_STATUS)
-        elif not self._is_open() or self.open >= self._max_tunnels:
+        elif self._losses.is_lost(backend) or not self._has_room():
             self.refused += 1
             answer(sock, 503)
         else:
             self._pass_on(sock, ip, backend)
 
+    def _has_room(self) -> bool:
+        return self._is_open() and self.open < self._max_tunnels
+
     def _pass_on(self, sock: socket.socket, ip: str, backend: Backend) -> None:
         self.open += 1
         try:
@@ -144,7 +158,7 @@
             self.opened += 1
             log.info("relaying", peer=ip, backend=backend.name, open=self.open)
             try:
-                answer(sock, 200)
+                answer(sock, 200, self._incarnation)
                 exchange(sock, server)
             finally:
                 close(server)
@@ -156,15 +170,39 @@
         try:
             server = connect(backend.address, CONNECT_TIMEOUT_S)
         except OSError as error:
-            self._losses.record_failed(backend)
             refused = isinstance(error, ConnectionRefusedError)
-            answer(sock, REFUSED_STATUS if refused else SILENT_STATUS)
+            self._losses.record_failed(backend, not refused)
+            status = REFUSED_STATUS if refused else SILENT_STATUS
+            answer(sock, status if self._reaches_others(backend) else 503)
             return None
         self._losses.record_connected(backend)
         server.settimeout(None)
         bound_buffers(server)
         return server
 
+    def _reaches_others(self, backend: Backend) -> bool:
+        """Return whether other servers accept connections, those of the same domain first.
+
+        Where no other server is known, nothing tells a lost link from a lost server.
+        """
+        others = [each for each in self._list_backends() if each.address != backend.address]
+        if not others:
+            return True
+        random.shuffle(others)
+        others.sort(key=lambda each: each.domain != backend.domain)
+        controls = [gevent.spawn(self._try, each) for each in others[:MAX_CONTROLS]]
+        gevent.joinall(controls)
+        return any(control.value for control in controls)
+
+    def _try(self, backend: Backend) -> bool:
+        try:
+            close(connect(backend.address, CONTROL_TIMEOUT_S))
+        except OSError as error:
+            self._losses.record_failed(backend, not isinstance(error, ConnectionRefusedError))
+            return False
+        self._losses.record_connected(backend)
+        return True
+
 
 def read_target(sock: socket.socket) -> tuple[str, int] | None:
     """Return the address that another VM asks for, ``None`` if its request isn't valid.
@@ -182,22 +220,23 @@
         return None
     finally:
         sock.settimeout(None)
-    if type(event) is not h11.Request or event.method != b"CONNECT":
+    if type(event) is not h11.Request or event.method != b"CONNECT" or http.trailing_data[0]:
         return None
     host, _, port = event.target.decode("latin-1").rpartition(":")
     return (host, int(port)) if port.isascii() and port.isdigit() else None
 
 
-def answer(sock: socket.socket, status: int) -> None:
+def answer(sock: socket.socket, status: int, incarnation: str = "") -> None:
     """Send the head of an answer without a body.
 
     :param sock: the connection of the other VM
     :param status: HTTP status
+    :param incarnation: identity of this process, for a connection that is opened
     :raises OSError: if the connection breaks
     """
     # An answer to CONNECT with status 200 has no length: the connection follows it.
-    length = "" if status == 200 else "Content-Length: 0\r\n"
-    sock.sendall(f"HTTP/1.1 {status} \r\n{length}\r\n".encode())
+    header = f"{INCARNATION.decode()}: {incarnation}" if status == 200 else "Content-Length: 0"
+    sock.sendall(f"HTTP/1.1 {status} \r\n{header}\r\n\r\n".encode())
 
 
 def exchange(peer: socket.socket, server: socket.socket) -> None:
@@ -213,6 +252,8 @@
         if downstream.ready():
             _end_for_peer(peer, downstream.value, upstream)
         else:
+            # Its read could take the error by which the kernel tells of a lost connection.
+            downstream.kill()
             _end_for_server(peer, server, upstream.value)
     finally:
         gevent.killall([downstream, upstream])
--- a/balsamtally/paths/tunnels.py
+++ b/balsamtally/paths/tunnels.py
@@ -12,22 +12,25 @@
 from balsamtally.sockets import connect
 
 READ_BYTES = 4_096
+# Header with the identity of the relay's process.
+INCARNATION = b"relay-incarnation"
 MAX_HEAD_BYTES = 4_096
-# Statuses with which a relay says that the backend server is out of its reach, too: no process
-# listens there, or its host doesn't answer.
+# Statuses with which a relay whose other links work says that a backend server is out of its reach,
+# too: no process listens there, or its host doesn't answer. Other failures are no news of a server.
 REFUSED_STATUS = 502
 SILENT_STATUS = 504
 
 
 def open_tunnel(
     relay: tuple[str, int], target: tuple[str, int], timeout_s: float, source: str
-) -> socket.socket:
+) -> tuple[socket.socket, str]:
     """Return a connection to a backend server that leads through another entry VM.
 
     :param relay: IP number and relay port of the other VM
     :param target: IP number and port of the backend server
     :param timeout_s: longest time to open the connection, in seconds
     :param source: IP number of this VM, by which the relay knows it
+    :return: the connected socket, and the identity of the relay's process
     :raises ConnectionRefusedError: if no process listens at the backend server's address
     :raises TimeoutError: if the backend server doesn't answer the relay
     :raises PathUnavailable: if the relay can't be asked, or doesn't relay
@@ -38,7 +41,7 @@
     except OSError as error:
         raise PathUnavailable(f"the relay can't be reached: {error}") from error
     try:
-        status = _ask(sock, target, until_s)
+        status, incarnation = _ask(sock, target, until_s)
         if status == REFUSED_STATUS:
             raise ConnectionRefusedError("refused at the relay, too")
         if status == SILENT_STATUS:
@@ -48,11 +51,11 @@
     except BaseException:
         sock.close()
         raise
-    return sock
+    return sock, incarnation
 
 
-def _ask(sock: socket.socket, target: tuple[str, int], until_s: float) -> int:
-    """Ask a relay for a connection; return the status of its answer.
+def _ask(sock: socket.socket, target: tuple[str, int], until_s: float) -> tuple[int, str]:
+    """Ask a relay for a connection; return the status of its answer and its process's identity.
 
     :raises PathUnavailable: if the relay doesn't answer in time, or not in the protocol
     """
@@ -70,4 +73,7 @@
         raise PathUnavailable(f"the relay's answer is malformed: {error}") from error
     if type(event) is not h11.Response:
         raise PathUnavailable("the relay closed the connection")
-    return event.status_code
+    if http.trailing_data[0]:
+        # A backend server that sends something before a request isn't one of ours.
+        raise PathUnavailable("bytes came with the relay's answer")
+    return event.status_code, dict(event.headers).get(INCARNATION, b"").decode("latin-1")
--- a/balsamtally/sockets.py
+++ b/balsamtally/sockets.py
@@ -30,6 +30,8 @@
 # CLOSE, which the kernel tells after both sides have ended; a time-out or reset sets an error too.
 _CONFIRMED_STATES = (5, 6, 7)
 DISCARDED_BYTES = 65_536
+# The socket module of Python 3.11 has no name for this option of Linux.
+IP_BIND_ADDRESS_NO_PORT = 24
 READABLE = select.POLLIN | select.POLLHUP | select.POLLERR
 WRITABLE = select.POLLOUT | select.POLLERR
 # The poll that doesn't switch to other greenlets.
@@ -37,17 +39,19 @@
 _NO_LINGER = struct.pack("ii", 1, 0)
 
 
-def set_up(sock: socket.socket) -> None:
+def set_up(sock: socket.socket, user_timeout_ms: int = USER_TIMEOUT_MS) -> None:
     """Disable Nagle's algorithm and detect a lost peer within seconds.
 
     :param sock: a TCP socket
+    :param user_timeout_ms: time without an acknowledgement, or without room at the other side,
+        after which the connection ends, in milliseconds
     """
     sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_NODELAY, 1)
     sock.setsockopt(plain.SOL_SOCKET, plain.SO_KEEPALIVE, 1)
     sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
 def bound_buffers(sock: socket.socket) -> None:
@@ -93,6 +97,9 @@
     sock = socket.socket(plain.AF_INET, plain.SOCK_STREAM)
     try:
         if source:
+            # The port is chosen with the destination, so that many destinations can share one.
+            with contextlib.suppress(OSError):
+                sock.setsockopt(plain.IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1)
             sock.bind((source, 0))
         sock.settimeout(timeout_s)
         sock.connect(address)
--- a/tests/balsamtally/paths/test_relays.py
+++ b/tests/balsamtally/paths/test_relays.py
@@ -2,19 +2,26 @@
 
 import contextlib
 import time
+from dataclasses import replace
 
 import gevent
 import pytest
 from gevent import socket
 
 from balsamtally.backends import Connections
-from balsamtally.errors import BackendUnreachable, LinksLost, PathUnavailable
+from balsamtally.errors import (
+    AnswerCut,
+    BackendRefused,
+    BackendUnreachable,
+    LinksLost,
+    PathUnavailable,
+)
 from balsamtally.paths import dialer as dialers
 from balsamtally.paths.dialer import HEAD_START_S, Dialer, RelayVm
 from balsamtally.paths.losses import Losses
 from balsamtally.paths.relays import Relay
 from balsamtally.paths.tunnels import open_tunnel
-from balsamtally.sockets import await_end, connect, listen, reset
+from balsamtally.sockets import USER_TIMEOUT_MS, await_end, close, connect, listen, reset
 from standins.fleet import draw_host
 from tests.balsamtally.scripted import ScriptedBackend, hang, make_backend, reply
 from tests.polling import expect_soon
@@ -23,6 +30,8 @@
 HEADERS = ((b"Host", b"h"), (b"Content-Length", b"0"))
 # Longest time that a call may lose on its first attempt over a lost link.
 FIRST_S = 0.6
+# Longer than the time-out of a sender whose receiver has no room, as set for other connections.
+PAUSE_S = USER_TIMEOUT_MS / 1000 + 1.5
 
 
 class World:
@@ -36,6 +45,7 @@
         self.relays: list[RelayVm] = []
         self.cut = None
         self.relay_open = True
+        self.controls = []
         self.is_peer = True
         self._stack = contextlib.ExitStack()
         monkeypatch.setattr(dialers, "connect", self._connect)
@@ -63,7 +73,8 @@
         address = address or (draw_host(), 8000)
         relay = Relay(
             address,
-            lambda target: self.backend if target == self.backend.address else None,
+            "incarnation-of-" + vm,
+            lambda: [self.backend, *self.controls],
             lambda ip: self.is_peer,
             lambda: self.relay_open,
             Losses(),
@@ -73,6 +84,10 @@
         self.relays.append(RelayVm(vm, address, "d"))
         return relay
 
+    def stop_relay(self, relay):
+        """End a relay as its process does at the end of its grace period."""
+        relay.__exit__(None, None, None)
+
     def add_silent_relay(self, vm="silent"):
         listener = self._stack.enter_context(contextlib.closing(listen((draw_host(), 0))))
         self.relays.append(RelayVm(vm, listener.getsockname(), "d"))
@@ -170,7 +185,7 @@
     body = bytes(range(256)) * 8_192
     with World(monkeypatch, lambda sock, request: sock.sendall(request)) as world:
         world.add_relay()
-        sock = open_tunnel(world.relays[0].address, world.backend.address, 1.0, SOURCE)
+        sock, _ = open_tunnel(world.relays[0].address, world.backend.address, 1.0, SOURCE)
         with contextlib.closing(sock):
             sock.settimeout(5.0)
             sent = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body) + body
@@ -187,7 +202,7 @@
 def test_server_learns_soon_that_the_caller_has_left(monkeypatch, leave):
     with World(monkeypatch, hang) as world:
         relay = world.add_relay()
-        sock = open_tunnel(world.relays[0].address, world.backend.address, 1.0, SOURCE)
+        sock, _ = open_tunnel(world.relays[0].address, world.backend.address, 1.0, SOURCE)
         sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
         expect_soon(lambda: world.server.requests)
         leave(sock)
@@ -199,10 +214,10 @@
     with World(monkeypatch, hang) as world:
         world.add_relay()
         address = world.relays[0].address
-        sock = open_tunnel(address, world.backend.address, 1.0, SOURCE)
+        sock, _ = open_tunnel(address, world.backend.address, 1.0, SOURCE)
         assert await_end(sock, 1.0)
         monkeypatch.setattr("balsamtally.paths.relays.end_sending", lambda sock, timeout_s: False)
-        sock = open_tunnel(address, world.backend.address, 1.0, SOURCE)
+        sock, _ = open_tunnel(address, world.backend.address, 1.0, SOURCE)
         assert not await_end(sock, 1.0)
 
 
@@ -215,7 +230,7 @@
 
     with World(monkeypatch, end) as world:
         world.add_relay()
-        sock = open_tunnel(world.relays[0].address, world.backend.address, 1.0, SOURCE)
+        sock, _ = open_tunnel(world.relays[0].address, world.backend.address, 1.0, SOURCE)
         sock.settimeout(2.0)
         sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
         if resets:
@@ -248,3 +263,112 @@
         world.losses.record_failed(world.backend)
         expect_soon(lambda: not world.losses.is_cut_off())
     assert world.ask() == (b"answer", "")
+
+
+def send_unframed(pieces):
+    """Return a script that sends an answer without a length and waits before its last piece."""
+
+    def answer(sock, request):
+        sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n" + pieces[0])
+        gevent.sleep(0.3)
+        sock.sendall(pieces[1])
+        return False
+
+    return answer
+
+
+@pytest.mark.parametrize("dies", [False, True])
+def test_end_of_a_relay_does_not_pass_for_the_end_of_an_answer(monkeypatch, dies):
+    with World(monkeypatch, send_unframed([b"first half, ", b"second half"])) as world:
+        relay = world.add_relay()
+        world.add_relay("vm3")
+        world.cut = "hang"
+        monkeypatch.setattr(dialers.random, "shuffle", lambda relays: None)
+        until_s = time.monotonic() + 5.0
+        connection = world.connections.acquire(world.backend, 2.0, "id1")
+        connection.send(b"GET", b"/", HEADERS, b"", until_s)
+        connection.read_head(until_s)
+        if dies:
+            # A process that is killed ends its connections in order.
+            monkeypatch.setattr("balsamtally.paths.relays.reset", close)
+            gevent.spawn_later(0.1, world.stop_relay, relay)
+        body = connection.read_whole(until_s, 1000)
+        is_whole = world.connections.is_still_running(world.backend, connection)
+        assert is_whole is not dies
+        assert body == (b"first half, " if dies else b"first half, second half")
+        connection.close()
+
+
+def test_relay_that_stops_resets_its_connections(monkeypatch):
+    with World(monkeypatch, hang) as world:
+        relay = world.add_relay()
+        sock, _ = open_tunnel(world.relays[0].address, world.backend.address, 1.0, SOURCE)
+        sock.settimeout(2.0)
+        world.stop_relay(relay)
+        with pytest.raises(ConnectionResetError):
+            sock.recv(1)
+
+
+def test_bytes_that_come_before_a_request_are_not_lost_in_a_relay(monkeypatch):
+    with World(monkeypatch) as world:
+        relay = socket.socket()
+        relay.bind((draw_host(), 0))
+        relay.listen(1)
+
+        def greet():
+            sock, _ = relay.accept()
+            sock.recv(1000)
+            sock.sendall(b"HTTP/1.1 200 \r\n\r\nHTTP/1.1 200 OK\r\n")
+            gevent.sleep(1.0)
+
+        gevent.spawn(greet)
+        with pytest.raises(PathUnavailable, match="bytes came"):
+            open_tunnel(relay.getsockname(), world.backend.address, 1.0, SOURCE)
+        relay.close()
+
+
+@pytest.mark.parametrize("known", [False, True])
+def test_relay_without_links_of_its_own_tells_nothing_about_a_server(world, monkeypatch, known):
+    relay = world.add_relay()
+    world.controls = [make_backend("b2", (draw_host(), 9))]
+    world.server.stop_listening()
+    if known:
+        relay._losses.record_lost(world.backend, "vm9", hangs=False)
+    with pytest.raises(PathUnavailable):
+        open_tunnel(world.relays[0].address, world.backend.address, 1.0, SOURCE)
+
+
+def test_relay_of_another_domain_is_asked_while_those_of_one_domain_are_cut_off(world):
+    for number in range(8):
+        relay = world.add_relay(f"near{number}")
+        relay._losses.record_lost(world.backend, "far", hangs=True)
+    world.add_relay("far")
+    world.relays[-1] = replace(world.relays[-1], domain="other")
+    world.dialer._domain = world.relays[0].domain
+    world.cut = "hang"
+    begun_s = time.monotonic()
+    assert world.ask() == (b"answer", "far")
+    assert time.monotonic() - begun_s < FIRST_S
+
+
+def test_reader_that_pauses_is_served_through_a_relay_as_directly(monkeypatch):
+    body = b"x" * 4_000_000
+    with World(monkeypatch, lambda sock, request: sock.sendall(body)) as world:
+        world.add_relay()
+        sock, _ = open_tunnel(world.relays[0].address, world.backend.address, 1.0, SOURCE)
+        with contextlib.closing(sock):
+            sock.settimeout(5.0)
+            sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+            gevent.sleep(PAUSE_S)
+            received = 0
+            while received < len(body):
+                received += len(sock.recv(65_536))
+
+
+def test_failure_on_a_way_that_broke_is_not_the_server_s(world):
+    cut, full = AnswerCut(), BackendRefused()
+    is_own_loss = world.connections.is_own_loss
+    assert not is_own_loss(world.backend, "", cut)
+    assert is_own_loss(world.backend, "vm2", cut) and not is_own_loss(world.backend, "vm2", full)
+    world.losses.record_lost(world.backend, "vm2", hangs=False)
+    assert is_own_loss(world.backend, "", cut) and not is_own_loss(world.backend, "", full)
