Try a lost link directly where no relay is left

Callers were refused for up to a second after a link was back if the relay had gone meanwhile: the link counted as lost until two probes had succeeded. The new test fails without the direct attempt.

--- a/balsamtally/paths/dialer.py
+++ b/balsamtally/paths/dialer.py
@@ -178,16 +178,24 @@
         until_s = self._clock() + timeout_s
         if self.losses.is_cut_off() and self._has_only_closed_relays():
             raise LinksLost
+        is_lost = self.losses.is_lost(backend)
         with Race() as race:
-            if not self.losses.is_lost(backend):
-                race.start("", lambda: Path(connect(backend.address, timeout_s)))
-                race.wait(min(HEAD_START_S, timeout_s))
-                # A late event loop may find the timer before a connection that has been accepted.
-                gevent.sleep(0)
+            if not is_lost:
+                self._try_directly(race, backend, timeout_s)
             if race.winner is None:
                 self._ask_relays(race, backend, until_s)
+            if race.winner is None and is_lost and not list_news(race):
+                # The link may be back before the probes have ended its loss.
+                self._try_directly(race, backend, HEAD_START_S)
             return self._conclude(race, backend)
 
+    def _try_directly(self, race: Race, backend: Backend, timeout_s: float) -> None:
+        """Start a direct attempt and give it some time to itself."""
+        race.start("", lambda: Path(connect(backend.address, timeout_s)))
+        race.wait(min(HEAD_START_S, timeout_s))
+        # A late event loop may find the timer before a connection that has been accepted.
+        gevent.sleep(0)
+
     def _has_only_closed_relays(self) -> bool:
         relays = self._list_relays()
         return bool(relays) and not any(relay.open for relay in relays)
--- a/tests/balsamtally/paths/test_relays.py
+++ b/tests/balsamtally/paths/test_relays.py
@@ -372,3 +372,12 @@
     assert is_own_loss(world.backend, "vm2", cut) and not is_own_loss(world.backend, "vm2", full)
     world.losses.record_lost(world.backend, "vm2", hangs=False)
     assert is_own_loss(world.backend, "", cut) and not is_own_loss(world.backend, "", full)
+
+
+def test_link_that_is_back_serves_calls_at_once_where_no_relay_is_left(world):
+    relay = world.add_relay()
+    world.cut = "hang"
+    world.ask()
+    world.cut = None
+    world.stop_relay(relay)
+    assert world.ask() == (b"answer", "")
