--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -57,6 +57,8 @@
 SETTINGS = "tests/balsamtally/platform/test_settings.py"
 BUDGETS = "tests/balsamtally/test_budgets.py"
 BACKENDS = "tests/balsamtally/test_backends.py"
+LOSSES = "tests/balsamtally/paths/test_losses.py"
+RELAYS = "tests/balsamtally/paths/test_relays.py"
 BACKLOGS = "tests/balsamtally/test_backlogs.py"
 CALLERS = "tests/balsamtally/test_callers.py"
 CATALOG = "tests/balsamtally/test_catalog.py"
@@ -767,6 +769,27 @@
         "if incarnation in self._incarnations:",
         CATALOG,
     ),
+    Mutation("paths/losses", "if link.probes >= PROBES_TO_RETURN:", "if True:", LOSSES),
+    Mutation("paths/losses", "if lost >= MIN_LOST:", "if True:", LOSSES),
+    Mutation("paths/losses", "return unreachable >= MIN_UNREACHABLE", "return True", LOSSES),
+    Mutation("paths/relays", "if not self._is_peer(ip):", "if False:", RELAYS),
+    Mutation("paths/relays", "if backend is None:", "if False:", RELAYS),
+    Mutation("paths/relays", "status if self._reaches_others(backend) else 503", "status", RELAYS),
+    Mutation("paths/relays", "elif not end_sending(server, END_TIMEOUT_S):", "elif False:", RELAYS),
+    Mutation("paths/relays", "set_up(sock, PEER_USER_TIMEOUT_MS)", "set_up(sock)", RELAYS),
+    Mutation("paths/tunnels", "if http.trailing_data[0]:", "if False:", RELAYS),
+    Mutation("paths/dialer", "before[relay.domain] += 1", "pass", RELAYS),
+    Mutation("paths/dialer", "return path.incarnation == incarnation", "return True", RELAYS),
+    Mutation(
+        "paths/dialer",
+        "if race.winner is None and is_lost and not list_news(race):",
+        "if False:",
+        RELAYS,
+    ),
+    Mutation("backends", "if not connection.relay and losses.hangs(backend):", "if False:", RELAYS),
+    Mutation(
+        "stalls", "and activity.verdict_s <= activity.heard_s\n            and not", "and", STALLS
+    ),
 )
 
 
--- a/tests/balsamtally/paths/test_relays.py
+++ b/tests/balsamtally/paths/test_relays.py
@@ -361,8 +361,11 @@
             sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
             gevent.sleep(PAUSE_S)
             received = 0
-            while received < len(body):
-                received += len(sock.recv(65_536))
+            while piece := sock.recv(65_536):
+                received += len(piece)
+                if received == len(body):
+                    break
+        assert received == len(body)
 
 
 def test_failure_on_a_way_that_broke_is_not_the_server_s(world):
