--- a/tests/balsamtally/paths/test_relays.py
+++ b/tests/balsamtally/paths/test_relays.py
@@ -69,11 +69,11 @@
             raise ConnectionRefusedError("refused")
         return connect(address, timeout_s)
 
-    def add_relay(self, vm="vm2", address=None, **limits):
+    def add_relay(self, vm="vm2", address=None, incarnation="first", **limits):
         address = address or (draw_host(), 8000)
         relay = Relay(
             address,
-            "incarnation-of-" + vm,
+            incarnation,
             lambda: [self.backend, *self.controls],
             lambda ip: self.is_peer,
             lambda: self.relay_open,
@@ -170,13 +170,16 @@
     assert type(caught.value) is BackendUnreachable
 
 
-@pytest.mark.parametrize("reason", ["stranger", "leaving", "full", "unknown target"])
-def test_relay_connects_only_for_peers_to_known_servers_while_it_has_room(world, reason):
+@pytest.mark.parametrize(
+    "reason, told",
+    [("stranger", "ConnectionClosed|reset"), ("leaving", "503"), ("full", "503"), ("unknown target", "403")],
+)
+def test_relay_connects_only_for_peers_to_known_servers_while_it_has_room(world, reason, told):
     relay = world.add_relay(max_tunnels=0 if reason == "full" else 8)
     world.is_peer = reason != "stranger"
     world.relay_open = reason != "leaving"
     target = (draw_host(), 9) if reason == "unknown target" else world.backend.address
-    with pytest.raises(PathUnavailable):
+    with pytest.raises(PathUnavailable, match=told):
         open_tunnel(world.relays[0].address, target, 1.0, SOURCE)
     assert (relay.opened, world.server.connections) == (0, 0)
 
@@ -277,8 +280,8 @@
     return answer
 
 
-@pytest.mark.parametrize("dies", [False, True])
-def test_end_of_a_relay_does_not_pass_for_the_end_of_an_answer(monkeypatch, dies):
+@pytest.mark.parametrize("end", ["", "gone", "replaced"])
+def test_end_of_a_relay_does_not_pass_for_the_end_of_an_answer(monkeypatch, end):
     with World(monkeypatch, send_unframed([b"first half, ", b"second half"])) as world:
         relay = world.add_relay()
         world.add_relay("vm3")
@@ -288,14 +291,16 @@
         connection = world.connections.acquire(world.backend, 2.0, "id1")
         connection.send(b"GET", b"/", HEADERS, b"", until_s)
         connection.read_head(until_s)
-        if dies:
+        if end:
             # A process that is killed ends its connections in order.
             monkeypatch.setattr("balsamtally.paths.relays.reset", close)
             gevent.spawn_later(0.1, world.stop_relay, relay)
         body = connection.read_whole(until_s, 1000)
+        if end == "replaced":
+            world.add_relay("vm2", world.relays[0].address, incarnation="another")
         is_whole = world.connections.is_still_running(world.backend, connection)
-        assert is_whole is not dies
-        assert body == (b"first half, " if dies else b"first half, second half")
+        assert is_whole is (not end)
+        assert body == (b"first half, " if end else b"first half, second half")
         connection.close()
 
 
