--- a/balsamtally/sockets.py
+++ b/balsamtally/sockets.py
@@ -29,6 +29,9 @@
 # States of TCP_INFO in which the other side has acknowledged the end: FIN_WAIT2, TIME_WAIT, and
 # CLOSE, which the kernel tells after both sides have ended; a time-out or reset sets an error too.
 _CONFIRMED_STATES = (5, 6, 7)
+DISCARDED_BYTES = 65_536
+# The socket module of Python 3.11 has no name for this option of Linux.
+IP_BIND_ADDRESS_NO_PORT = 24
 READABLE = select.POLLIN | select.POLLHUP | select.POLLERR
 WRITABLE = select.POLLOUT | select.POLLERR
 # The poll that doesn't switch to other greenlets.
@@ -36,17 +39,19 @@
 _NO_LINGER = struct.pack("ii", 1, 0)
 
 
-def set_up(sock: socket.socket) -> None:
+def set_up(sock: socket.socket, user_timeout_ms: int = USER_TIMEOUT_MS) -> None:
     """Disable Nagle's algorithm and detect a lost peer within seconds.
 
     :param sock: a TCP socket
+    :param user_timeout_ms: time without an acknowledgement, or without room at the other side,
+        after which the connection ends, in milliseconds
     """
     sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_NODELAY, 1)
     sock.setsockopt(plain.SOL_SOCKET, plain.SO_KEEPALIVE, 1)
     sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
 def bound_buffers(sock: socket.socket) -> None:
@@ -81,15 +86,21 @@
     return sock
 
 
-def connect(address: tuple[str, int], timeout_s: float) -> socket.socket:
+def connect(address: tuple[str, int], timeout_s: float, source: str = "") -> socket.socket:
     """Return a connected TCP socket.
 
     :param address: IP number and port
     :param timeout_s: longest time to connect, in seconds
+    :param source: IP number to connect from, empty to leave it to the kernel
     :raises OSError: if the connection fails or times out
     """
     sock = socket.socket(plain.AF_INET, plain.SOCK_STREAM)
     try:
+        if source:
+            # The port is chosen with the destination, so that many destinations can share one.
+            with contextlib.suppress(OSError):
+                sock.setsockopt(plain.IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1)
+            sock.bind((source, 0))
         sock.settimeout(timeout_s)
         sock.connect(address)
         set_up(sock)
@@ -198,6 +209,25 @@
         return False
 
 
+def await_end(sock: socket.socket, timeout_s: float) -> bool:
+    """End the sending side of a connection; return whether the other side ended it in order, too.
+
+    :param sock: a connected socket, whose further input is discarded
+    :param timeout_s: longest wait for the other side's end, in seconds
+    """
+    until_s = time.monotonic() + timeout_s
+    try:
+        sock.shutdown(plain.SHUT_WR)
+        while (left_s := until_s - time.monotonic()) > 0:
+            sock.settimeout(left_s)
+            if not sock.recv(DISCARDED_BYTES):
+                return True
+    except OSError:
+        # Reset, broken or too late: the other side hasn't confirmed anything.
+        return False
+    return False
+
+
 def close(sock: socket.socket) -> None:
     """Close a socket, ignoring errors.
 
