Prove the only version of a stream up to its take-up

Callers' streams could go on at another version: operators report it of a VM that was out of step for seconds during a release, and here it follows from reading. A take-up of unknown origin went on at the version that had served alone as far as the VM's records showed, up to 2 s old, or as fresh as a beat that had waited in the socket said. A version that had come since had begun the stream. A peer's word had the same fault, and no time.

A state counted as present because it was present lately. A peer's reply tells the age of its last own reading; this VM's history must cover the rest. Replies of earlier releases have no age and prove nothing, but count against another version.

--- a/balsamtally/catalog.py
+++ b/balsamtally/catalog.py
@@ -120,7 +120,9 @@
     :ivar on_missed: called if entries of backend servers may have come and gone unseen, with the
         time for which this is possible in seconds, infinite if such an entry is known
     :ivar current_s: monotonic clock at which the platform last had no records beyond these, as far
-        as this VM or a peer has learnt, in seconds
+        as this VM or a peer has learnt, in seconds; a peer's word may have waited on its way
+    :ivar read_s: monotonic clock at which this VM began its last reading of the platform, in
+        seconds; all records of that time are known. Minus infinity before the first one
     """
 
     def __init__(self, decoder: Decoder, clock: Callable[[], float] = time.monotonic):
@@ -134,6 +136,9 @@
         self.on_backends: Callable[[Iterable[Backend]], None] = lambda backends: None
         self.on_missed: Callable[[float], None] = lambda missed_s: None
         self.current_s = clock()
+        self.read_s = -math.inf
+        self._read = Event()
+        self._readings_awaited = 0
         self._decoder = decoder
         self._clock = clock
         self._departures = Departures()
@@ -248,6 +253,41 @@
         """
         self.current_s = max(self.current_s, self._clock() - age_s)
 
+    def record_reading(self, began_s: float) -> None:
+        """Record that a reading of the platform by this VM was merged.
+
+        :param began_s: monotonic clock at which it began, in seconds
+        """
+        self.read_s = max(self.read_s, began_s)
+        self._read.set()
+        self._read = Event()
+
+    @property
+    def reading_age_s(self) -> float:
+        """Time since this VM last began to read the platform with success, in seconds."""
+        return self._clock() - self.read_s
+
+    @property
+    def is_reading_awaited(self) -> bool:
+        """Whether a caller waits for a reading that begins now."""
+        return self._readings_awaited > 0
+
+    def await_reading(self, since_s: float, limit_s: float) -> bool:
+        """Wait until a reading of the platform that began after a time has been merged.
+
+        :param since_s: monotonic clock, in seconds
+        :param limit_s: longest wait, in seconds
+        :return: whether there was one
+        """
+        until_s = self._clock() + limit_s
+        self._readings_awaited += 1
+        try:
+            while self.read_s < since_s and (left_s := until_s - self._clock()) > 0:
+                self._read.wait(left_s)
+        finally:
+            self._readings_awaited -= 1
+        return self.read_s >= since_s
+
     def start_removal_grace(self) -> None:
         """Delay removals: backend servers may renew entries that expired during an outage."""
         self._grace_until_s = self._clock() + RETURN_GRACE_S
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -57,7 +57,7 @@
 from balsamtally.software_history import SoftwareHistory
 from balsamtally.stall_exchange import StallExchange
 from balsamtally.stalls import SilenceNotice, SilentRunner, Stalls
-from balsamtally.takeups import TakeUps
+from balsamtally.takeups import Observations, TakeUps
 from balsamtally.tasks import spawn_repeating
 from balsamtally.terminations import Terminations
 
@@ -254,11 +254,16 @@
             Origins(),
             self._list_members,
             self.peers.send_message,
-            self._find_sole_software,
+            self._find_vouched_software,
         )
         self._take_ups = TakeUps(
             self._origin_exchange.find,
-            self._find_sole_software,
+            Observations(
+                self._software_history.find_sole,
+                self._software_history.is_only_since,
+                self.catalog.await_reading,
+                time.monotonic,
+            ),
             self._origin_exchange.announce,
             lambda: self.catalog.backends,
         )
@@ -290,8 +295,10 @@
         beats = [peer.beat for peer in self.peers.list_alive()]
         return [Member(beat.vm, beat.domain, beat.ip) for beat in beats]
 
-    def _find_sole_software(self, service: str, window_s: float) -> str | None:
-        return self._software_history.find_sole(service, window_s, self.catalog.age_s)
+    def _find_vouched_software(self, service: str, window_s: float) -> tuple[str, float] | None:
+        age_s = self.catalog.reading_age_s
+        sole = self._software_history.find_sole(service, window_s, age_s)
+        return (sole, age_s) if sole is not None else None
 
     def _record_silence(self, verdict: SilentRunner) -> None:
         self._metrics.count_silent(verdict.key[0])
--- a/balsamtally/origin_exchange.py
+++ b/balsamtally/origin_exchange.py
@@ -5,7 +5,9 @@
 """
 
 import itertools
+import math
 import secrets
+import time
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
@@ -17,6 +19,7 @@
 from balsamtally.logs import log
 from balsamtally.origins import Name, Origin, Origins, RequestId
 from balsamtally.rendezvous import rank_members
+from balsamtally.software_history import SoleVersion
 from balsamtally.tasks import spawn_repeating
 
 # Entry VMs that are told of an origin.
@@ -72,12 +75,15 @@
     :ivar origin: the origin, ``None`` if it isn't known
     :ivar sole: the only version that has served the service for the whole window as the sender has
         observed, ``None`` if it can't tell or there were several
+    :ivar age_ms: age of this observation in milliseconds: time since the sender last began to read
+        the platform; ``None`` for an unknown origin without a version, and from earlier releases
     """
 
     vm: Name
     number: Count
     origin: Origin | None = None
     sole: Name | None = None
+    age_ms: Count | None = None
 
 
 @dataclass(frozen=True)
@@ -99,26 +105,29 @@
     """A question that waits for replies.
 
     :ivar ask: the question
+    :ivar began_s: monotonic clock at which it was first sent, in seconds
     :ivar asked: names of the VMs that were asked
     :ivar replied: names of those that have replied
-    :ivar soles: versions that served alone as peers have observed
+    :ivar soles: versions that served alone as peers have observed, with the clock up to which the
+        last of these observations is complete
     :ivar origin: the origin that a peer knows, ``None`` without one
     :ivar source: name of that peer
     :ivar settled: set when a reply has the origin
     """
 
     ask: OriginAsk
+    began_s: float
     asked: set[str] = field(default_factory=set)
     replied: set[str] = field(default_factory=set)
-    soles: set[str] = field(default_factory=set)
+    soles: dict[str, float] = field(default_factory=dict)
     origin: Origin | None = None
     source: str = ""
     settled: Event = field(default_factory=Event)
 
     @property
-    def sole(self) -> str | None:
+    def sole(self) -> SoleVersion | None:
         """The version that served alone, ``None`` if no peer can tell or they disagree."""
-        return next(iter(self.soles)) if len(self.soles) == 1 else None
+        return SoleVersion(*next(iter(self.soles.items()))) if len(self.soles) == 1 else None
 
 
 def choose_holders(request: str, members: Sequence[Member], most: int = HOLDERS) -> list[Member]:
@@ -144,8 +153,9 @@
     :param origins: the origins known here
     :param list_peers: returns the live peers
     :param send: sends a message to an IP number; it may be lost
-    :param find_sole: returns the only version that has served a service for a time in seconds,
-        ``None`` if this VM can't tell or there were several
+    :param find_sole: returns the only version that has served a service for a time in seconds, and
+        the age of this observation in seconds; ``None`` if this VM can't tell or there were several
+    :param clock: monotonic clock in seconds
     """
 
     def __init__(
@@ -154,13 +164,15 @@
         origins: Origins,
         list_peers: Callable[[], list[Member]],
         send: Callable[[OriginNotice | OriginAsk | OriginReply, str], None],
-        find_sole: Callable[[str, float], str | None],
+        find_sole: Callable[[str, float], tuple[str, float] | None],
+        clock: Callable[[], float] = time.monotonic,
     ):
         self._own = own
         self._origins = origins
         self._list_peers = list_peers
         self._send = send
         self._find_sole = find_sole
+        self._clock = clock
         self._queued: dict[str, list[Origin]] = {}
         self._wake = Event()
         # A reply to an earlier process of this VM must not match a question of this one.
@@ -211,7 +223,7 @@
 
     def find(
         self, request: str, customer: str, service: str, window_s: float
-    ) -> tuple[Origin | None, str | None]:
+    ) -> tuple[Origin | None, SoleVersion | None]:
         """Find the origin of a stream here or at the peers, within ``ANSWER_LIMIT_S``.
 
         Concurrent calls for the same stream share one question.
@@ -221,7 +233,7 @@
         :param service: service that the stream belongs to
         :param window_s: longest time since the stream may have begun, in seconds
         :return: the origin, ``None`` if it isn't known; in that case the only version that served
-            for the whole window as peers have observed, ``None`` if none can tell
+            for the whole window up to a time as peers have observed, ``None`` if none can tell
         """
         origin = self._origins.find(request, customer)
         if origin is not None:
@@ -231,9 +243,12 @@
             self._tasks[key] = gevent.spawn(self._search, key)
         return self._tasks[key].get()
 
-    def _search(self, key: tuple[str, str, str, float]) -> tuple[Origin | None, str | None]:
+    def _search(self, key: tuple[str, str, str, float]) -> tuple[Origin | None, SoleVersion | None]:
         number = next(self._numbers)
-        search = self._searches[number] = Search(OriginAsk(self._own.vm, number, *key))
+        *named, window_s = key
+        # A question that is answered late still asks for the whole window.
+        ask = OriginAsk(self._own.vm, number, *named, window_s + ANSWER_LIMIT_S)
+        search = self._searches[number] = Search(ask, self._clock())
         try:
             self._ask(search)
         finally:
@@ -244,7 +259,8 @@
             log.info("origin_found", request=request, software=software, source=search.source)
             return origin, None
         asked, replied = sorted(search.asked), sorted(search.replied)
-        log.info("origin_unknown", request=request, asked=asked, replied=replied, sole=search.sole)
+        sole = search.sole.software if search.sole is not None else None
+        log.info("origin_unknown", request=request, asked=asked, replied=replied, sole=sole)
         return None, search.sole
 
     def _ask(self, search: Search) -> None:
@@ -271,8 +287,12 @@
         :param sender: IP number of the peer
         """
         origin = self._origins.find(ask.request, ask.customer)
-        sole = self._find_sole(ask.service, ask.window_s) if origin is None else None
-        self._send(OriginReply(self._own.vm, ask.number, origin, sole), sender)
+        found = self._find_sole(ask.service, ask.window_s) if origin is None else None
+        reply = OriginReply(self._own.vm, ask.number, origin)
+        if found is not None:
+            sole, age_s = found
+            reply = msgspec.structs.replace(reply, sole=sole, age_ms=math.ceil(1000 * age_s))
+        self._send(reply, sender)
 
     def handle_reply(self, reply: OriginReply, _: str) -> None:
         """Record a peer's reply; one that comes too late serves the next try.
@@ -288,7 +308,11 @@
         if reply.origin is not None and search.origin is None:
             search.origin, search.source = reply.origin, reply.vm
         if reply.sole is not None:
-            search.soles.add(reply.sole)
+            # The reply was made after the question; how long it was on its way isn't known. One
+            # without an age proves nothing, and still counts against another version.
+            age_s = math.inf if reply.age_ms is None else reply.age_ms / 1000
+            until_s = search.began_s - age_s
+            search.soles[reply.sole] = max(until_s, search.soles.get(reply.sole, -math.inf))
         if search.origin is not None:
             search.settled.set()
 
--- a/balsamtally/platform/store.py
+++ b/balsamtally/platform/store.py
@@ -179,14 +179,15 @@
 
     def _step(self) -> None:
         at = self._catalog.records.complete_revision
-        if at and not self._should_read():
+        rests = at and not self._should_read()
+        if rests and not self._catalog.is_reading_awaited:
             self._rest()
             return
         try:
             if not at or self._history_gone:
                 self._list()
             else:
-                self._watch(at)
+                self._watch(at, reads=not rests)
         except HistoryGone as error:
             log.info("platform_history_gone", at=at, why=str(error))
             self._history_gone = True
@@ -255,6 +256,7 @@
         log.info("platform_listed", at=(first_era, first_at), records=len(records))
         self._catalog.merge_listing(records, first_at, SOURCE, first_era)
         self._catalog.record_current(time.monotonic() - asked_s)
+        self._catalog.record_reading(asked_s)
         self._watching = True
         self._history_gone = False
         if self._past is not None and not known[1]:
@@ -298,11 +300,14 @@
         era, body = self._read(target, READ_TIMEOUT_S)
         return era, decode(_page, body)
 
-    def _watch(self, at: int) -> None:
+    def _watch(self, at: int, reads: bool = True) -> None:
         """Wait for changes and merge them.
 
         A stalled watch delays changes at all VMs that rely on this one, so that its answer is due
         even if there is no change.
+
+        :param at: revision up to which no change is missing
+        :param reads: whether this entry VM reads for others; if not, peers needn't know
         """
         wait_s = self._find_wait_s()
         target = f"/kv-watch?path_prefix=&after={at}&wait_ms={max(1, round(1000 * wait_s))}"
@@ -314,10 +319,12 @@
             raise HistoryGone(f"the store was restored: era {era} after {known}")
         if not changes.events:
             self._answer_s = max(0.0, time.monotonic() - asked_s - wait_s)
-        self._record_success()
+        if reads:
+            self._record_success()
         self._catalog.merge(decode_items(changes.events, era), SOURCE, changes.at, era)
         self._catalog.record_current()
-        self._watching = True
+        self._catalog.record_reading(asked_s)
+        self._watching = reads
         gevent.sleep(BURST_S)
 
     def _find_wait_s(self) -> float:
@@ -325,7 +332,7 @@
 
         The first one doesn't wait, so that peers learn soon that the store answers this VM.
         """
-        if not self._watching:
+        if not self._watching or self._catalog.is_reading_awaited:
             return 0.0
         return max(MIN_WATCH_S, self._find_times().watch_s - self._answer_s)
 
--- a/balsamtally/software_history.py
+++ b/balsamtally/software_history.py
@@ -7,6 +7,7 @@
 import math
 import time
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from balsamtally.calls import Backend
 from balsamtally.gateway_settings import DEFAULT_CHANGE_BOUND_S
@@ -15,6 +16,18 @@
 MAX_AGE_S = 2.0
 
 
+@dataclass(frozen=True)
+class SoleVersion:
+    """A version that alone can have begun a stream, as a peer has observed.
+
+    :ivar software: the version
+    :ivar until_s: this VM's clock up to which the peer knew all changes, in seconds
+    """
+
+    software: str
+    until_s: float
+
+
 class SoftwareHistory:
     """The software versions that have served each service.
 
@@ -101,3 +114,17 @@
         found = {software for software, at_s in seen_s.items() if at_s + drain_s >= since_s}
         found |= self._present.get(service, set())
         return found.pop() if len(found) == 1 else None
+
+    def is_only_since(self, service: str, software: str, since_s: float) -> bool:
+        """Return whether no other version has been known since a time.
+
+        Other than ``find_sole``, it allows for no servers that others still used at that time.
+
+        :param service: name of the service
+        :param software: the version
+        :param since_s: monotonic clock in seconds
+        """
+        seen_s = self._seen_s.get(service, {})
+        found = {other for other, at_s in seen_s.items() if at_s >= since_s}
+        found |= self._present.get(service, set())
+        return self._complete_s <= since_s and found <= {software}
--- a/tests/balsamtally/platform/test_store.py
+++ b/tests/balsamtally/platform/test_store.py
@@ -1,5 +1,7 @@
 """Tests of reading the store under each fault that its stand-in simulates."""
 
+import time
+
 import gevent
 import msgspec
 import pytest
@@ -230,3 +232,33 @@
         assert record.key and 0 <= record.revision < 2**53
         assert record.value is None or isinstance(record.value, bytes)
         assert msgspec.msgpack.encode(record)
+
+
+@pytest.mark.parametrize("rests", [False, True])
+def test_store_is_read_at_once_for_a_caller_that_awaits_it(rests):
+    """A resting VM stays at rest for its peers; a reader doesn't wait for a further watch."""
+    watch_s, states = make_read_times(3.0).watch_s, []
+    with Store(draw_address()) as store:
+        store.put("op/config", CONFIG)
+        catalog = Catalog(DECODER)
+        with reader.Store(store.address, catalog, lambda: not rests, states.append):
+            expect_soon(lambda: states and states[-1] == PlatformReadState(not rests))
+            states.clear()
+            store.put("servers/a", SERVER)
+            came_s = time.monotonic()
+            assert catalog.await_reading(came_s, watch_s + 2 * reader.BURST_S + 0.3)
+            assert list_names(catalog) == ["a"] and not catalog.is_reading_awaited
+            assert came_s <= catalog.read_s <= time.monotonic()
+            assert set(states) <= {PlatformReadState(not rests)}
+
+
+def test_reading_that_fails_is_not_recorded():
+    with Store(draw_address()) as store:
+        store.put("op/config", CONFIG)
+        catalog = Catalog(DECODER)
+        with reader.Store(store.address, catalog):
+            expect_soon(lambda: store.watching[""])
+            store.fault = "silent"
+            before_s, came_s = catalog.read_s, time.monotonic()
+            assert not catalog.await_reading(came_s, 0.5)
+            assert catalog.read_s == before_s and not catalog.is_reading_awaited
--- a/tests/balsamtally/test_origin_exchange.py
+++ b/tests/balsamtally/test_origin_exchange.py
@@ -1,6 +1,7 @@
 """Origins of streams at several entry VMs that exchange encoded messages and lose some of them."""
 
 import contextlib
+import math
 import random
 
 import gevent
@@ -20,6 +21,7 @@
     make_notices,
 )
 from balsamtally.origins import Origins
+from balsamtally.software_history import SoleVersion
 from tests.balsamtally.test_origins import Clock, make_origin
 from tests.polling import expect_soon
 
@@ -33,6 +35,7 @@
     :ivar cut: name of a failure domain that is cut off from the others, empty for none
     :ivar hears_all: whether dead and unreachable VMs still count as alive
     :ivar soles: what each VM says of the version that has served alone
+    :ivar ages_s: age of what they say, in seconds
     :ivar sent: messages sent, with sender and receiver
     """
 
@@ -44,7 +47,7 @@
         ]
         self.by_name = {member.vm: member for member in self.members}
         self.dead, self.cut, self.hears_all = set(), "", False
-        self.soles = {}
+        self.soles, self.ages_s = {}, {}
         self.sent = []
         self._loses = loses
 
@@ -67,10 +70,15 @@
             self.origins[name],
             lambda: self._list_peers(name),
             lambda message, ip: self._deliver(message, name, ip),
-            lambda service, window_s: self.soles.get(name),
+            lambda service, window_s: self._find_sole(name),
+            self.clock,
         )
         self._stack.enter_context(self.exchanges[name])
 
+    def _find_sole(self, name):
+        sole = self.soles.get(name)
+        return None if sole is None else (sole, self.ages_s.get(name, 0.0))
+
     def reaches(self, name, other):
         one, two = self.by_name[name].domain, self.by_name[other].domain
         return not {name, other} & self.dead and (one == two or self.cut not in (one, two))
@@ -201,14 +209,14 @@
         for name in fleet.by_name:
             assert fleet.find(name) == (make_origin(), None)
         fleet.sent.clear()
-        assert fleet.find("vm-0", "unknown") == (None, "v2")
+        assert fleet.find("vm-0", "unknown") == (None, SoleVersion("v2", fleet.clock.now_s))
         # Each peer answers in time, and so is asked once.
         assert fleet.count(OriginAsk) == 5
         fleet.soles["vm-3"] = "v1"
         assert fleet.find("vm-0", "unknown") == (None, None)
         fleet.dead = {"vm-3"}
         fleet.hears_all = True
-        assert fleet.find("vm-0", "unknown") == (None, "v2")
+        assert fleet.find("vm-0", "unknown") == (None, SoleVersion("v2", fleet.clock.now_s))
 
 
 def test_concurrent_takers_share_a_question_and_later_ones_ask_again(monkeypatch):
@@ -265,3 +273,28 @@
     notices = list(make_notices("vm-0", [large] * 3))
     assert [len(notice.origins) for notice in notices] == [1, 1, 1]
     assert max(len(msgspec.msgpack.encode(notice)) for notice in notices) <= 16_384
+
+
+def test_a_peers_word_reaches_up_to_its_last_reading_of_the_platform():
+    """It counted up to the question, and a version that had come since was left out."""
+    with Fleet(4) as fleet:
+        fleet.clock.now_s = 50.0
+        fleet.soles = {"vm-1": "v1", "vm-2": "v1"}
+        fleet.ages_s = {"vm-1": 1.9, "vm-2": 0.4}
+        assert fleet.find("vm-0") == (None, SoleVersion("v1", 49.6))
+
+
+def test_the_word_of_a_peer_of_an_earlier_release_counts_only_against_another(monkeypatch):
+    """Its word has no time."""
+    monkeypatch.setattr(
+        OriginExchange,
+        "handle_reply",
+        lambda self, reply, ip, handle=OriginExchange.handle_reply: handle(
+            self, msgspec.structs.replace(reply, age_ms=None) if reply.vm == "vm-1" else reply, ip
+        ),
+    )
+    with Fleet(4) as fleet:
+        fleet.soles = {"vm-1": "v1"}
+        assert fleet.find("vm-0") == (None, SoleVersion("v1", -math.inf))
+        fleet.soles |= {"vm-2": "v2"}
+        assert fleet.find("vm-0") == (None, None)
--- a/tests/balsamtally/test_takeups.py
+++ b/tests/balsamtally/test_takeups.py
@@ -6,7 +6,8 @@
 from balsamtally.errors import SoftwareUnknown
 from balsamtally.origins import Origin
 from balsamtally.plans import CallProgress, make_plan
-from balsamtally.takeups import TakeUps
+from balsamtally.software_history import SoleVersion
+from balsamtally.takeups import Observations, TakeUps
 from tests.balsamtally.scripted import make_backend, make_call, make_contracts, make_route
 
 OLD = make_backend("old", software="v1")
@@ -22,11 +23,16 @@
 
         def find_origin(*key):
             self.asked.append(key)
-            return origin, told
+            return origin, None if told is None else SoleVersion(told, 0.0)
 
         self.take_ups = TakeUps(
             find_origin,
-            lambda service, window_s: sole,
+            Observations(
+                lambda service, window_s, age_s: sole,
+                lambda service, software, since_s: True,
+                lambda since_s, limit_s: True,
+                lambda: 0.0,
+            ),
             self.announced.append,
             lambda: self.backends,
             lambda: 1_000.0,
