Count suspensions in the age of records and in the history of versions

A VM that had been suspended for 3 s could vouch for one version with records from before: their age came from time.monotonic, which doesn't count a suspension, so that they looked fresh. The gap in its history seemed to last no time either, so that a version that had come and gone within it was left out.

The catalog, the history of versions, the questions for origins and the time of a reading use CLOCK_BOOTTIME (clocks.py). A VM that has been suspended also finds its records old at once, and so reads the platform itself. The 2 s for entries to be renewed after an outage now end during a suspension; the next reading brings such entries back.

Not run: a suspension of the machine itself.

--- a/balsamtally/catalog.py
+++ b/balsamtally/catalog.py
@@ -1,7 +1,6 @@
 """The contracts in force and the known backend servers, decoded from published records."""
 
 import math
-import time
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from functools import cached_property
@@ -9,6 +8,7 @@
 from gevent.event import Event
 
 from balsamtally.calls import Account, Backend, Limits, Route, Service
+from balsamtally.clocks import boottime
 from balsamtally.decoding import DECODING_ERRORS
 from balsamtally.departures import Departures, Incarnation
 from balsamtally.evacuations import Evacuations
@@ -108,7 +108,7 @@
     """This entry VM's view of the contracts and backend servers.
 
     :param decoder: decodes records
-    :param clock: monotonic clock
+    :param clock: steady clock that counts suspensions, in seconds
     :ivar records: the merged records
     :ivar contracts: the contracts in force, ``None`` before any are known
     :ivar known: event that is set once contracts are in force
@@ -119,13 +119,13 @@
     :ivar on_backends: called with all backend servers after entries of some have changed
     :ivar on_missed: called if entries of backend servers may have come and gone unseen, with the
         time for which this is possible in seconds, infinite if such an entry is known
-    :ivar current_s: monotonic clock at which the platform last had no records beyond these, as far
+    :ivar current_s: clock at which the platform last had no records beyond these, as far
         as this VM or a peer has learnt, in seconds; a peer's word may have waited on its way
-    :ivar read_s: monotonic clock at which this VM began its last reading of the platform, in
+    :ivar read_s: clock at which this VM began its last reading of the platform, in
         seconds; all records of that time are known. Minus infinity before the first one
     """
 
-    def __init__(self, decoder: Decoder, clock: Callable[[], float] = time.monotonic):
+    def __init__(self, decoder: Decoder, clock: Callable[[], float] = boottime):
         self.records = Records(decoder.read_sequence)
         self.contracts: Contracts | None = None
         self.known = Event()
@@ -256,7 +256,7 @@
     def record_reading(self, began_s: float) -> None:
         """Record that a reading of the platform by this VM was merged.
 
-        :param began_s: monotonic clock at which it began, in seconds
+        :param began_s: clock at which it began, in seconds
         """
         self.read_s = max(self.read_s, began_s)
         self._read.set()
@@ -275,7 +275,7 @@
     def await_reading(self, since_s: float, limit_s: float) -> bool:
         """Wait until a reading of the platform that began after a time has been merged.
 
-        :param since_s: monotonic clock, in seconds
+        :param since_s: the catalog's clock, in seconds
         :param limit_s: longest wait, in seconds
         :return: whether there was one
         """
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -23,6 +23,7 @@
 from balsamtally.callers import Caller, CallerServer, Request, find_max_callers
 from balsamtally.calls import Backend, Limits, Notice, Repeat
 from balsamtally.catalog import Catalog, Decoder
+from balsamtally.clocks import boottime
 from balsamtally.cold_servers import ColdMembership, ColdRule
 from balsamtally.coordination import Ask, Reply, Withdrawal
 from balsamtally.crash_evidence import list_keys
@@ -262,7 +263,7 @@
                 self._software_history.find_sole,
                 self._software_history.is_only_since,
                 self.catalog.await_reading,
-                time.monotonic,
+                boottime,
             ),
             self._origin_exchange.announce,
             lambda: self.catalog.backends,
--- a/balsamtally/origin_exchange.py
+++ b/balsamtally/origin_exchange.py
@@ -7,7 +7,6 @@
 import itertools
 import math
 import secrets
-import time
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
@@ -15,6 +14,7 @@
 import msgspec
 from gevent.event import Event
 
+from balsamtally.clocks import boottime
 from balsamtally.decoding import Count, Seconds
 from balsamtally.logs import log
 from balsamtally.origins import Name, Origin, Origins, RequestId
@@ -105,7 +105,7 @@
     """A question that waits for replies.
 
     :ivar ask: the question
-    :ivar began_s: monotonic clock at which it was first sent, in seconds
+    :ivar began_s: clock at which it was first sent, in seconds
     :ivar asked: names of the VMs that were asked
     :ivar replied: names of those that have replied
     :ivar soles: versions that served alone as peers have observed, with the clock up to which the
@@ -155,7 +155,7 @@
     :param send: sends a message to an IP number; it may be lost
     :param find_sole: returns the only version that has served a service for a time in seconds, and
         the age of this observation in seconds; ``None`` if this VM can't tell or there were several
-    :param clock: monotonic clock in seconds
+    :param clock: steady clock that counts suspensions, in seconds
     """
 
     def __init__(
@@ -165,7 +165,7 @@
         list_peers: Callable[[], list[Member]],
         send: Callable[[OriginNotice | OriginAsk | OriginReply, str], None],
         find_sole: Callable[[str, float], tuple[str, float] | None],
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = boottime,
     ):
         self._own = own
         self._origins = origins
--- a/balsamtally/platform/store.py
+++ b/balsamtally/platform/store.py
@@ -13,6 +13,7 @@
 from balsamtally.backends import fetch_answer
 from balsamtally.calls import AnswerHead
 from balsamtally.catalog import Catalog
+from balsamtally.clocks import boottime
 from balsamtally.decoding import Count, decode
 from balsamtally.errors import BalsamtallyError, HistoryGone, PlatformUnavailable
 from balsamtally.logs import log
@@ -229,7 +230,7 @@
         The pages are not one snapshot, so that the watch starts at the lowest revision of a page.
         They are of one era; if the store is restored meanwhile, they are all read again.
         """
-        asked_s = time.monotonic()
+        began_s = boottime()
         known = self._catalog.records.position
         items: list[msgspec.Raw] = []
         records: list[Record] = []
@@ -255,8 +256,8 @@
         self._record_success()
         log.info("platform_listed", at=(first_era, first_at), records=len(records))
         self._catalog.merge_listing(records, first_at, SOURCE, first_era)
-        self._catalog.record_current(time.monotonic() - asked_s)
-        self._catalog.record_reading(asked_s)
+        self._catalog.record_current(boottime() - began_s)
+        self._catalog.record_reading(began_s)
         self._watching = True
         self._history_gone = False
         if self._past is not None and not known[1]:
@@ -311,7 +312,7 @@
         """
         wait_s = self._find_wait_s()
         target = f"/kv-watch?path_prefix=&after={at}&wait_ms={max(1, round(1000 * wait_s))}"
-        asked_s = time.monotonic()
+        began_s, asked_s = boottime(), time.monotonic()
         era, body = self._read(target, wait_s + self._find_answer_limit_s())
         changes = decode(_changes, body)
         known = self._catalog.records.era
@@ -323,7 +324,7 @@
             self._record_success()
         self._catalog.merge(decode_items(changes.events, era), SOURCE, changes.at, era)
         self._catalog.record_current()
-        self._catalog.record_reading(asked_s)
+        self._catalog.record_reading(began_s)
         self._watching = reads
         gevent.sleep(BURST_S)
 
--- a/balsamtally/software_history.py
+++ b/balsamtally/software_history.py
@@ -5,11 +5,11 @@
 """
 
 import math
-import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from balsamtally.calls import Backend
+from balsamtally.clocks import boottime
 from balsamtally.gateway_settings import DEFAULT_CHANGE_BOUND_S
 
 # Age of the catalog in seconds above which others may know of versions that this VM doesn't.
@@ -35,13 +35,13 @@
     backend server that another one no longer knows: the drain allowance.
 
     :param find_drain_s: returns the drain allowance in seconds
-    :param clock: monotonic clock in seconds
+    :param clock: steady clock that counts suspensions, in seconds
     """
 
     def __init__(
         self,
         find_drain_s: Callable[[], float] = lambda: DEFAULT_CHANGE_BOUND_S,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = boottime,
     ):
         self._find_drain_s = find_drain_s
         self._clock = clock
@@ -51,7 +51,7 @@
 
     @property
     def known_since_s(self) -> float:
-        """Monotonic clock since which each version that began a stream is known, in seconds.
+        """Clock since which each version that began a stream is known, in seconds.
 
         Infinite before the first observation.
         """
@@ -122,7 +122,7 @@
 
         :param service: name of the service
         :param software: the version
-        :param since_s: monotonic clock in seconds
+        :param since_s: the history's clock, in seconds
         """
         seen_s = self._seen_s.get(service, {})
         found = {other for other, at_s in seen_s.items() if at_s >= since_s}
--- a/tests/balsamtally/platform/test_store.py
+++ b/tests/balsamtally/platform/test_store.py
@@ -1,7 +1,5 @@
 """Tests of reading the store under each fault that its stand-in simulates."""
 
-import time
-
 import gevent
 import msgspec
 import pytest
@@ -10,6 +8,7 @@
 from structlog.testing import capture_logs
 
 from balsamtally.catalog import Catalog
+from balsamtally.clocks import boottime
 from balsamtally.platform import store as reader
 from balsamtally.platform.documents import DECODER
 from balsamtally.readers import PlatformReadState, make_read_times
@@ -245,10 +244,10 @@
             expect_soon(lambda: states and states[-1] == PlatformReadState(not rests))
             states.clear()
             store.put("servers/a", SERVER)
-            came_s = time.monotonic()
+            came_s = boottime()
             assert catalog.await_reading(came_s, watch_s + 2 * reader.BURST_S + 0.3)
             assert list_names(catalog) == ["a"] and not catalog.is_reading_awaited
-            assert came_s <= catalog.read_s <= time.monotonic()
+            assert came_s <= catalog.read_s <= boottime()
             assert set(states) <= {PlatformReadState(not rests)}
 
 
@@ -259,6 +258,6 @@
         with reader.Store(store.address, catalog):
             expect_soon(lambda: store.watching[""])
             store.fault = "silent"
-            before_s, came_s = catalog.read_s, time.monotonic()
+            before_s, came_s = catalog.read_s, boottime()
             assert not catalog.await_reading(came_s, 0.5)
             assert catalog.read_s == before_s and not catalog.is_reading_awaited
