Let permits lapse during a suspension

A VM that had been suspended could use permits whose time was over, as the steady clock doesn't count a suspension, while their decider had granted as many to others: backend servers would get more requests than they named.

Permits use CLOCK_BOOTTIME. The limits themselves stay on the steady clock, as they share times with the sending of calls.

--- a/balsamtally/permits.py
+++ b/balsamtally/permits.py
@@ -8,7 +8,6 @@
 heard keep their share of the rate until they are forgotten.
 """
 
-import time
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
@@ -16,6 +15,7 @@
 
 from balsamtally.beats import Beat
 from balsamtally.calls import Backend
+from balsamtally.clocks import boottime
 from balsamtally.decoding import Count
 from balsamtally.departures import Incarnation
 from balsamtally.server_limits import ServerLimits
@@ -107,9 +107,9 @@
     """Permits that a decider granted to this entry VM.
 
     :ivar count: permits left
-    :ivar until_s: monotonic clock until which they are valid, in seconds
-    :ivar asked_s: monotonic clock at the last ask, in seconds
-    :ivar pending_s: monotonic clock at each ask that isn't answered, by its number
+    :ivar until_s: clock until which they are valid, in seconds
+    :ivar asked_s: clock at the last ask, in seconds
+    :ivar pending_s: clock at each ask that isn't answered, by its number
     """
 
     count: int = 0
@@ -127,7 +127,7 @@
     :param find_share: returns the part of a limit that this entry VM and those that it hears may
         spend, from 0 to 1
     :param send: sends a message to an IP number; it may be lost
-    :param clock: monotonic clock in seconds
+    :param clock: steady clock that counts suspensions, in seconds
     :param find_cold_share: returns the part of the limit of the cold servers of a failure domain
         that this entry VM may spend, from 0 to 1
     """
@@ -138,7 +138,7 @@
         find_decider: Callable[[Backend], Beat | None] = lambda backend: None,
         find_share: Callable[[], float] = lambda: 1.0,
         send: Callable[[PermitAsk | PermitGrant, str], None] = lambda message, ip: None,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = boottime,
         find_cold_share: Callable[[str], float] = lambda domain: 1.0,
     ):
         self._limits = limits
--- a/tests/balsamtally/test_clocks.py
+++ b/tests/balsamtally/test_clocks.py
@@ -7,9 +7,12 @@
 
 from balsamtally.catalog import Catalog
 from balsamtally.clocks import boottime
+from balsamtally.permits import PermitGrant, Permits
+from balsamtally.server_limits import ServerLimits
 from balsamtally.software_history import MAX_AGE_S, SoftwareHistory
 from tests.balsamtally.scripted import make_backend
 from tests.balsamtally.test_catalog import DECODER
+from tests.balsamtally.test_permits import make_beat
 
 SUSPENDED_S = 3.0
 
@@ -61,3 +64,18 @@
     suspend()
     catalog.merge_listing([], 9, "platform")
     assert history.find_sole("desk", 1.0, 0.0) is None
+
+
+def test_permits_of_before_a_suspension_are_not_used(suspend):
+    """The decider has granted others what lapsed meanwhile."""
+    server, asks = make_backend("one"), []
+    limits = ServerLimits(lambda key: True)
+    limits.record_answer(server, 5.0, time.monotonic())
+    permits = Permits(
+        limits, lambda backend: make_beat("vm0"), send=lambda ask, ip: asks.append(ask)
+    )
+    permits.request([server], 3)
+    permits.handle_grant(PermitGrant(asks[0].number, 3), "vm0")
+    assert permits.is_sendable(server)
+    suspend()
+    assert not permits.is_sendable(server)
