--- a/balsamtally/platform/store.py
+++ b/balsamtally/platform/store.py
@@ -13,6 +13,7 @@
 from balsamtally.backends import fetch_answer
 from balsamtally.calls import AnswerHead
 from balsamtally.catalog import Catalog
+from balsamtally.clocks import boottime
 from balsamtally.decoding import Count, decode
 from balsamtally.errors import BalsamtallyError, HistoryGone, PlatformUnavailable
 from balsamtally.logs import log
@@ -179,14 +180,15 @@
 
     def _step(self) -> None:
         at = self._catalog.records.complete_revision
-        if at and not self._should_read():
+        rests = at and not self._should_read()
+        if rests and not self._catalog.is_reading_awaited:
             self._rest()
             return
         try:
             if not at or self._history_gone:
                 self._list()
             else:
-                self._watch(at)
+                self._watch(at, reads=not rests)
         except HistoryGone as error:
             log.info("platform_history_gone", at=at, why=str(error))
             self._history_gone = True
@@ -228,7 +230,7 @@
         The pages are not one snapshot, so that the watch starts at the lowest revision of a page.
         They are of one era; if the store is restored meanwhile, they are all read again.
         """
-        asked_s = time.monotonic()
+        began_s = boottime()
         known = self._catalog.records.position
         items: list[msgspec.Raw] = []
         records: list[Record] = []
@@ -254,7 +256,8 @@
         self._record_success()
         log.info("platform_listed", at=(first_era, first_at), records=len(records))
         self._catalog.merge_listing(records, first_at, SOURCE, first_era)
-        self._catalog.record_current(time.monotonic() - asked_s)
+        self._catalog.record_current(boottime() - began_s)
+        self._catalog.record_reading(began_s)
         self._watching = True
         self._history_gone = False
         if self._past is not None and not known[1]:
@@ -298,15 +301,18 @@
         era, body = self._read(target, READ_TIMEOUT_S)
         return era, decode(_page, body)
 
-    def _watch(self, at: int) -> None:
+    def _watch(self, at: int, reads: bool = True) -> None:
         """Wait for changes and merge them.
 
         A stalled watch delays changes at all VMs that rely on this one, so that its answer is due
         even if there is no change.
+
+        :param at: revision up to which no change is missing
+        :param reads: whether this entry VM reads for others; if not, peers needn't know
         """
         wait_s = self._find_wait_s()
         target = f"/kv-watch?path_prefix=&after={at}&wait_ms={max(1, round(1000 * wait_s))}"
-        asked_s = time.monotonic()
+        began_s, asked_s = boottime(), time.monotonic()
         era, body = self._read(target, wait_s + self._find_answer_limit_s())
         changes = decode(_changes, body)
         known = self._catalog.records.era
@@ -314,10 +320,12 @@
             raise HistoryGone(f"the store was restored: era {era} after {known}")
         if not changes.events:
             self._answer_s = max(0.0, time.monotonic() - asked_s - wait_s)
-        self._record_success()
+        if reads:
+            self._record_success()
         self._catalog.merge(decode_items(changes.events, era), SOURCE, changes.at, era)
         self._catalog.record_current()
-        self._watching = True
+        self._catalog.record_reading(began_s)
+        self._watching = reads
         gevent.sleep(BURST_S)
 
     def _find_wait_s(self) -> float:
@@ -325,7 +333,7 @@
 
         The first one doesn't wait, so that peers learn soon that the store answers this VM.
         """
-        if not self._watching:
+        if not self._watching or self._catalog.is_reading_awaited:
             return 0.0
         return max(MIN_WATCH_S, self._find_times().watch_s - self._answer_s)
 
