Permit calls to brittle backend servers by free places, counted by one VM for all

Backend servers that say that they are brittle (`Server-Brittle` = N) fell over again and again under overload, all at once, and once more as soon as each was back: each refuses what it has no room for, and fails when it refuses more than N calls within a second.

Cause: nothing read the header, and each VM finds out for itself that a server is full. N counts the refusals of all VMs together.

Change: a brittle server is sent calls with permits alone, as one that names a limit. The decider's permits are for places: it sends and grants no more than the slots that are free by its own placements, beats, and grants that no beat can show yet. A refusal stops all sending for as long as it counts. The state is told with the limits of servers, with its age; an answer without the header ends it. An incarnation that comes back while its service is brittle counts as brittle until it has answered. Calls of other regions take a place for longer than they run, so that eight calls of the decider's region go before each of them while both wait.

--- a/balsamtally/beats.py
+++ b/balsamtally/beats.py
@@ -237,9 +237,11 @@
         return taken
 
 
-def list_rates(limits: tuple[ToldLimit, ...]) -> set[tuple[str, int, float | None]]:
+def list_rates(
+    limits: tuple[ToldLimit, ...],
+) -> set[tuple[str, int, float | None, int | None]]:
     """Return limits without their ages, which differ in each beat.
 
     :param limits: the limits in a beat
     """
-    return {(*limit.key, limit.limit_per_s) for limit in limits}
+    return {(*limit.key, limit.limit_per_s, limit.brittle) for limit in limits}
--- a/balsamtally/calls.py
+++ b/balsamtally/calls.py
@@ -263,12 +263,14 @@
         names no limit
     :ivar states_limit: whether the head tells the limit, or that there is none; false if the limit
         that it names is invalid
+    :ivar brittle: refusals within a second beyond which it fails, ``None`` if it names none
     """
 
     leaving: bool = False
     pause_s: float = 0.0
     limit_per_s: float | None = None
     states_limit: bool = True
+    brittle: int | None = None
 
 
 @dataclass(frozen=True)
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -164,7 +164,9 @@
     def _connect_limits(self, initial_beat: Beat) -> None:
         """Create the limits of backend servers and of cold ones, and the permits for both."""
         self._server_limits = ServerLimits(
-            self.catalog.is_known, find_cold_limit=self._find_cold_limit
+            self.catalog.is_known,
+            find_cold_limit=self._find_cold_limit,
+            list_published=lambda: self.catalog.backends,
         )
         self.catalog.on_cold = self._server_limits.record_cold
         self._cold_membership = ColdMembership(
@@ -180,6 +182,8 @@
             lambda: self.peers.find_share(),
             lambda message, ip: self.peers.send_message(message, ip),
             find_cold_share=self._cold_membership.find_share,
+            count_running=lambda name: self._backlogs.find(name).running,
+            find_call_s=lambda service: self._dispatch.runners.find_statistics(service).call_s,
         )
 
     def _find_cold_limit(self, service: str) -> float | None:
@@ -397,10 +401,11 @@
             self._pauses.record(backend, notice.pause_s)
             self._metrics.count_pause(backend.name)
         if notice.states_limit:
-            self._record_limit(backend, notice.limit_per_s, sent_s)
+            self._record_limit(backend, notice, sent_s)
 
-    def _record_limit(self, backend: Backend, limit_per_s: float | None, sent_s: float) -> None:
-        if self._server_limits.record_answer(backend, limit_per_s, sent_s):
+    def _record_limit(self, backend: Backend, notice: Notice, sent_s: float) -> None:
+        limit_per_s, brittle = notice.limit_per_s, notice.brittle
+        if self._server_limits.record_answer(backend, limit_per_s, sent_s, brittle):
             self.peers.announce_change()
             self._dispatch.dispatch_soon()
 
--- a/balsamtally/platform/wire.py
+++ b/balsamtally/platform/wire.py
@@ -10,7 +10,7 @@
 from balsamtally.errors import BalsamtallyError, MalformedHeader, MalformedRequest
 from balsamtally.forwarding import Wire
 from balsamtally.logs import log
-from balsamtally.server_limits import MAX_LIMIT_PER_S
+from balsamtally.server_limits import MAX_LIMIT_PER_S, MAX_REFUSALS
 
 ATTEMPT_ID = b"attempt-id"
 SIGNATURE = b"response-signature"
@@ -18,6 +18,7 @@
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
 SERVER_LIMIT = b"server-limit"
+SERVER_BRITTLE = b"server-brittle"
 LAST_EVENT = b"last-event-id"
 RESUMES = b"resumes"
 SCHEME = b"token"
@@ -43,6 +44,7 @@
 RETRY_AFTER_DIGITS = 2
 REPORT_TARGET = b"/report"
 # A number without a sign, possibly with a fraction.
+_WHOLE = re.compile(rb"[0-9]{1,15}")
 _DECIMAL = re.compile(rb"[0-9]{1,15}(?:\.[0-9]{1,15})?")
 _HEXADECIMAL = re.compile(rb"[0-9a-fA-F]+")
 
@@ -274,7 +276,7 @@
         if not valid:
             log_refused_notice(name, text)
     limit_per_s, states_limit = read_limit(head)
-    return Notice(leaving, pause_s, limit_per_s, states_limit)
+    return Notice(leaving, pause_s, limit_per_s, states_limit, read_brittle(head))
 
 
 def read_limit(head: AnswerHead) -> tuple[float | None, bool]:
@@ -291,6 +293,21 @@
     return None, False
 
 
+def read_brittle(head: AnswerHead) -> int | None:
+    """Return the refusals within a second that a head says its server tolerates.
+
+    :param head: head of the answer
+    :return: the number, ``None`` if the head names none or an invalid one
+    """
+    values = [value.strip() for name, value in head.headers if name.lower() == SERVER_BRITTLE]
+    if not values:
+        return None
+    if len(values) == 1 and _WHOLE.fullmatch(values[0]):
+        return min(int(values[0]), MAX_REFUSALS)
+    log_refused_notice(b"Server-Brittle", b", ".join(values))
+    return None
+
+
 def log_refused_notice(name: bytes, value: bytes) -> None:
     """Log an invalid value of a header in which a backend server tells something about itself.
 
--- a/balsamtally/runners.py
+++ b/balsamtally/runners.py
@@ -97,7 +97,7 @@
 
     :ivar speed: estimated speed of its engines
     :ivar streams: statistics of its streams with a tight inter-event latency bound
-    :ivar call_s: moving average of the time per call, in seconds; of plain services
+    :ivar call_s: moving average of the time per call, in seconds
     """
 
     speed: EngineSpeed = field(default_factory=EngineSpeed)
@@ -509,11 +509,11 @@
             self._record_longest_gap(report)
         elif report.finding == Finding.FULL:
             self._full_until_s[report.key] = self._clock() + self._find_full_s(report)
+            self._permits.record_refusal(report.key)
         else:
             self._record_health(report)
         backend = self._catalog.backends.get(report.backend)
-        plain = self.find_engine(report.service) is None
-        if report.finding == Finding.ANSWERED and plain and backend is not None:
+        if report.finding == Finding.ANSWERED and backend is not None:
             far = self._find_region(backend.domain) != self._region
             statistics = self.find_statistics(report.service)
             statistics.call_s = update_call_s(statistics.call_s, report.took_s, far)
--- a/balsamtally/server_limits.py
+++ b/balsamtally/server_limits.py
@@ -1,4 +1,4 @@
-"""Request rate limits that backend servers named in their answers, and those of cold servers.
+"""Limits that backend servers named in their answers, and those of cold servers.
 
 A named limit holds for one incarnation, for the requests of all entry VMs together, until an answer
 names none. Each statement has a time, and the latest one holds: for a limit, when the answer
@@ -6,13 +6,17 @@
 have been written before the limit was named. Entry VMs have no common clock and tell each other
 ages.
 
+A brittle server names how many refusals within a second it tolerates. Its statement is of the same
+kind as that of a limit and told with it. An incarnation that is published while its service has
+brittle servers counts as brittle until an answer says otherwise.
+
 The limit of a cold server follows from its published entry and ends by itself. As the entry may be
 old, the time counts from when this entry VM learnt it, and a later entry never shortens it.
 """
 
 import math
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from itertools import islice
 from typing import Annotated
@@ -33,6 +37,10 @@
 # Time that a message between entry VMs may take. A told end counts as older by this, so that it
 # doesn't cancel a limit that was named after it.
 TRANSIT_S = 0.3
+# Largest number of refusals that a brittle server tolerates; larger ones count as this.
+MAX_REFUSALS = 1_000_000
+# A service counts as brittle for this time after a server of it has last said that it is.
+SERVICE_BRITTLE_S = 30.0
 # Incarnations whose last answer without a limit is recorded; the oldest are dropped beyond this.
 MAX_INCARNATIONS = 4_096
 
@@ -46,12 +54,14 @@
     :ivar born: start of its incarnation in Unix milliseconds
     :ivar limit_per_s: requests per second, ``None`` if the limit has ended
     :ivar age_s: time since the statement, in seconds
+    :ivar brittle: refusals within a second that it tolerates, ``None`` if it isn't brittle
     """
 
     name: str
     born: Count
     limit_per_s: Limit | None
     age_s: Seconds
+    brittle: Count | None = None
 
     @property
     def key(self) -> Incarnation:
@@ -65,10 +75,31 @@
 
     :ivar limit_per_s: requests per second, ``None`` for no limit
     :ivar at_s: monotonic clock at the statement, in seconds
+    :ivar brittle: refusals within a second that it tolerates, ``None`` if it isn't brittle
     """
 
     limit_per_s: float | None
     at_s: float
+    brittle: int | None = None
+
+    @property
+    def is_end(self) -> bool:
+        """Whether the server has no limit and isn't brittle."""
+        return self.limit_per_s is None and self.brittle is None
+
+
+@dataclass
+class BrittleService:
+    """A service with brittle servers.
+
+    :ivar tolerated: refusals within a second that the server tolerates that was the last to say it
+    :ivar said_s: monotonic clock when it said so, in seconds
+    :ivar known: incarnations that were published when the first one said so
+    """
+
+    tolerated: int
+    said_s: float
+    known: frozenset[Incarnation]
 
 
 class ServerLimits:
@@ -78,6 +109,7 @@
     :param clock: monotonic clock in seconds
     :param find_cold_limit: returns the requests per second for a cold server of a service, ``None``
         if they aren't limited
+    :param list_published: returns the published backend servers by name
     """
 
     def __init__(
@@ -85,6 +117,7 @@
         is_known: Callable[[Incarnation], bool],
         clock: Callable[[], float] = time.monotonic,
         find_cold_limit: Callable[[str], float | None] = lambda service: None,
+        list_published: Callable[[], Mapping[str, Backend]] = dict,
     ):
         self._is_known = is_known
         self._clock = clock
@@ -95,14 +128,17 @@
         self._statements: dict[Incarnation, Statement] = {}
         self._unlimited_s: dict[Incarnation, float] = {}
         self._limits: dict[Incarnation, float] = {}
+        self._brittle: dict[Incarnation, int] = {}
+        self._list_published = list_published
+        self._brittle_services: dict[str, BrittleService] = {}
 
     @property
     def is_empty(self) -> bool:
-        """Whether no backend server has a limit or is cold."""
+        """Whether no backend server has a limit, is brittle or is cold."""
         # Called for each candidate of each waiting call.
         if self._cold and self._clock() >= self._next_warm_s:
             self._end_cold()
-        return not self._limits and not self._cold
+        return not (self._limits or self._cold or self._brittle or self._brittle_services)
 
     def find(self, key: Incarnation) -> float | None:
         """Return the limit of a backend server in requests per second, ``None`` if it has none.
@@ -122,6 +158,25 @@
         """
         return self._limits.get(key)
 
+    def find_brittle(self, key: Incarnation) -> int | None:
+        """Return how many refusals within a second a brittle server tolerates.
+
+        :param key: identity of its incarnation
+        :return: the number, ``None`` if the server isn't brittle
+        """
+        if key in self._brittle or not self._brittle_services:
+            return self._brittle.get(key)
+        backend = self._list_published().get(key[0])
+        service = self._brittle_services.get(backend.service) if backend is not None else None
+        if service is None or key in service.known or key in self._unlimited_s:
+            return None
+        is_recent = self._clock() - service.said_s < SERVICE_BRITTLE_S
+        return service.tolerated if is_recent else None
+
+    def list_brittle(self) -> list[Incarnation]:
+        """Return the incarnations that said that they are brittle."""
+        return list(self._brittle)
+
     def find_cold(self, key: Incarnation) -> float | None:
         """Return the limit of a cold server in requests per second, ``None`` if it has none.
 
@@ -183,16 +238,23 @@
         """Return the incarnations that are cold."""
         return [key for key in self._cold if self.is_cold(key)]
 
-    def record_answer(self, backend: Backend, limit_per_s: float | None, sent_s: float) -> bool:
+    def record_answer(
+        self,
+        backend: Backend,
+        limit_per_s: float | None,
+        sent_s: float,
+        brittle: int | None = None,
+    ) -> bool:
         """Record what an answer says; return whether the limit has changed.
 
         :param backend: the incarnation that answered
         :param limit_per_s: the limit that it names, ``None`` for none
         :param sent_s: monotonic clock when the request was sent, in seconds
+        :param brittle: refusals within a second that it says it tolerates, ``None`` for none
         """
         key = backend.key
-        if limit_per_s is not None:
-            return self._record(key, Statement(limit_per_s, self._clock()), "its answer")
+        if limit_per_s is not None or brittle is not None:
+            return self._record(key, Statement(limit_per_s, self._clock(), brittle), "its answer")
         self._unlimited_s[key] = max(sent_s, self._unlimited_s.pop(key, sent_s))
         while len(self._unlimited_s) > MAX_INCARNATIONS:
             del self._unlimited_s[next(iter(self._unlimited_s))]
@@ -210,8 +272,9 @@
             if not self._is_known(item.key):
                 continue
             at_s = self._clock() - max(0.0, item.age_s)
-            if item.limit_per_s is not None or item.key in self._statements:
-                self._record(item.key, Statement(item.limit_per_s, at_s), source)
+            statement = Statement(item.limit_per_s, at_s, item.brittle)
+            if not statement.is_end or item.key in self._statements:
+                self._record(item.key, statement, source)
 
     def _record(self, key: Incarnation, statement: Statement, source: str) -> bool:
         held = self._statements.get(key)
@@ -225,6 +288,40 @@
         return self._apply(key, statement, source)
 
     def _apply(self, key: Incarnation, statement: Statement, source: str) -> bool:
+        is_brittle_new = self._apply_brittle(key, statement, source)
+        return self._apply_limit(key, statement, source) or is_brittle_new
+
+    def _apply_brittle(self, key: Incarnation, statement: Statement, source: str) -> bool:
+        before = self._brittle.pop(key, None)
+        if statement.brittle is not None:
+            self._brittle[key] = statement.brittle
+            self._record_brittle_service(key, statement)
+        if statement.brittle == before:
+            return False
+        log.info(
+            "server_brittle",
+            backend=key[0],
+            born=key[1],
+            refusals=statement.brittle,
+            before=before,
+            source=source,
+        )
+        return True
+
+    def _record_brittle_service(self, key: Incarnation, statement: Statement) -> None:
+        published = self._list_published()
+        if key[0] not in published:
+            return
+        name = published[key[0]].service
+        service = self._brittle_services.get(name)
+        if service is None:
+            known = frozenset(each.key for each in published.values() if each.service == name)
+            service = BrittleService(statement.brittle, statement.at_s, known)
+            self._brittle_services[name] = service
+        service.tolerated = statement.brittle
+        service.said_s = max(service.said_s, statement.at_s)
+
+    def _apply_limit(self, key: Incarnation, statement: Statement, source: str) -> bool:
         before = self._limits.pop(key, None)
         if statement.limit_per_s is not None:
             self._limits[key] = statement.limit_per_s
@@ -248,7 +345,8 @@
             ToldLimit(
                 *key,
                 statement.limit_per_s,
-                now - statement.at_s + (TRANSIT_S if statement.limit_per_s is None else 0.0),
+                now - statement.at_s + (TRANSIT_S if statement.is_end else 0.0),
+                statement.brittle,
             )
             for key, statement in islice(latest, MAX_TOLD)
         )
@@ -259,13 +357,21 @@
         self._statements = {
             key: statement
             for key, statement in self._statements.items()
-            if self._is_known(key)
-            and (statement.limit_per_s is not None or statement.at_s >= oldest_s)
+            if self._is_known(key) and (not statement.is_end or statement.at_s >= oldest_s)
         }
         self._unlimited_s = {
             key: at for key, at in self._unlimited_s.items() if self._is_known(key)
         }
         self._limits = {key: self._limits[key] for key in self._limits if key in self._statements}
+        self._brittle = {
+            key: self._brittle[key] for key in self._brittle if key in self._statements
+        }
+        brittle_since_s = self._clock() - SERVICE_BRITTLE_S
+        self._brittle_services = {
+            name: service
+            for name, service in self._brittle_services.items()
+            if service.said_s >= brittle_since_s
+        }
         self._end_cold()
         self._cold = {key: self._cold[key] for key in self._cold if self._is_known(key)}
         self._cold_until_s = {
@@ -280,5 +386,5 @@
     :param other: the other one
     """
     if statement.at_s == other.at_s:
-        return other.limit_per_s is None and statement.limit_per_s is not None
+        return other.is_end and not statement.is_end
     return statement.at_s > other.at_s
--- a/standins/grid.py
+++ b/standins/grid.py
@@ -46,6 +46,10 @@
 PREFILL_S = 0.05
 # Time from a crash caused by a prompt to the server's next start.
 RESTART_S = 1.0
+# Time from the first answer that says that a server is brittle until it refuses requests, and from
+# its fall until its next start.
+BRITTLE_S = 4.0
+FALLEN_S = 3.0
 # Value of SO_LINGER that makes a close reset the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 FIRST_BORN = 1_700_000_000_000
@@ -146,6 +150,10 @@
     :ivar crashes: times of these crashes
     :ivar endless: part of an answer that is sent without end, one of ``ENDLESS``, empty for none
     :ivar silent: whether it sends nothing, and goes on with its answers once this is false again
+    :ivar brittle: value of ``Server-Brittle`` in its answers, 0 for none; from ``BRITTLE_S`` after
+        the first one the server runs no more than ``slots`` requests, and it falls over if it
+        refuses more than this number within a second
+    :ivar falls: times at which it fell over
     :ivar slots: number of slots in the registration
     :ivar cold_s: time for which the registration says that the server stays cold, in seconds
     """
@@ -175,6 +183,8 @@
         self.crashes: list[float] = []
         self.endless = ""
         self.silent = False
+        self.brittle = 0
+        self.falls: list[float] = []
         self.slots = 8
         self.cold_s = 0.0
         self._store = store
@@ -184,6 +194,8 @@
         self._born = born
         self._numbers = itertools.count(1)
         self._server: CallerServer | None = None
+        self._brittle_since_s: float | None = None
+        self._refusals: list[float] = []
 
     def __enter__(self) -> "Server":
         self._start()
@@ -235,6 +247,29 @@
         gevent.spawn_later(RESTART_S, self._start)
         self.crash()
 
+    def _has_no_room(self) -> bool:
+        """Return whether the server is brittle and runs as many requests as it has slots."""
+        if not self.brittle:
+            self._brittle_since_s = None
+            return False
+        now = time.monotonic()
+        if self._brittle_since_s is None:
+            self._brittle_since_s = now
+        return now - self._brittle_since_s >= BRITTLE_S and self.running >= self.slots
+
+    def _count_refusal(self) -> None:
+        """Count a request refused for want of room; fall over if there were too many."""
+        now = time.monotonic()
+        self._refusals = [at_s for at_s in self._refusals if now - at_s < 1.0] + [now]
+        # Requests that are being read as the server falls over are refused too.
+        has_fallen = self.falls and now - self.falls[-1] < FALLEN_S
+        if len(self._refusals) > self.brittle and not has_fallen:
+            self._refusals.clear()
+            self.falls.append(now)
+            self._born = max(self._born + 1, round(time.time() * 1000))
+            self.crash()
+            gevent.spawn_later(FALLEN_S, self._start)
+
     def _refuse(self, caller: Caller, error: BalsamtallyError) -> None:
         caller.answer(error.status, (), b"")
 
@@ -248,6 +283,8 @@
         if self.leaving:
             echo.append((b"Server-Leaving", b"1"))
         echo += [(b"Server-Limit", value.encode()) for value in self.limits]
+        if self.brittle:
+            echo.append((b"Server-Brittle", b"%d" % self.brittle))
         self.arrivals.append((attempt_id, time.monotonic()))
         if headers.get("expect-instance", self.name) != self.name:
             caller.answer(421, [*echo, (b"Instance-Id", self.name.encode())], b"")
@@ -256,6 +293,10 @@
             pause = [(b"Retry-After", self.retry_after.encode())] if self.retry_after else []
             caller.answer(503, [*echo, *pause, (b"Not-Executed", b"1")], b"")
             return
+        if self._has_no_room():
+            caller.answer(503, [*echo, (b"Not-Executed", b"1")], b"")
+            self._count_refusal()
+            return
         self.runs.append((attempt_id, headers, time.monotonic()))
         self.run_software.append(self.software)
         script = headers.get("script", "whole").split(",")
--- a/tests/balsamtally/platform/test_wire.py
+++ b/tests/balsamtally/platform/test_wire.py
@@ -253,6 +253,13 @@
         (200, b"Server-Limit", b"9" * 5000, Notice(states_limit=False)),
         (200, b"Server-Limit", b"two", Notice(states_limit=False)),
         (200, b"Server-Limit", b"", Notice(states_limit=False)),
+        (200, b"Server-Brittle", b"3", Notice(brittle=3)),
+        (503, b"server-brittle", b" 0 ", Notice(brittle=0)),
+        (200, b"Server-Brittle", b"9" * 15, Notice(brittle=1_000_000)),
+        (200, b"Server-Brittle", b"2.5", Notice()),
+        (200, b"Server-Brittle", b"-1", Notice()),
+        (200, b"Server-Brittle", b"9" * 5000, Notice()),
+        (200, b"Server-Brittle", b"", Notice()),
     ],
 )
 def test_notices_are_read_and_odd_values_have_no_effect(status, name, value, notice):
@@ -264,6 +271,13 @@
     assert read_notice(head) == Notice(states_limit=False)
 
 
+def test_odd_brittle_notice_leaves_the_limit_beside_it_in_force():
+    head = AnswerHead(200, ((b"Server-Limit", b"2"), (b"Server-Brittle", b"x")))
+    assert read_notice(head) == Notice(limit_per_s=2.0)
+    twice = AnswerHead(200, ((b"Server-Brittle", b"1"), (b"Server-Brittle", b"1")))
+    assert read_notice(twice) == Notice()
+
+
 def test_departure_of_a_backend_server_is_not_passed_on_to_callers():
     head = AnswerHead(200, ((b"Server-Leaving", b"1"), (b"A", b"b")))
     assert pick_headers(head) == ((b"A", b"b"),)
--- a/tests/balsamtally/test_server_limits.py
+++ b/tests/balsamtally/test_server_limits.py
@@ -7,7 +7,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from balsamtally.server_limits import ENDED_TTL_S, MAX_TOLD, TRANSIT_S, ServerLimits, ToldLimit
+from balsamtally.server_limits import (
+    ENDED_TTL_S,
+    MAX_TOLD,
+    SERVICE_BRITTLE_S,
+    TRANSIT_S,
+    ServerLimits,
+    ToldLimit,
+)
 from tests.balsamtally.scripted import make_backend
 
 SERVER = make_backend("one")
@@ -254,3 +261,67 @@
     vm.limits.forget_removed()
     assert vm.limits.is_empty
     assert not vm.limits._cold_until_s
+
+
+class BrittleService:
+    """Two servers of a service, the first one brittle."""
+
+    def __init__(self):
+        one, two = make_backend("one", service="desk"), make_backend("two", service="desk")
+        self.published = {"one": one, "two": two}
+        self.limits = ServerLimits(
+            lambda key: True, lambda: Vm.now, list_published=lambda: self.published
+        )
+        self.limits.record_answer(one, None, 99.0, 3)
+
+    def publish(self, name, born):
+        self.published[name] = replace(make_backend(name, service="desk"), born=born)
+        return self.published[name]
+
+    def find(self, backend):
+        return self.limits.find_brittle(backend.key)
+
+
+def test_brittle_server_is_told_to_peers_and_so_is_its_end():
+    vm, peer = Vm(), Vm()
+    vm.limits.record_answer(SERVER, None, 99.0, 3)
+    vm.tell(peer)
+    assert peer.limits.find_brittle(SERVER.key) == 3 and not peer.limits.is_empty
+    assert peer.limits.list_brittle() == [SERVER.key] and peer.limit is None
+    Vm.now = 102.0
+    vm.hear(None, 101.0)
+    vm.tell(peer)
+    assert peer.limits.find_brittle(SERVER.key) is None
+
+
+def test_server_may_have_a_limit_and_be_brittle():
+    vm = Vm()
+    assert vm.limits.record_answer(SERVER, 2.0, 99.0, 1)
+    assert (vm.limit, vm.limits.find_brittle(SERVER.key)) == (2.0, 1)
+    Vm.now = 101.0
+    assert vm.limits.record_answer(SERVER, 2.0, 100.5)
+    assert (vm.limit, vm.limits.find_brittle(SERVER.key)) == (2.0, None)
+
+
+def test_new_incarnation_of_a_service_with_brittle_servers_is_brittle_until_it_answers():
+    service = BrittleService()
+    assert service.find(service.published["two"]) is None
+    back = service.publish("one", born=7)
+    assert service.find(back) == 3
+    service.limits.record_answer(back, None, 101.0)
+    assert service.find(back) is None
+
+
+def test_new_incarnations_are_no_longer_brittle_some_time_after_the_last_statement():
+    service = BrittleService()
+    back = service.publish("one", born=7)
+    Vm.now += SERVICE_BRITTLE_S
+    assert service.find(back) is None
+    Vm.now += 0.1
+    service.limits.forget_removed()
+    assert service.limits._brittle_services == {}
+
+
+def test_limit_told_by_an_older_release_names_no_refusals():
+    raw = msgspec.msgpack.encode(["one", 1, 2.5, 0.1])
+    assert msgspec.msgpack.decode(raw, type=ToldLimit).brittle is None
