--- a/balsamtally/call_metrics.py
+++ b/balsamtally/call_metrics.py
@@ -38,6 +38,7 @@
     :ivar evacuated: 1 for each evacuated failure domain
     :ivar cold: backend servers that are cold
     :ivar limited: backend servers that limit the rate of requests
+    :ivar brittle: backend servers that said that they are brittle
     :ivar held_bytes: bytes held for calls in progress
     :ivar held_bytes_limit: limit of these bytes
     :ivar callers_limit: most open connections of callers
@@ -67,6 +68,7 @@
     dropped_lines: int = 0
     quarantined: int = 0
     limited: int = 0
+    brittle: int = 0
     cold: int = 0
     held_bytes: float = 0.0
     held_bytes_limit: float = 0.0
@@ -156,6 +158,9 @@
             "limited": self._gauge(
                 "limited_backends", "Backend servers that limit the rate of requests"
             ),
+            "brittle": self._gauge(
+                "brittle_backends", "Backend servers that said that they are brittle"
+            ),
             "cold": self._gauge("cold_backends", "Backend servers that are cold"),
             "held_bytes": self._gauge("held_bytes", "Bytes held for calls in progress"),
             "callers_limit": self._gauge(
--- a/balsamtally/gateway.py
+++ b/balsamtally/gateway.py
@@ -581,6 +581,7 @@
             evacuated=dict.fromkeys(self.catalog.evacuated, 1),
             cold=len(self._server_limits.list_cold()),
             limited=len(self._server_limits.list_limited()),
+            brittle=len(self._server_limits.list_brittle()),
             callers_limit=self._callers.max_callers,
             closed_idle=self._callers.closed_idle,
             evicted_bodies=self._account.evicted,
