--- a/standins/grid.py
+++ b/standins/grid.py
@@ -16,7 +16,7 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from pathlib import Path
 
 import gevent
@@ -200,6 +200,11 @@
     def __exit__(self, *exc_info) -> None:
         self._server.__exit__(*exc_info)
 
+    @property
+    def address(self) -> str:
+        """The address at which the server listens, as ``IP:port``."""
+        return f"{self._host}:{SERVER_PORT}"
+
     def register(self, state: str) -> None:
         """Write the server's registration with this state to the store."""
         self._store.put(f"servers/{self.name}", self.make_entry(state))
@@ -208,7 +213,7 @@
         """Return the content of the server's registration with this state."""
         return {
             "service": self.service,
-            "address": f"{self._host}:{SERVER_PORT}",
+            "address": self.address,
             "zone": self._domain,
             "version": self.software,
             "slots": self.slots,
@@ -340,6 +345,7 @@
     :param folder: directory of the settings file and the log file
     :ivar host: IP address of the VM
     :ivar limits: ``limits`` of the settings file
+    :ivar is_cuttable: whether the daemon's links to backend servers can be cut
     """
 
     def __init__(self, name: str, domain: str, folder: Path):
@@ -348,7 +354,9 @@
         self.domain = domain
         self.host = draw_host()
         self.log_path = folder / f"{name}.log"
+        self.is_cuttable = False
         self._settings_path = folder / f"{name}.yaml"
+        self._cuts_path = folder / f"{name}.cuts.json"
         self._process: subprocess.Popen | None = None
 
     def write_settings(self, seeds: list[str], store: str) -> None:
@@ -375,11 +383,23 @@
         }
         self._settings_path.write_text(yaml.safe_dump(settings))
 
+    def write_cuts(self, ways: dict[str, str]) -> None:
+        """Cut links to backend servers, also of a process that runs, and no others.
+
+        :param ways: ways in which links are cut, by address, see :mod:`standins.cut_daemon`
+        """
+        written_path = self._cuts_path.with_suffix(".new")
+        written_path.write_text(json.dumps(ways))
+        written_path.replace(self._cuts_path)
+
     def start(self) -> None:
         """Start the daemon process; its output is appended to the log file."""
+        module = ["balsamtally.platform"]
+        if self.is_cuttable:
+            module = ["standins.cut_daemon", str(self._cuts_path)]
         with self.log_path.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "balsamtally.platform"],
+                [sys.executable, "-m", *module],
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -445,15 +465,22 @@
     :param servers: backend servers of each service in each failure domain
     :param domains: number of failure domains
     :param limits: ``limits`` of the settings files
+    :param is_cuttable: whether links of VMs to backend servers can be cut
     :ivar store: the store, once the context is entered
     :ivar vms: all entry VMs
     :ivar servers: all backend servers
     """
 
     def __init__(
-        self, vms: int = 1, servers: int = 1, domains: int = 2, limits: dict | None = None
+        self,
+        vms: int = 1,
+        servers: int = 1,
+        domains: int = 2,
+        limits: dict | None = None,
+        is_cuttable: bool = False,
     ):
         self._limits = limits
+        self._is_cuttable = is_cuttable
         self._domains = list(DOMAINS)[:domains]
         self._vms_per_domain = vms
         self._servers_per_domain = servers
@@ -493,6 +520,7 @@
     def _add_vm(self, name: str, domain: str) -> Vm:
         vm = Vm(name, domain, self._folder)
         vm.limits = self._limits or vm.limits
+        vm.is_cuttable = self._is_cuttable
         self.vms.append(vm)
         return vm
 
@@ -542,6 +570,20 @@
                     raise FleetError(f"{vm.name} is not ready:\n{vm.read_log()[-3000:]}")
                 gevent.sleep(POLL_S)
 
+    def cut(self, vm: Vm, way: str, servers: Iterable[Server] | None = None) -> None:
+        """Cut an entry VM off from backend servers; replaces its cut before.
+
+        :param vm: the entry VM
+        :param way: ``hang``, ``reset`` or ``refuse``, see :mod:`standins.cut_daemon`
+        :param servers: the backend servers, ``None`` for all
+        """
+        addresses = ["*"] if servers is None else [server.address for server in servers]
+        vm.write_cuts(dict.fromkeys(addresses, way))
+
+    def heal(self, vm: Vm) -> None:
+        """End all cuts of an entry VM."""
+        vm.write_cuts({})
+
     def list_servers(self, service: str) -> list[Server]:
         """Return the backend servers of a service."""
         return [server for server in self.servers if server.service == service]
