--- a/tests/standins/test_cut_off_vms.py
+++ b/tests/standins/test_cut_off_vms.py
@@ -4,6 +4,7 @@
 import signal
 import time
 from collections import Counter
+from dataclasses import dataclass
 
 import gevent
 import pytest
@@ -21,6 +22,8 @@
 # Time for the VMs to learn from beats that a VM is cut off, or isn't any more.
 TOLD_S = 1.0
 SOON_S = 1.0
+# Time in which a VM uses links that are back.
+BACK_S = 3.0
 LEFT_S = 0.5
 # Lines of a VM that takes a failure of a link for one of the backend server.
 VERDICTS = ("backend_ejected", "backend_crashed", "backend_lapsed", "part_quarantined")
@@ -38,6 +41,22 @@
         yield deployed
 
 
+@dataclass(frozen=True)
+class Outcome:
+    """What was seen of a cut.
+
+    :ivar share: share of first tries served at the VMs cut off
+    :ivar share_of_others: share of first tries served at the other VMs
+    :ivar faults: answers that break a rule
+    :ivar verdicts: lines of VMs that took a failure for one of a backend server
+    """
+
+    share: float
+    share_of_others: float
+    faults: list
+    verdicts: list
+
+
 class MixedTraffic:
     """First tries of all kinds at entry VMs, sent at a steady rate; a context manager."""
 
@@ -101,21 +120,33 @@
     for vm in grid.vms:
         expect_soon(lambda vm=vm: vm.count_events("link_back") == vm.count_events("link_lost"))
     for vm in grid.vms:
-        answer = ask(vm, "lookup")
-        assert answer.good
-        expect_soon(lambda vm=vm, id=answer.id: vm.count_events("ended", request=id, relay=""))
+        expect_soon(lambda vm=vm: is_served_directly(vm), BACK_S)
 
 
-@pytest.mark.parametrize("way", WAYS)
-@pytest.mark.parametrize("extent", ["one", "most", "domain", "some servers"])
-def test_first_tries_at_vms_cut_off_are_served_as_at_the_others(kept_grid, way, extent):
-    """Without another way a VM that is cut off serves next to none of its callers."""
-    grid, servers = kept_grid, None
-    former = list_verdicts(grid)
-    cut_off = {"one": grid.vms[:1], "most": grid.vms[1:], "domain": grid.vms[:2]}.get(extent)
+def is_served_directly(vm):
+    answer = ask(vm, "lookup")
+    expect_soon(lambda: vm.count_events("ended", request=answer.id) == 1)
+    return answer.good and vm.count_events("ended", request=answer.id, relay="") == 1
+
+
+def choose_cut(grid, extent):
+    """Return the VMs that are cut off, and the backend servers, ``None`` for all."""
     if extent == "some servers":
-        cut_off, servers = grid.vms[:3], grid.servers[: len(grid.servers) // 2]
+        return grid.vms[:3], grid.servers[: len(grid.servers) // 2]
+    return {"one": grid.vms[:1], "most": grid.vms[1:], "domain": grid.vms[:2]}[extent], None
+
+
+@pytest.fixture(
+    scope="module",
+    params=itertools.product(("one", "most", "domain", "some servers"), WAYS),
+    ids=lambda param: "-".join(param),
+)
+def outcome(kept_grid, request):
+    """What callers and VMs see of a cut that begins and ends."""
+    grid, (extent, way) = kept_grid, request.param
+    cut_off, servers = choose_cut(grid, extent)
     others = [vm for vm in grid.vms if vm not in cut_off]
+    former = list_verdicts(grid)
     with MixedTraffic(grid.vms) as traffic:
         gevent.sleep(0.3)
         for vm in cut_off:
@@ -127,15 +158,28 @@
         for vm in cut_off:
             grid.heal(vm)
         gevent.sleep(0.3)
-    share = traffic.find_share(cut_off, begun_s, ended_s)
-    share_of_others = traffic.find_share(others, begun_s, ended_s)
-    print(way, extent, f"served {share:.3f} and {share_of_others:.3f}")
     await_direct_links(grid)
-    assert share >= 2 / 3 * share_of_others
-    assert share_of_others > 0.9
     answers = [answer for answers in traffic.answers.values() for answer in answers]
-    assert list_faults(grid, answers) == []
-    assert [verdict for verdict in list_verdicts(grid) if verdict not in former] == []
+    return Outcome(
+        traffic.find_share(cut_off, begun_s, ended_s),
+        traffic.find_share(others, begun_s, ended_s),
+        list_faults(grid, answers),
+        [verdict for verdict in list_verdicts(grid) if verdict not in former],
+    )
+
+
+def test_first_tries_at_vms_cut_off_are_served_as_at_the_others(outcome):
+    """Without another way a VM that is cut off serves next to none of its callers."""
+    assert outcome.share_of_others > 0.9
+    assert outcome.share >= 2 / 3 * outcome.share_of_others
+
+
+def test_requests_run_once_at_most_and_not_at_all_if_refused_beside_a_cut(outcome):
+    assert outcome.faults == []
+
+
+def test_cut_is_no_news_of_a_backend_server(outcome):
+    assert outcome.verdicts == []
 
 
 @pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM])
