--- a/standins/cut_soak.py
+++ b/standins/cut_soak.py
@@ -177,8 +177,8 @@
     :ivar kind: name of the route
     :ivar vm: name of the VM that it was sent to
     :ivar answer: the answer
-    :ivar place: ``cut`` or ``other`` if the VM was up and cut off, or up and not cut off, before and
-        after the request while another VM could relay; otherwise empty
+    :ivar place: ``cut`` if the VM was up and cut off before and after the request, ``other`` if it
+        was up and not cut off, both only while another VM could relay; otherwise empty
     """
 
     kind: str
