Ask other backend servers before a failure that no relay could confirm counts as the server's

Callers saw servers ejected that were sound: with all entry VMs cut off so that new connections are refused, each VM's refusal counted as news of the server, since kept connections still served and so showed the VM as not cut off. Now the VM tries up to three other servers, and if none accepts, the loss is its own.

--- a/balsamtally/paths/dialer.py
+++ b/balsamtally/paths/dialer.py
@@ -33,6 +33,8 @@
 # Time for which a relay that failed isn't asked for a connection to the same server.
 AVOID_S = 1.0
 MAX_AVOIDED = 4_096
+# Other backend servers that are tried to tell a lost server from lost links of this VM.
+MAX_CONTROLS = 3
 # Longest time to check a suspected link.
 CHECK_TIMEOUT_S = 0.6
 # Interval of the probes of lost links, and how many of them run at a time.
@@ -301,9 +303,19 @@
         """
         if self.losses.is_lost(backend):
             return True
-        is_alone = not self._list_relays()
-        is_refused = isinstance(direct, ConnectionRefusedError)
-        return self.losses.is_cut_off() and not (is_alone and is_refused)
+        if isinstance(direct, ConnectionRefusedError) and not self._list_relays():
+            return False
+        return self.losses.is_cut_off() or not self._reaches_others(backend)
+
+    def _reaches_others(self, backend: Backend) -> bool:
+        """Return whether another backend server accepts a direct connection, if one is known.
+
+        Kept connections don't tell: they may live on while a lost link refuses new ones.
+        """
+        others = self.losses.list_others(backend)[:MAX_CONTROLS]
+        controls = [gevent.spawn(self._probe, other) for other in others]
+        gevent.joinall(controls)
+        return not controls or any(control.value for control in controls)
 
     def _record_winner(self, path: Path, backend: Backend, direct: Exception | None) -> None:
         if path.relay:
@@ -342,14 +354,16 @@
         except (OSError, LinksLost) as error:
             log.info("link_not_checked", backend=backend.name, why=str(error))
 
-    def _probe(self, backend: Backend) -> None:
+    def _probe(self, backend: Backend) -> bool:
+        """Try a link directly; return whether it connects."""
         try:
             close(connect(backend.address, HEAD_START_S))
         except OSError as error:
             self.losses.record_failed(backend, not isinstance(error, ConnectionRefusedError))
-        else:
-            self.losses.record_connected(backend)
-            self._probed += 1
+            return False
+        self.losses.record_connected(backend)
+        self._probed += 1
+        return True
 
 
 def list_news(race: Race) -> list[Exception]:
--- a/balsamtally/paths/losses.py
+++ b/balsamtally/paths/losses.py
@@ -96,6 +96,15 @@
         """Return the backend servers to which the direct link is lost."""
         return [link.backend for link in self._links.values() if link.lost_s]
 
+    def list_others(self, backend: Backend) -> list[Backend]:
+        """Return the other backend servers that were tried, those most likely in reach first.
+
+        :param backend: the one to leave out
+        """
+        links = [link for link in self._links.values() if link.backend.key != backend.key]
+        links.sort(key=lambda link: (bool(link.lost_s), -link.connected_s))
+        return [link.backend for link in links]
+
     def record_connected(self, backend: Backend) -> None:
         """Record that a direct attempt succeeded.
 
