Put a failure at a VM that has just started down to its links where no relay could confirm it

Callers at such a VM, cut off, had their servers ejected for all: it knew no other server to try. Relays whose links work tell of a lost server.

--- a/balsamtally/paths/dialer.py
+++ b/balsamtally/paths/dialer.py
@@ -303,19 +303,23 @@
         """
         if self.losses.is_lost(backend):
             return True
-        if isinstance(direct, ConnectionRefusedError) and not self._list_relays():
+        is_alone = not self._list_relays()
+        if is_alone and isinstance(direct, ConnectionRefusedError):
             return False
-        return self.losses.is_cut_off() or not self._reaches_others(backend)
+        others = self.losses.list_others(backend)[:MAX_CONTROLS]
+        if not others:
+            # A VM that has just started can't tell, but relays would have told of a lost server.
+            return not is_alone or self.losses.is_cut_off()
+        return self.losses.is_cut_off() or not self._reach_any(others)
 
-    def _reaches_others(self, backend: Backend) -> bool:
-        """Return whether another backend server accepts a direct connection, if one is known.
+    def _reach_any(self, backends: list[Backend]) -> bool:
+        """Return whether one of some backend servers accepts a direct connection.
 
         Kept connections don't tell: they may live on while a lost link refuses new ones.
         """
-        others = self.losses.list_others(backend)[:MAX_CONTROLS]
-        controls = [gevent.spawn(self._probe, other) for other in others]
+        controls = [gevent.spawn(self._probe, backend) for backend in backends]
         gevent.joinall(controls)
-        return not controls or any(control.value for control in controls)
+        return any(control.value for control in controls)
 
     def _record_winner(self, path: Path, backend: Backend, direct: Exception | None) -> None:
         if path.relay:
--- a/standins/cut_soak.py
+++ b/standins/cut_soak.py
@@ -18,6 +18,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import datetime
 
 import defopt
 import gevent
@@ -35,6 +36,7 @@
 CALM_S = 1.0
 DISTURBED_S = 8.0
 CUT_S = (0.3, 4.0)
+SAMPLE_S = 0.05
 # Time for other VMs to learn that a VM is cut off or has ended.
 TOLD_S = 1.0
 # Time in which a VM serves again after the last fault.
@@ -59,12 +61,28 @@
         self._up_since_s = dict.fromkeys(self._names(), time.monotonic())
         self._cut_since_s = dict.fromkeys(self._names(), math.inf)
         self._cuts = dict.fromkeys(self._names(), 0)
+        self._partial: set[str] = set()
         self._version = 1
+        self._unclear_s = [0.0]
         self._tasks: list[gevent.Greenlet] = []
 
     def _names(self) -> list[str]:
         return [vm.name for vm in self._grid.vms]
 
+    def follow(self) -> None:
+        """Note the times at which nobody can tell a lost server from lost links, again and again.
+
+        These are times when each VM is down or cut off, some of them from some servers only.
+        """
+        while True:
+            if self._partial and not self.has_relay():
+                self._unclear_s.append(time.time())
+            gevent.sleep(SAMPLE_S)
+
+    def is_clear(self, unix_s: float) -> bool:
+        """Return whether a lost server could be told from lost links shortly before a time."""
+        return not any(0 <= unix_s - at_s <= DEADLINE_S for at_s in self._unclear_s)
+
     def is_up(self, vm: Vm) -> bool:
         """Return whether a VM is up and known to the others."""
         return time.monotonic() - self._up_since_s[vm.name] >= TOLD_S
@@ -91,9 +109,11 @@
         steps = [self._cut, self._cut, self._cut_most, self._heal, self._restart]
         steps += [self._reload, self._configure]
         self._take(self._cut)
+        following = gevent.spawn(self.follow)
         while time.monotonic() < until_s:
             self._take(self._random.choice(steps))
         gevent.joinall(self._tasks, raise_error=True)
+        following.kill()
         for vm in self._grid.vms:
             self._end_cut(vm)
         self._grid.wait_ready(self._grid.vms)
@@ -120,6 +140,9 @@
             self._cuts[vm.name] += 1
             if self._cut_since_s[vm.name] == math.inf:
                 self._cut_since_s[vm.name] = time.monotonic()
+            self._partial.discard(vm.name)
+            if servers:
+                self._partial.add(vm.name)
             self._grid.cut(vm, way, servers)
             self._tasks.append(gevent.spawn(self._heal_later, vm, self._cuts[vm.name], lasts_s))
         extent = "some servers" if servers else "all servers"
@@ -133,6 +156,7 @@
 
     def _end_cut(self, vm: Vm) -> None:
         self._grid.heal(vm)
+        self._partial.discard(vm.name)
         self._cut_since_s[vm.name] = math.inf
 
     def _heal(self) -> str:
@@ -293,7 +317,12 @@
     return [f"      {json.dumps(line)}" for line in sorted(lines, key=lambda o: o["timestamp"])]
 
 
-def list_faults(grid: Grid, tries: list[Try]) -> list[str]:
+def read_time(line: dict) -> float:
+    """Return the time of a log line, as Unix time in seconds."""
+    return datetime.fromisoformat(line["timestamp"]).timestamp()
+
+
+def list_faults(grid: Grid, world: World, tries: list[Try]) -> list[str]:
     """Return the faults of answers, and the verdicts on backend servers, which are all sound."""
     faults = []
     for tried in tries:
@@ -302,7 +331,9 @@
             lines = list_lines(grid, lambda line, id=answer.id: id in line.values())
             what = f"{tried.kind} {answer.id} at {tried.vm}, status {answer.status}: {found}"
             faults.append("\n".join([what, *lines]))
-    verdicts = list_lines(grid, lambda line: line["event"] in VERDICTS)
+    verdicts = list_lines(
+        grid, lambda line: line["event"] in VERDICTS and world.is_clear(read_time(line))
+    )
     return faults + [f"verdict on a sound server\n{line}" for line in verdicts]
 
 
@@ -332,7 +363,7 @@
         with Callers(world, grid, seed) as callers:
             gevent.sleep(CALM_S)
             world.run(time.monotonic() + DISTURBED_S)
-        faults = list_not_back(grid) + list_faults(grid, callers.tries)
+        faults = list_not_back(grid) + list_faults(grid, world, callers.tries)
         return Result(
             seed,
             tuple(world.steps),
