Try a server again before a failure from the time of a cut counts as the server's

Callers saw sound servers ejected as a cut ended: an attempt that began within the cut timed out, and the other servers that were tried after it accepted again. Now the server itself is tried beside them.

--- a/balsamtally/paths/dialer.py
+++ b/balsamtally/paths/dialer.py
@@ -310,16 +310,18 @@
         if not others:
             # A VM that has just started can't tell, but relays would have told of a lost server.
             return not is_alone or self.losses.is_cut_off()
-        return self.losses.is_cut_off() or not self._reach_any(others)
+        return self.losses.is_cut_off() or not self._reaches_only(others, backend)
 
-    def _reach_any(self, backends: list[Backend]) -> bool:
-        """Return whether one of some backend servers accepts a direct connection.
+    def _reaches_only(self, others: list[Backend], backend: Backend) -> bool:
+        """Return whether other servers accept a direct connection, and one still doesn't.
 
-        Kept connections don't tell: they may live on while a lost link refuses new ones.
+        Links that have come back since an attempt began connect to all of them. Kept connections
+        don't tell: they may live on while a lost link refuses new ones.
         """
-        controls = [gevent.spawn(self._probe, backend) for backend in backends]
-        gevent.joinall(controls)
-        return any(control.value for control in controls)
+        again = gevent.spawn(self._probe, backend)
+        controls = [gevent.spawn(self._probe, other) for other in others]
+        gevent.joinall([again, *controls])
+        return any(control.value for control in controls) and not again.value
 
     def _record_winner(self, path: Path, backend: Backend, direct: Exception | None) -> None:
         if path.relay:
--- a/balsamtally/paths/relays.py
+++ b/balsamtally/paths/relays.py
@@ -173,15 +173,18 @@
             refused = isinstance(error, ConnectionRefusedError)
             self._losses.record_failed(backend, not refused)
             status = REFUSED_STATUS if refused else SILENT_STATUS
-            answer(sock, status if self._reaches_others(backend) else 503)
+            answer(sock, status if self._reaches_only_others(backend) else 503)
             return None
         self._losses.record_connected(backend)
         server.settimeout(None)
         bound_buffers(server)
         return server
 
-    def _reaches_others(self, backend: Backend) -> bool:
-        """Return whether other servers accept connections, those of the same domain first.
+    def _reaches_only_others(self, backend: Backend) -> bool:
+        """Return whether other servers accept connections, and one still doesn't.
+
+        Links that have come back since an attempt began connect to all of them. Servers of the same
+        domain are tried first.
 
         Where no other server is known, nothing tells a lost link from a lost server.
         """
@@ -190,9 +193,10 @@
             return True
         random.shuffle(others)
         others.sort(key=lambda each: each.domain != backend.domain)
+        again = gevent.spawn(self._try, backend)
         controls = [gevent.spawn(self._try, each) for each in others[:MAX_CONTROLS]]
-        gevent.joinall(controls)
-        return any(control.value for control in controls)
+        gevent.joinall([again, *controls])
+        return any(control.value for control in controls) and not again.value
 
     def _try(self, backend: Backend) -> bool:
         try:
