--- a/balsamtally/paths/dialer.py
+++ b/balsamtally/paths/dialer.py
@@ -33,6 +33,8 @@
 # Time for which a relay that failed isn't asked for a connection to the same server.
 AVOID_S = 1.0
 MAX_AVOIDED = 4_096
+# Other backend servers that are tried to tell a lost server from lost links of this VM.
+MAX_CONTROLS = 3
 # Longest time to check a suspected link.
 CHECK_TIMEOUT_S = 0.6
 # Interval of the probes of lost links, and how many of them run at a time.
@@ -302,8 +304,24 @@
         if self.losses.is_lost(backend):
             return True
         is_alone = not self._list_relays()
-        is_refused = isinstance(direct, ConnectionRefusedError)
-        return self.losses.is_cut_off() and not (is_alone and is_refused)
+        if is_alone and isinstance(direct, ConnectionRefusedError):
+            return False
+        others = self.losses.list_others(backend)[:MAX_CONTROLS]
+        if not others:
+            # A VM that has just started can't tell, but relays would have told of a lost server.
+            return not is_alone or self.losses.is_cut_off()
+        return self.losses.is_cut_off() or not self._reaches_only(others, backend)
+
+    def _reaches_only(self, others: list[Backend], backend: Backend) -> bool:
+        """Return whether other servers accept a direct connection, and one still doesn't.
+
+        Links that have come back since an attempt began connect to all of them. Kept connections
+        don't tell: they may live on while a lost link refuses new ones.
+        """
+        again = gevent.spawn(self._probe, backend)
+        controls = [gevent.spawn(self._probe, other) for other in others]
+        gevent.joinall([again, *controls])
+        return any(control.value for control in controls) and not again.value
 
     def _record_winner(self, path: Path, backend: Backend, direct: Exception | None) -> None:
         if path.relay:
@@ -342,14 +360,16 @@
         except (OSError, LinksLost) as error:
             log.info("link_not_checked", backend=backend.name, why=str(error))
 
-    def _probe(self, backend: Backend) -> None:
+    def _probe(self, backend: Backend) -> bool:
+        """Try a link directly; return whether it connects."""
         try:
             close(connect(backend.address, HEAD_START_S))
         except OSError as error:
             self.losses.record_failed(backend, not isinstance(error, ConnectionRefusedError))
-        else:
-            self.losses.record_connected(backend)
-            self._probed += 1
+            return False
+        self.losses.record_connected(backend)
+        self._probed += 1
+        return True
 
 
 def list_news(race: Race) -> list[Exception]:
