Check the link before a reset counts as the server's fault

Change: after a reset on a direct connection the link is tried, in a task of its own, and the failure recorded only if the link holds.

--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 
+import gevent
+
 from balsamtally.backends import END_TIMEOUT_S, BackendConnection, Connections
 from balsamtally.backlogs import Work
 from balsamtally.call_log import log_failed_attempt, log_foreign_answer
@@ -367,17 +369,44 @@
                 raise
             except BalsamtallyError as error:
                 failure = drop_traces(error)
-        if failure is None or not self._is_own_loss(progress, choice.backend, failure):
-            took_s = time.monotonic() - begun_s
-            self._hooks.record_outcome(choice.backend, plan, failure, took_s)
+        took_s = time.monotonic() - begun_s
+        if failure is None or not self._is_link_in_doubt(progress, failure):
+            self._record_outcome(choice.backend, plan, progress, failure, took_s)
+        else:
+            relay = progress.relay
+            gevent.spawn(self._record_if_link_holds, choice.backend, plan, relay, failure, took_s)
         return failure
 
-    def _is_own_loss(
-        self, progress: CallProgress, backend: Backend, failure: BalsamtallyError
-    ) -> bool:
-        """Return whether an attempt that was sent failed by the way to its backend server."""
+    def _record_outcome(
+        self,
+        backend: Backend,
+        plan: Plan,
+        progress: CallProgress,
+        failure: BalsamtallyError | None,
+        took_s: float,
+    ) -> None:
+        """Record the outcome of an attempt, unless it failed by the way to its backend server."""
         was_sent = bool(progress.exchange)
-        return was_sent and self._connections.is_own_loss(backend, progress.relay, failure)
+        if failure is None or not (
+            was_sent and self._connections.is_own_loss(backend, progress.relay, failure)
+        ):
+            self._hooks.record_outcome(backend, plan, failure, took_s)
+
+    def _is_link_in_doubt(self, progress: CallProgress, failure: BalsamtallyError) -> bool:
+        """Return whether a direct connection was reset, as at the loss of its link."""
+        was_reset = isinstance(failure.__cause__, ConnectionResetError)
+        return was_reset and not progress.relay and bool(progress.exchange)
+
+    def _record_if_link_holds(
+        self, backend: Backend, plan: Plan, relay: str, failure: BalsamtallyError, took_s: float
+    ) -> None:
+        """Record the failure of an attempt whose connection broke, once its link was tried.
+
+        The connections of a VM may be reset in the moment in which it loses its links.
+        """
+        self._terminations.is_reachable(backend)
+        if not self._connections.is_own_loss(backend, relay, failure):
+            self._hooks.record_outcome(backend, plan, failure, took_s)
 
     def _exchange(
         self, caller: Caller, plan: Plan, progress: CallProgress, backend: Backend, work: Work
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -774,7 +774,9 @@
     Mutation("paths/losses", "return unreachable >= MIN_UNREACHABLE", "return True", LOSSES),
     Mutation("paths/relays", "if not self._is_peer(ip):", "if False:", RELAYS),
     Mutation("paths/relays", "if backend is None:", "if False:", RELAYS),
-    Mutation("paths/relays", "status if self._reaches_others(backend) else 503", "status", RELAYS),
+    Mutation(
+        "paths/relays", "status if self._reaches_only_others(backend) else 503", "status", RELAYS
+    ),
     Mutation("paths/relays", "elif not end_sending(server, END_TIMEOUT_S):", "elif False:", RELAYS),
     Mutation("paths/relays", "set_up(sock, PEER_USER_TIMEOUT_MS)", "set_up(sock)", RELAYS),
     Mutation("paths/tunnels", "if http.trailing_data[0]:", "if False:", RELAYS),
