Count a reset as the server's fault only while its link works

Now it counts only if the server could be reached. The list of mutations names the guard of ended servers as it stands now.

--- a/balsamtally/forwarding.py
+++ b/balsamtally/forwarding.py
@@ -400,12 +400,12 @@
     def _record_if_link_holds(
         self, backend: Backend, plan: Plan, relay: str, failure: BalsamtallyError, took_s: float
     ) -> None:
-        """Record the failure of an attempt whose connection broke, once its link was tried.
+        """Record the failure of an attempt whose connection was reset, if its link still works.
 
         The connections of a VM may be reset in the moment in which it loses its links.
         """
-        self._terminations.is_reachable(backend)
-        if not self._connections.is_own_loss(backend, relay, failure):
+        is_reachable = self._terminations.is_reachable(backend)
+        if is_reachable and not self._connections.is_own_loss(backend, relay, failure):
             self._hooks.record_outcome(backend, plan, failure, took_s)
 
     def _exchange(
--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -360,8 +360,8 @@
     Mutation("forwarding", "            progress.sent -= 1\n", "", FORWARDING),
     Mutation(
         "backends",
-        "except ConnectionRefusedError:\n            return True",
-        "except ZeroDivisionError:\n            return True",
+        "return self._accepts_connections(backend, attempts=1) is False",
+        "return False",
         FORWARDING,
     ),
     Mutation("backlogs", "self.reading[: urgency + 1]", "self.reading", BACKLOGS),
@@ -535,6 +535,7 @@
     Mutation("takeups", "return sole if present <= {sole} else None", "return sole", TAKEUPS),
     Mutation("takeups", "if plan.route.repeat is Repeat.RESUME:", "if True:", TAKEUPS),
     Mutation("takeups", "call.resumes if taken_up else call.id", "call.id", TAKEUPS),
+    Mutation("forwarding", "if is_reachable and not self", "if not self", FORWARDING),
     Mutation("stalls", "and activity.verdict_s <= activity.heard_s", "", STALLS),
     Mutation("stalls", "or (each.streams and max(", "or (False and max(", STALLS),
     Mutation("stalls", "if each.verdict_s > each.heard_s\n            or", "if", STALLS),
--- a/tests/balsamtally/test_forwarding.py
+++ b/tests/balsamtally/test_forwarding.py
@@ -222,6 +222,16 @@
         assert one.connections == expected
 
 
+@pytest.mark.parametrize("is_reachable", [False, True])
+def test_reset_counts_as_the_server_s_fault_only_while_its_link_works(monkeypatch, is_reachable):
+    monkeypatch.setattr(Connections, "is_reachable", lambda self, backend: is_reachable)
+    with ScriptedBackend(FAILURES["reset"]) as one:
+        with ForwarderHarness(make_route(Repeat.NEVER), one) as harness:
+            assert harness.send()[0] == 502
+            gevent.sleep(0.1)
+            assert len(harness.list_recorded("outcome")) == is_reachable
+
+
 REFUSED = reply(503, b"", b"Id: id1\r\nNot-Run: 1\r\n")
 
 
