--- a/standins/mutate.py
+++ b/standins/mutate.py
@@ -356,7 +356,7 @@
     Mutation("events", "if event_id <= self._last_id:", "if False:", FORWARDING),
     Mutation("events", "if not all(_FIELD.fullmatch(line)", "if not any(True", EVENTS),
     Mutation("forwarding", "and holds_answer_head(body):", "and False:", FORWARDING),
-    Mutation("backends", "if readable and len(view) > len(body):", "if False:", FORWARDING),
+    Mutation("backends", "if readable and sent_bytes < len(head):", "if False:", FORWARDING),
     Mutation("forwarding", "            progress.sent -= 1\n", "", FORWARDING),
     Mutation(
         "backends",
--- a/tests/balsamtally/paths/test_relays.py
+++ b/tests/balsamtally/paths/test_relays.py
@@ -394,3 +394,12 @@
     world.cut = None
     world.stop_relay(relay)
     assert world.ask() == (b"answer", "")
+
+
+@pytest.mark.parametrize("hangs", [False, True])
+def test_kept_connections_are_used_unless_they_hang(world, hangs):
+    world.add_relay()
+    world.connections.prepare(world.backend, 1.0, "id0")
+    world.cut = "hang" if hangs else "refuse"
+    world.losses.record_lost(world.backend, "vm2", hangs)
+    assert world.ask() == (b"answer", "vm2" if hangs else "")
